--- /dev/null
+++ b/crates/laurelstall_balance/src/baseline.rs
@@ -0,0 +1,147 @@
+//! Ways to choose that the product is measured against.
+
+use crate::chooser::{Candidate, Choice, Chooser, ChoosingContext};
+use rand::RngExt;
+use std::{fmt, sync::Arc};
+
+/// Age of the reports that [`LeastStale`] sees, in µs.
+pub const REPORT_INTERVAL_US: u64 = 100_000;
+
+/// Any target, with equal chance.
+#[derive(Debug, Default)]
+pub struct Random;
+
+impl Chooser for Random {
+    fn name(&self) -> &'static str {
+        "random"
+    }
+
+    fn choose(&mut self, candidates: &[Candidate<'_>], context: &mut ChoosingContext<'_>) -> Option<Choice> {
+        if candidates.is_empty() {
+            return None;
+        }
+        let at = context.rng.random_range(0..candidates.len());
+        Some(Choice::by_rule(candidates[at].index))
+    }
+}
+
+/// One target after the other.
+#[derive(Debug, Default)]
+pub struct RoundRobin {
+    next: usize,
+}
+
+impl Chooser for RoundRobin {
+    fn name(&self) -> &'static str {
+        "round_robin"
+    }
+
+    fn choose(&mut self, candidates: &[Candidate<'_>], _: &mut ChoosingContext<'_>) -> Option<Choice> {
+        if candidates.is_empty() {
+            return None;
+        }
+        self.next = (self.next + 1) % candidates.len();
+        Some(Choice::by_rule(candidates[self.next].index))
+    }
+}
+
+/// The better of two targets by this entry's own calls in flight.
+#[derive(Debug, Default)]
+pub struct TwoChoices;
+
+impl Chooser for TwoChoices {
+    fn name(&self) -> &'static str {
+        "two_choices"
+    }
+
+    fn choose(&mut self, candidates: &[Candidate<'_>], context: &mut ChoosingContext<'_>) -> Option<Choice> {
+        if candidates.is_empty() {
+            return None;
+        }
+        let a = &candidates[context.rng.random_range(0..candidates.len())];
+        let b = &candidates[context.rng.random_range(0..candidates.len())];
+        let better = if a.view.in_flight() <= b.view.in_flight() { a } else { b };
+        Some(Choice::by_rule(better.index))
+    }
+}
+
+/// True loads, as only a single process that runs all targets can know them.
+pub trait TrueLoads: Send + Sync {
+    /// Expected time at `target` in µs at this instant.
+    fn expected_us(&self, target: &str) -> f64;
+}
+
+/// The least loaded target by a report of up to [`REPORT_INTERVAL_US`] ago.
+pub struct LeastStale {
+    loads: Arc<dyn TrueLoads>,
+    reports: Vec<(String, f64)>,
+    taken_at_us: Option<u64>,
+}
+
+impl LeastStale {
+    /// Takes reports from `loads`.
+    pub fn new(loads: Arc<dyn TrueLoads>) -> Self {
+        Self { loads, reports: Vec::new(), taken_at_us: None }
+    }
+
+    fn reported(&self, name: &str) -> f64 {
+        let report = self.reports.iter().find(|(other, _)| other == name);
+        report.map_or(0.0, |(_, load)| *load)
+    }
+}
+
+impl Chooser for LeastStale {
+    fn name(&self) -> &'static str {
+        "least_stale"
+    }
+
+    fn choose(&mut self, candidates: &[Candidate<'_>], context: &mut ChoosingContext<'_>) -> Option<Choice> {
+        let is_due = self.taken_at_us.is_none_or(|at| context.now_us >= at + REPORT_INTERVAL_US);
+        if is_due {
+            let report = |c: &Candidate<'_>| (c.view.name.clone(), self.loads.expected_us(&c.view.name));
+            self.reports = candidates.iter().map(report).collect();
+            self.taken_at_us = Some(context.now_us);
+        }
+        least(candidates, |name| self.reported(name))
+    }
+}
+
+/// The best target by its true load at this instant.
+pub struct Oracle {
+    loads: Arc<dyn TrueLoads>,
+}
+
+impl Oracle {
+    /// Reads loads from `loads`.
+    pub fn new(loads: Arc<dyn TrueLoads>) -> Self {
+        Self { loads }
+    }
+}
+
+impl Chooser for Oracle {
+    fn name(&self) -> &'static str {
+        "oracle"
+    }
+
+    fn choose(&mut self, candidates: &[Candidate<'_>], _: &mut ChoosingContext<'_>) -> Option<Choice> {
+        least(candidates, |name| self.loads.expected_us(name))
+    }
+}
+
+fn least(candidates: &[Candidate<'_>], load: impl Fn(&str) -> f64) -> Option<Choice> {
+    let weighed = candidates.iter().map(|c| (c.index, load(&c.view.name)));
+    let (index, _) = weighed.min_by(|a, b| a.1.total_cmp(&b.1))?;
+    Some(Choice::by_rule(index))
+}
+
+impl fmt::Debug for Oracle {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("Oracle")
+    }
+}
+
+impl fmt::Debug for LeastStale {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("LeastStale").field("reports", &self.reports).finish_non_exhaustive()
+    }
+}
--- /dev/null
+++ b/crates/laurelstall_balance/src/least_wait.rs
@@ -0,0 +1,101 @@
+//! The product's own way to choose: the least expected time among a few, from aged hints.
+
+use crate::{
+    chooser::{Candidate, Choice, Chooser, ChoosingContext, Reason},
+    target_view::{HINT_HALF_AGE_US, TargetView},
+};
+use rand::RngExt;
+
+/// Targets weighed for each choice.
+pub const WEIGHED_DEFAULT: usize = 4;
+/// What a target that fails every call adds to its expected time, in µs.
+const ERROR_PENALTY_US: f64 = 200_000.0;
+
+/// Power of `d` choices by expected time.
+#[derive(Debug, Clone)]
+pub struct LeastWait {
+    weighed: usize,
+}
+
+impl LeastWait {
+    /// Weighs `weighed` targets for each choice.
+    pub fn new(weighed: usize) -> Self {
+        Self { weighed }
+    }
+}
+
+impl Default for LeastWait {
+    fn default() -> Self {
+        Self::new(WEIGHED_DEFAULT)
+    }
+}
+
+impl Chooser for LeastWait {
+    fn name(&self) -> &'static str {
+        "laurelstall"
+    }
+
+    fn choose(&mut self, candidates: &[Candidate<'_>], context: &mut ChoosingContext<'_>) -> Option<Choice> {
+        let mut best: Option<(usize, f64)> = None;
+        let mut runner_up = None;
+        let mut weigh = |candidate: &Candidate<'_>, context: &mut ChoosingContext<'_>| {
+            let score = expected_us(candidate.view, context);
+            match best {
+                Some((_, least)) if score >= least => {
+                    if runner_up.is_none_or(|(_, next)| score < next) {
+                        runner_up = Some((candidate.index, score));
+                    }
+                }
+                _ => runner_up = best.replace((candidate.index, score)),
+            }
+        };
+        if candidates.len() <= self.weighed {
+            let start = if candidates.is_empty() { 0 } else { context.rng.random_range(0..candidates.len()) };
+            for offset in 0..candidates.len() {
+                weigh(&candidates[(start + offset) % candidates.len()], context);
+            }
+        } else {
+            for _ in 0..self.weighed {
+                let at = context.rng.random_range(0..candidates.len());
+                weigh(&candidates[at], context);
+            }
+        }
+        let (index, score_us) = best?;
+        let reason = if candidates.len() == 1 { Reason::Only } else { Reason::LeastWait };
+        Some(Choice { index, reason, score_us, runner_up: runner_up.filter(|(other, _)| *other != index) })
+    }
+
+    fn is_plain(&self) -> bool {
+        false
+    }
+}
+
+/// The time a call is expected to take at this target, in µs: way, wait and service.
+///
+/// What a hint says fades with its age towards what is usual for the service; own calls sent
+/// since then count in full.
+pub fn expected_us(view: &TargetView, context: &ChoosingContext<'_>) -> f64 {
+    let slots = f64::from(view.slots.max(1));
+    let usual_in_flight = context.usual_load * slots;
+    let (busy, limit, service_us) = match view.hint(context.now_us) {
+        Some((hint, age_us)) => {
+            let trust = 1.0 / (1.0 + age_us as f64 / HINT_HALF_AGE_US);
+            let said = f64::from(hint.in_flight + hint.queued);
+            let busy = trust * said + (1.0 - trust) * usual_in_flight;
+            let limit = trust * f64::from(hint.limit.max(1)) + (1.0 - trust) * slots;
+            let service_us = trust * f64::from(hint.service_us) + (1.0 - trust) * context.usual_us;
+            (busy + f64::from(view.sent_since_hint()), limit, service_us)
+        }
+        None => {
+            let service_us = if view.latency_us() > 0.0 { view.latency_us() } else { context.usual_us };
+            (f64::from(view.in_flight()), slots, service_us)
+        }
+    };
+    let service_us = service_us.max(1.0);
+    // A share of the service time for a busy target below its limit spreads calls evenly.
+    let wait_us = (busy + 1.0 - limit).max(0.0) / limit * service_us;
+    let spread_us = 0.5 * busy / limit * service_us;
+    let error_us = view.error_rate() * ERROR_PENALTY_US;
+    let ramp = view.ejection.ramp(context.now_us, context.slow_start_us);
+    view.trip_us as f64 + (service_us + wait_us + spread_us + error_us) / ramp
+}
--- /dev/null
+++ b/crates/laurelstall_balance/src/service_balancer.rs
@@ -0,0 +1,307 @@
+//! One entry's decisions for one service.
+
+use crate::{
+    chooser::{Candidate, Choice, Chooser, ChoosingContext},
+    ejection::Ejection,
+    hint::Hint,
+    share_budget::ShareBudget,
+    target_view::TargetView,
+};
+use laurelstall_config::team::ServiceLimits;
+use rand::{RngExt, SeedableRng, rngs::SmallRng};
+use std::fmt;
+
+/// Extra attempts that a quiet service may make before it has earned any.
+const RETRY_RESERVE: f64 = 10.0;
+/// Hedges that a quiet service may make before it has earned any.
+const HEDGE_RESERVE: f64 = 1.0;
+/// Attempts before errors or latency may eject a target.
+const EJECTION_SAMPLES_MIN: u32 = 5;
+/// Share of failed attempts from which a target may be ejected.
+const EJECTION_ERROR_RATE: f64 = 0.5;
+/// How far a target's errors must stand above the mean of its service.
+const EJECTION_ERROR_MARGIN: f64 = 0.25;
+/// Multiple of the service's median latency from which a target may be ejected.
+const EJECTION_LATENCY_FACTOR: f64 = 5.0;
+/// Latency below which none is ejected for being slow, in µs.
+const EJECTION_LATENCY_MIN_US: f64 = 5_000.0;
+/// Weight of a new sample in the service's usual service time and load.
+const USUAL_WEIGHT: f64 = 0.02;
+/// Assumed service time before anything is known, in µs.
+const USUAL_START_US: f64 = 5_000.0;
+/// Age up to which a hint tells whether its target queues, in µs.
+const QUEUEING_HINT_AGE_US: u64 = 1_000_000;
+
+/// How an attempt ended, as far as it tells something of the target.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum AttemptResult {
+    /// The target answered well, after so many µs.
+    Good(u64),
+    /// The target answered with an error, or the attempt broke.
+    Failed,
+    /// The guard refused or handed back: nothing is known of the target but the hint.
+    NotRun,
+    /// This entry gave up on it, as with a lost hedge.
+    Cancelled,
+}
+
+/// What a call asks of a choice.
+#[derive(Debug, Clone, Copy)]
+pub struct Choosing<'a> {
+    /// Places of targets that refused this call already.
+    pub excluded: &'a [usize],
+    /// The one target that it must go to, for a ticket.
+    pub only: Option<&'a str>,
+    /// Now, in µs of the entry's monotonic clock.
+    pub now_us: u64,
+}
+
+/// What an entry knows and decides of one service.
+pub struct ServiceBalancer {
+    targets: Vec<TargetView>,
+    limits: ServiceLimits,
+    chooser: Box<dyn Chooser>,
+    retries: ShareBudget,
+    hedges: ShareBudget,
+    usual_us: f64,
+    usual_load: f64,
+    ejections: u64,
+    rng: SmallRng,
+}
+
+impl ServiceBalancer {
+    /// A balancer without targets; `seed` makes its random choices repeatable.
+    pub fn new(limits: ServiceLimits, chooser: Box<dyn Chooser>, seed: u64) -> Self {
+        Self {
+            targets: Vec::new(),
+            limits,
+            chooser,
+            retries: ShareBudget::new(limits.retry_percent, RETRY_RESERVE),
+            hedges: ShareBudget::new(limits.hedge_percent, HEDGE_RESERVE),
+            usual_us: USUAL_START_US,
+            usual_load: 0.5,
+            ejections: 0,
+            rng: SmallRng::seed_from_u64(seed),
+        }
+    }
+
+    /// Puts a new list of targets in place; what is known of those that stay is kept.
+    ///
+    /// A target that joins a running service ramps up; the first list of all does not.
+    pub fn set_targets(&mut self, limits: ServiceLimits, listed: Vec<TargetView>) {
+        let is_first = self.targets.is_empty();
+        let mut old = std::mem::take(&mut self.targets);
+        for mut view in listed {
+            let place = old.iter().position(|o| o.name == view.name && o.host == view.host);
+            if let Some(place) = place {
+                let mut kept = old.swap_remove(place);
+                kept.slots = view.slots;
+                kept.trip_us = view.trip_us;
+                kept.is_live = view.is_live;
+                view = kept;
+            } else if is_first {
+                view.ejection = Ejection::without_ramp();
+            }
+            self.targets.push(view);
+        }
+        self.limits = limits;
+        self.retries.set_percent(limits.retry_percent);
+        self.hedges.set_percent(limits.hedge_percent);
+    }
+
+    /// Chooses a target for one attempt; none when no target may take it.
+    pub fn choose(&mut self, choosing: &Choosing<'_>) -> Option<Choice> {
+        let now_us = choosing.now_us;
+        let is_wanted = |(index, view): &(usize, &TargetView)| match choosing.only {
+            Some(name) => view.name == name,
+            None => view.is_eligible(now_us) && !choosing.excluded.contains(index),
+        };
+        let listed = self.targets.iter().enumerate().filter(is_wanted);
+        let candidates = listed.map(|(index, view)| Candidate { index, view }).collect::<Vec<_>>();
+        let mut context = ChoosingContext {
+            now_us,
+            slow_start_us: self.limits.slow_start_ms * 1_000,
+            usual_us: self.usual_us,
+            usual_load: self.usual_load,
+            rng: &mut self.rng,
+        };
+        let choice = self.chooser.choose(&candidates, &mut context);
+        debug_assert!(choice.is_none_or(|c| candidates.iter().any(|k| k.index == c.index)));
+        choice
+    }
+
+    /// Notes that an attempt goes to the target at `index`.
+    pub fn note_sent(&mut self, index: usize) {
+        if let Some(view) = self.targets.get_mut(index) {
+            view.note_sent();
+        }
+    }
+
+    /// Notes how an attempt ended; `name` guards against a list that changed meanwhile.
+    pub fn note_result(&mut self, index: usize, name: &str, result: AttemptResult, now_us: u64) {
+        let Some(index) = self.place_of(index, name) else { return };
+        let view = &mut self.targets[index];
+        view.note_ended();
+        match result {
+            AttemptResult::Good(latency_us) => {
+                view.note_result(false, latency_us);
+                self.usual_us += USUAL_WEIGHT * (latency_us as f64 - self.usual_us);
+                self.retries.earn();
+                self.hedges.earn();
+            }
+            AttemptResult::Failed => view.note_result(true, 0),
+            AttemptResult::NotRun | AttemptResult::Cancelled => return,
+        }
+        self.eject_if_due(index, now_us);
+    }
+
+    /// Takes a guard's word on its target.
+    pub fn take_hint(&mut self, index: usize, name: &str, hint: Hint, now_us: u64) {
+        let Some(index) = self.place_of(index, name) else { return };
+        let slots = f64::from(self.targets[index].slots.max(1));
+        let load = f64::from(hint.in_flight + hint.queued) / slots;
+        self.usual_load += USUAL_WEIGHT * (load - self.usual_load);
+        self.targets[index].take_hint(hint, now_us);
+    }
+
+    /// Whether a further attempt may be made after a proved *not run* or a repeatable failure.
+    pub fn may_retry(&mut self) -> bool {
+        self.retries.try_spend()
+    }
+
+    /// Whether a hedge may be sent: there is budget, and the service as a whole is not queueing.
+    pub fn may_hedge(&mut self, now_us: u64) -> bool {
+        !self.is_queueing(now_us) && self.hedges.try_spend()
+    }
+
+    /// Whether most targets that spoke lately have calls waiting.
+    pub fn is_queueing(&self, now_us: u64) -> bool {
+        let fresh = self.targets.iter().filter_map(|view| view.hint(now_us));
+        let (mut spoke, mut queueing) = (0, 0);
+        for (hint, _) in fresh.filter(|(_, age_us)| *age_us < QUEUEING_HINT_AGE_US) {
+            spoke += 1;
+            queueing += u32::from(hint.queued > 0);
+        }
+        queueing * 3 > spoke * 2
+    }
+
+    /// The target that a probe would tell most of: an eligible one with the oldest hint.
+    pub fn stalest(&mut self, now_us: u64, age_min_us: u64) -> Option<usize> {
+        let age = |view: &TargetView| view.hint(now_us).map_or(u64::MAX, |(_, age_us)| age_us);
+        let live = self.targets.iter().enumerate().filter(|(_, view)| view.is_live);
+        let due = live.map(|(index, view)| (index, age(view))).filter(|(_, age)| *age >= age_min_us);
+        let due = due.collect::<Vec<_>>();
+        let oldest = due.iter().map(|(_, age)| *age).max()?;
+        let ties = due.iter().filter(|(_, age)| *age == oldest).collect::<Vec<_>>();
+        Some(ties[self.rng.random_range(0..ties.len())].0)
+    }
+
+    /// When to come back, in ms, for a call that no target can take now.
+    pub fn retry_after_ms(&self) -> u64 {
+        let queue = self.usual_us / 1_000.0 * 4.0;
+        (queue as u64).clamp(100, 5_000)
+    }
+
+    /// The targets, for decisions written down and for operators.
+    pub fn targets(&self) -> &[TargetView] {
+        &self.targets
+    }
+
+    /// The limits in force.
+    pub fn limits(&self) -> &ServiceLimits {
+        &self.limits
+    }
+
+    /// Whether guards should act as behind a plain balancer.
+    pub fn is_plain(&self) -> bool {
+        self.chooser.is_plain()
+    }
+
+    /// Retries granted and refused, hedges granted, ejections, since the start.
+    pub fn totals(&self) -> BalancerTotals {
+        BalancerTotals {
+            retries: self.retries.granted(),
+            retries_refused: self.retries.refused(),
+            hedges: self.hedges.granted(),
+            ejections: self.ejections,
+        }
+    }
+
+    fn place_of(&self, index: usize, name: &str) -> Option<usize> {
+        if self.targets.get(index).is_some_and(|view| view.name == name) {
+            return Some(index);
+        }
+        self.targets.iter().position(|view| view.name == name)
+    }
+
+    fn eject_if_due(&mut self, index: usize, now_us: u64) {
+        let view = &self.targets[index];
+        if view.ejection.is_out(now_us) || view.samples() < EJECTION_SAMPLES_MIN {
+            return;
+        }
+        if !self.is_failing(index) && !self.is_slow(index) {
+            self.note_recovery(index, now_us);
+            return;
+        }
+        let out = self.targets.iter().filter(|view| view.ejection.is_out(now_us)).count();
+        let most = self.targets.len() * self.limits.ejected_max_percent as usize / 100;
+        if out >= most {
+            return;
+        }
+        let view = &mut self.targets[index];
+        view.ejection.eject(now_us, self.limits.ejection_ms * 1_000);
+        view.forget_errors();
+        self.ejections += 1;
+    }
+
+    fn note_recovery(&mut self, index: usize, now_us: u64) {
+        let slow_start_us = self.limits.slow_start_ms * 1_000;
+        let view = &mut self.targets[index];
+        if view.ejection.ramp(now_us, slow_start_us) >= 1.0 {
+            view.ejection.note_recovered();
+        }
+    }
+
+    fn is_failing(&self, index: usize) -> bool {
+        let rate = self.targets[index].error_rate();
+        let others = self.targets.len().saturating_sub(1).max(1) as f64;
+        let sum: f64 = self.targets.iter().map(TargetView::error_rate).sum();
+        let mean_of_others = (sum - rate) / others;
+        rate >= EJECTION_ERROR_RATE && rate >= mean_of_others + EJECTION_ERROR_MARGIN
+    }
+
+    fn is_slow(&self, index: usize) -> bool {
+        let latency_us = self.targets[index].latency_us();
+        if latency_us < EJECTION_LATENCY_MIN_US {
+            return false;
+        }
+        let known = self.targets.iter().map(TargetView::latency_us).filter(|l| *l > 0.0);
+        let mut known = known.collect::<Vec<_>>();
+        known.sort_by(f64::total_cmp);
+        let median = known.get((known.len().saturating_sub(1)) / 2).copied().unwrap_or(0.0);
+        known.len() >= 3 && latency_us > EJECTION_LATENCY_FACTOR * median
+    }
+}
+
+/// Counts of a [`ServiceBalancer`] since its start.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct BalancerTotals {
+    /// Further attempts granted.
+    pub retries: u64,
+    /// Further attempts refused for want of budget.
+    pub retries_refused: u64,
+    /// Hedges granted.
+    pub hedges: u64,
+    /// Targets ejected.
+    pub ejections: u64,
+}
+
+impl fmt::Debug for ServiceBalancer {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let chooser = self.chooser.name();
+        f.debug_struct("ServiceBalancer")
+            .field("targets", &self.targets)
+            .field("chooser", &chooser)
+            .finish_non_exhaustive()
+    }
+}
--- /dev/null
+++ b/crates/laurelstall_balance/src/target_view.rs
@@ -0,0 +1,138 @@
+//! What one entry believes of one target.
+
+use crate::{
+    ejection::Ejection,
+    hint::{Hint, TargetState},
+};
+
+/// Weight of a new sample in the averages of errors.
+const ERROR_WEIGHT: f64 = 0.15;
+/// Weight of a new sample in the average of latencies.
+const LATENCY_WEIGHT: f64 = 0.2;
+/// Age at which a hint counts half, in µs.
+pub const HINT_HALF_AGE_US: f64 = 200_000.0;
+
+/// One entry's view of one target.
+#[derive(Debug, Clone)]
+pub struct TargetView {
+    /// The target's name.
+    pub name: String,
+    /// The host it runs on.
+    pub host: String,
+    /// Slots from the configuration.
+    pub slots: u32,
+    /// Way there and back in µs.
+    pub trip_us: u64,
+    /// Whether the fleet lists its host as live.
+    pub is_live: bool,
+    /// Whether it is ejected, and since when it ramps up.
+    pub ejection: Ejection,
+    hint: Option<(Hint, u64)>,
+    in_flight: u32,
+    in_flight_at_hint: u32,
+    error_rate: f64,
+    latency_us: f64,
+    samples: u32,
+}
+
+impl TargetView {
+    /// A view of a target of which nothing is known yet; it ramps up from `now_us`.
+    pub fn new(name: &str, host: &str, slots: u32, trip_us: u64, now_us: u64) -> Self {
+        Self {
+            name: name.to_owned(),
+            host: host.to_owned(),
+            slots,
+            trip_us,
+            is_live: true,
+            ejection: Ejection::new(now_us),
+            hint: None,
+            in_flight: 0,
+            in_flight_at_hint: 0,
+            error_rate: 0.0,
+            latency_us: 0.0,
+            samples: 0,
+        }
+    }
+
+    /// Takes a guard's word; a new incarnation starts the view afresh.
+    pub fn take_hint(&mut self, hint: Hint, now_us: u64) {
+        let is_restarted = self.hint.is_some_and(|(old, _)| old.incarnation != hint.incarnation);
+        if is_restarted {
+            self.error_rate = 0.0;
+            self.latency_us = 0.0;
+            self.samples = 0;
+            self.ejection = Ejection::new(now_us);
+        }
+        self.hint = Some((hint, now_us));
+        self.in_flight_at_hint = self.in_flight;
+    }
+
+    /// Notes that an attempt was sent.
+    pub fn note_sent(&mut self) {
+        self.in_flight += 1;
+    }
+
+    /// Notes that an attempt ended without saying anything of the target.
+    pub fn note_ended(&mut self) {
+        self.in_flight = self.in_flight.saturating_sub(1);
+        self.in_flight_at_hint = self.in_flight_at_hint.min(self.in_flight);
+    }
+
+    /// Notes how an attempt that reached the target went.
+    pub fn note_result(&mut self, is_error: bool, latency_us: u64) {
+        let error = if is_error { 1.0 } else { 0.0 };
+        self.error_rate += ERROR_WEIGHT * (error - self.error_rate);
+        if !is_error {
+            let weight = if self.latency_us == 0.0 { 1.0 } else { LATENCY_WEIGHT };
+            self.latency_us += weight * (latency_us as f64 - self.latency_us);
+        }
+        self.samples = self.samples.saturating_add(1);
+    }
+
+    /// Forgets errors, for the time after an ejection.
+    pub fn forget_errors(&mut self) {
+        self.error_rate = 0.0;
+        self.latency_us = 0.0;
+        self.samples = 0;
+    }
+
+    /// Whether a new call may go here at all.
+    pub fn is_eligible(&self, now_us: u64) -> bool {
+        self.is_live && !self.is_draining() && !self.ejection.is_out(now_us)
+    }
+
+    /// Whether its guard said that it drains.
+    pub fn is_draining(&self) -> bool {
+        self.hint.is_some_and(|(hint, _)| hint.state == TargetState::Draining)
+    }
+
+    /// The last hint and its age in µs.
+    pub fn hint(&self, now_us: u64) -> Option<(Hint, u64)> {
+        self.hint.map(|(hint, at_us)| (hint, now_us.saturating_sub(at_us)))
+    }
+
+    /// This entry's own calls running there.
+    pub fn in_flight(&self) -> u32 {
+        self.in_flight
+    }
+
+    /// Own calls sent since the hint was made and not ended yet.
+    pub fn sent_since_hint(&self) -> u32 {
+        self.in_flight.saturating_sub(self.in_flight_at_hint)
+    }
+
+    /// Share of recent attempts that failed, 0 to 1.
+    pub fn error_rate(&self) -> f64 {
+        self.error_rate
+    }
+
+    /// Average latency of recent successes in µs; 0 when there was none.
+    pub fn latency_us(&self) -> f64 {
+        self.latency_us
+    }
+
+    /// Attempts that these averages rest on.
+    pub fn samples(&self) -> u32 {
+        self.samples
+    }
+}
--- /dev/null
+++ b/crates/laurelstall_cli/src/lib.rs
@@ -0,0 +1,1 @@
+//! What the command-line programs share.
--- /dev/null
+++ b/crates/laurelstall_config/src/fleet.rs
@@ -0,0 +1,75 @@
+//! The platform's list of live and leaving hosts.
+
+use crate::problem::{Checker, ConfigError, is_name};
+use serde::{Deserialize, Serialize};
+use std::{
+    collections::HashSet,
+    net::{IpAddr, SocketAddr},
+};
+
+/// Most hosts in a fleet document.
+pub const HOSTS_MAX: usize = 5_000;
+
+/// What the platform says of a host.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum HostState {
+    /// In service.
+    Live,
+    /// About to go: gets no new request.
+    Leaving,
+}
+
+/// One host of the fleet.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Host {
+    /// The host's name.
+    pub name: String,
+    /// Where its node takes streams from other nodes.
+    pub node_address: SocketAddr,
+    /// The data centre it stands in.
+    pub data_centre: String,
+    /// What the platform says of it.
+    pub state: HostState,
+}
+
+/// The hosts the platform knows of; it lags behind the truth.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Fleet {
+    /// All hosts, live and leaving.
+    #[serde(default, rename = "host")]
+    pub hosts: Vec<Host>,
+}
+
+impl Fleet {
+    /// Reads and checks a fleet document.
+    ///
+    /// # Errors
+    ///
+    /// All faults found in `text`.
+    pub fn from_text(file: &str, text: &str) -> Result<Self, ConfigError> {
+        let mut check = Checker::new(file, text);
+        let fleet: Self = check.parse().unwrap_or_default();
+        check.ensure(fleet.hosts.len() <= HOSTS_MAX, "host", "too many hosts");
+        let mut names = HashSet::new();
+        for host in &fleet.hosts {
+            check.ensure(is_name(&host.name), "name", &format!("'{}' is not a name", host.name));
+            check.ensure(is_name(&host.data_centre), "data_centre", "is not a name");
+            let message = format!("host '{}' stands twice", host.name);
+            check.ensure(names.insert(&host.name), "name", &message);
+        }
+        check.finish().map(|()| fleet)
+    }
+
+    /// The host called `name`.
+    pub fn host(&self, name: &str) -> Option<&Host> {
+        self.hosts.iter().find(|host| host.name == name)
+    }
+
+    /// Whether a host of the fleet has this IP number.
+    pub fn has_ip(&self, ip: IpAddr) -> bool {
+        self.hosts.iter().any(|host| host.node_address.ip() == ip)
+    }
+}
--- /dev/null
+++ b/crates/laurelstall_config/src/system.rs
@@ -0,0 +1,108 @@
+//! Limits that hold for the whole system, published by the platform.
+
+use crate::problem::{Checker, ConfigError, is_name};
+use serde::{Deserialize, Serialize};
+
+/// What a node may spend on observing targets.
+#[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct ObserveLimits {
+    /// Bytes a second, both directions, hints and probes together. 0 turns observing off.
+    pub bytes_per_s: u64,
+    /// Probes a second, sent and answered together.
+    pub probes_per_s: u64,
+}
+
+impl Default for ObserveLimits {
+    fn default() -> Self {
+        Self { bytes_per_s: 4_000, probes_per_s: 10 }
+    }
+}
+
+/// How nodes spread configuration.
+#[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct SpreadLimits {
+    /// Nodes in each data centre that watch the platform.
+    pub readers_per_data_centre: usize,
+    /// Other nodes that a node keeps exchanging versions with.
+    pub partners: usize,
+    /// Pause between two exchanges of versions with a partner in ms.
+    pub exchange_interval_ms: u64,
+    /// Without news of a platform read for so long, any node may read itself; in ms.
+    pub fallback_read_after_ms: u64,
+}
+
+impl Default for SpreadLimits {
+    fn default() -> Self {
+        Self {
+            readers_per_data_centre: 2,
+            partners: 6,
+            exchange_interval_ms: 1_000,
+            fallback_read_after_ms: 60_000,
+        }
+    }
+}
+
+/// The one-way time between two data centres.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Distance {
+    /// One end.
+    pub from: String,
+    /// The other end.
+    pub to: String,
+    /// One-way time in µs.
+    pub one_way_us: u64,
+}
+
+/// The system document.
+#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct SystemLimits {
+    /// Budget for observing targets.
+    pub observe: ObserveLimits,
+    /// Spreading of configuration.
+    pub spread: SpreadLimits,
+    /// Times between data centres; pairs not listed count as [`DISTANCE_DEFAULT_US`].
+    #[serde(rename = "distance")]
+    pub distances: Vec<Distance>,
+}
+
+/// One-way time between data centres that no entry names, in µs.
+pub const DISTANCE_DEFAULT_US: u64 = 1_000;
+
+impl SystemLimits {
+    /// Reads and checks a system document.
+    ///
+    /// # Errors
+    ///
+    /// All faults found in `text`.
+    pub fn from_text(file: &str, text: &str) -> Result<Self, ConfigError> {
+        let mut check = Checker::new(file, text);
+        let limits: Self = check.parse().unwrap_or_default();
+        check.range("observe.bytes_per_s", limits.observe.bytes_per_s, 0..=10_000_000);
+        check.range("observe.probes_per_s", limits.observe.probes_per_s, 0..=10_000);
+        let spread = limits.spread;
+        check.range("spread.readers_per_data_centre", spread.readers_per_data_centre, 1..=16);
+        check.range("spread.partners", spread.partners, 1..=32);
+        check.range("spread.exchange_interval_ms", spread.exchange_interval_ms, 50..=60_000);
+        check.range("spread.fallback_read_after_ms", spread.fallback_read_after_ms, 1_000..=3_600_000);
+        for distance in &limits.distances {
+            let are_names = is_name(&distance.from) && is_name(&distance.to);
+            check.ensure(are_names, "distance", "from and to must name data centres");
+            check.range("distance.one_way_us", distance.one_way_us, 0..=1_000_000);
+        }
+        check.finish().map(|()| limits)
+    }
+
+    /// One-way time between two data centres in µs; 0 within one.
+    pub fn distance_us(&self, a: &str, b: &str) -> u64 {
+        if a == b {
+            return 0;
+        }
+        let joins = |d: &&Distance| (d.from == a && d.to == b) || (d.from == b && d.to == a);
+        let distance = self.distances.iter().find(joins);
+        distance.map_or(DISTANCE_DEFAULT_US, |distance| distance.one_way_us)
+    }
+}
--- /dev/null
+++ b/crates/laurelstall_config/src/team.rs
@@ -0,0 +1,187 @@
+//! One team's document: its callers' host names, its services, their targets, its program.
+
+use crate::problem::{Checker, ConfigError, is_name};
+use serde::{Deserialize, Serialize};
+use std::collections::HashSet;
+
+/// Most services in one team's document.
+pub const SERVICES_MAX: usize = 64;
+/// Most targets of one service.
+pub const TARGETS_MAX: usize = 1_000;
+/// Longest program in bytes.
+pub const PROGRAM_BYTES_MAX: usize = 64 * 1024;
+
+/// Header by which a target marks an answer as shed before anything ran.
+pub const SHED_HEADER: &str = "laurelstall-shed";
+
+/// Limits of one service, for its guards and for the entries that call it.
+#[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct ServiceLimits {
+    /// Calls that may wait at one guard.
+    pub queue_length: usize,
+    /// Longest wait at one guard in ms.
+    pub queue_wait_max_ms: u64,
+    /// Most times a call is handed back while it waits; 0 turns handing back off.
+    pub hand_backs_max: u32,
+    /// Smallest share of a target's slots that the adaptive limit may fall to, in percent.
+    pub slots_floor_percent: u32,
+    /// Largest share of a service's targets that may be ejected, in percent.
+    pub ejected_max_percent: u32,
+    /// How long an ejected target stays out the first time, in ms.
+    pub ejection_ms: u64,
+    /// Ramp of a target that is new or was ejected, in ms.
+    pub slow_start_ms: u64,
+    /// Retries as a share of successful calls, in percent.
+    pub retry_percent: u32,
+    /// Hedges as a share of calls, in percent.
+    pub hedge_percent: u32,
+    /// Status that, together with [`SHED_HEADER`], says a target ran nothing; 0 for none.
+    pub shed_status: u16,
+    /// Most tickets open at one guard.
+    pub tickets_max: usize,
+    /// Lifetime of a ticket in ms.
+    pub ticket_lifetime_ms: u64,
+    /// Largest answer kept for a repeated ticket in bytes.
+    pub kept_answer_bytes: usize,
+}
+
+impl Default for ServiceLimits {
+    fn default() -> Self {
+        Self {
+            queue_length: 64,
+            queue_wait_max_ms: 1_000,
+            hand_backs_max: 8,
+            slots_floor_percent: 34,
+            ejected_max_percent: 34,
+            ejection_ms: 1_000,
+            slow_start_ms: 2_000,
+            retry_percent: 10,
+            hedge_percent: 3,
+            shed_status: 503,
+            tickets_max: 20_000,
+            ticket_lifetime_ms: 300_000,
+            kept_answer_bytes: 16 * 1024,
+        }
+    }
+}
+
+impl ServiceLimits {
+    fn check(&self, check: &mut Checker<'_>) {
+        check.range("limits.queue_length", self.queue_length, 0..=10_000);
+        check.range("limits.queue_wait_max_ms", self.queue_wait_max_ms, 0..=60_000);
+        check.range("limits.hand_backs_max", self.hand_backs_max, 0..=32);
+        check.range("limits.slots_floor_percent", self.slots_floor_percent, 1..=100);
+        check.range("limits.ejected_max_percent", self.ejected_max_percent, 0..=80);
+        check.range("limits.ejection_ms", self.ejection_ms, 10..=600_000);
+        check.range("limits.slow_start_ms", self.slow_start_ms, 0..=600_000);
+        check.range("limits.retry_percent", self.retry_percent, 0..=100);
+        check.range("limits.hedge_percent", self.hedge_percent, 0..=50);
+        let is_status = self.shed_status == 0 || (400..=599).contains(&self.shed_status);
+        check.ensure(is_status, "limits.shed_status", "must be 0 or 400 to 599");
+        check.range("limits.tickets_max", self.tickets_max, 0..=1_000_000);
+        check.range("limits.ticket_lifetime_ms", self.ticket_lifetime_ms, 1_000..=86_400_000);
+        check.range("limits.kept_answer_bytes", self.kept_answer_bytes, 0..=1_000_000);
+    }
+}
+
+/// One target of a service.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Target {
+    /// The target's name, unique in its service.
+    pub name: String,
+    /// The host it runs on; that host's node is its guard.
+    pub host: String,
+    /// Requests it can run at once.
+    pub slots: u32,
+    /// Connections it takes.
+    #[serde(default = "connections_default")]
+    pub connections: u32,
+}
+
+fn connections_default() -> u32 {
+    200
+}
+
+/// One service of a team.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Service {
+    /// The service's name, unique in its team.
+    pub name: String,
+    /// Its limits.
+    #[serde(default)]
+    pub limits: ServiceLimits,
+    /// Its targets.
+    #[serde(default, rename = "target")]
+    pub targets: Vec<Target>,
+}
+
+impl Service {
+    fn check(&self, check: &mut Checker<'_>) {
+        check.ensure(is_name(&self.name), "service.name", &format!("'{}' is not a name", self.name));
+        check.ensure(self.targets.len() <= TARGETS_MAX, "target", "too many targets");
+        self.limits.check(check);
+        let mut names = HashSet::new();
+        let mut hosts = HashSet::new();
+        for target in &self.targets {
+            let name = &target.name;
+            check.ensure(is_name(name), "target.name", &format!("'{name}' is not a name"));
+            check.ensure(names.insert(name), "target.name", &format!("'{name}' stands twice"));
+            let message = format!("'{}' has two targets of one service", target.host);
+            check.ensure(hosts.insert(&target.host), "target.host", &message);
+            check.range("target.slots", target.slots, 1..=100_000);
+            check.range("target.connections", target.connections, 1..=100_000);
+        }
+    }
+}
+
+/// A team's document.
+#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Team {
+    /// The team's name; the document's name must say the same.
+    pub team: String,
+    /// Host names that callers of this team use, without port.
+    pub caller_hosts: Vec<String>,
+    /// The routing program.
+    pub program: String,
+    /// The team's services.
+    #[serde(default, rename = "service")]
+    pub services: Vec<Service>,
+}
+
+impl Team {
+    /// Reads and checks a team's document.
+    ///
+    /// # Errors
+    ///
+    /// All faults found in `text`.
+    pub fn from_text(file: &str, text: &str) -> Result<Self, ConfigError> {
+        let mut check = Checker::new(file, text);
+        let Some(team) = check.parse::<Self>() else {
+            return Err(check.finish().expect_err("parsing noted a problem"));
+        };
+        check.ensure(is_name(&team.team), "team", &format!("'{}' is not a name", team.team));
+        check.ensure(!team.caller_hosts.is_empty(), "caller_hosts", "must name at least one host");
+        for host in &team.caller_hosts {
+            let is_host = !host.is_empty() && !host.contains([':', '/', ' ']);
+            check.ensure(is_host, "caller_hosts", &format!("'{host}' is not a host name without port"));
+        }
+        check.range("program", team.program.len(), 1..=PROGRAM_BYTES_MAX);
+        check.range("service", team.services.len(), 1..=SERVICES_MAX);
+        let mut names = HashSet::new();
+        for service in &team.services {
+            let message = format!("'{}' stands twice", service.name);
+            check.ensure(names.insert(&service.name), "service.name", &message);
+            service.check(&mut check);
+        }
+        check.finish().map(|()| team)
+    }
+
+    /// The service called `name`.
+    pub fn service(&self, name: &str) -> Option<&Service> {
+        self.services.iter().find(|service| service.name == name)
+    }
+}
--- /dev/null
+++ b/crates/laurelstall_guard/src/guard.rs
@@ -0,0 +1,351 @@
+//! Admission to one target.
+
+use crate::{
+    clock::Clock,
+    concurrency_limit::ConcurrencyLimit,
+    refusal::{Refusal, RefusalReason},
+    wait_queue::{Place, WaitQueue},
+};
+use std::sync::{
+    Arc, Mutex, MutexGuard, PoisonError,
+    atomic::{AtomicBool, Ordering},
+};
+use tokio::{
+    sync::{Notify, oneshot},
+    time::{Instant, timeout_at},
+};
+
+/// Limits of a guard, from the published configuration.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct GuardLimits {
+    /// Requests the target can run at once.
+    pub slots: u32,
+    /// Floor of the adaptive limit in percent of the slots.
+    pub slots_floor_percent: u32,
+    /// Calls that may wait.
+    pub queue_length: usize,
+    /// Longest wait in ms.
+    pub queue_wait_max_ms: u64,
+}
+
+/// What a call asks of a guard.
+#[derive(Debug, Clone, Copy)]
+pub struct Ask {
+    /// Importance, 0 to 9.
+    pub importance: u8,
+    /// When the call must be done, in µs of the guard's clock.
+    pub deadline_us: u64,
+    /// Whether the call may be handed back while it waits.
+    pub may_hand_back: bool,
+    /// Times it was handed back before; each doubles its patience.
+    pub hand_backs: u32,
+}
+
+/// What runs and waits at this instant.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct GuardLoad {
+    /// Requests running at the target.
+    pub in_flight: u32,
+    /// Requests waiting.
+    pub queued: u32,
+    /// Requests that may run at once now.
+    pub limit: u32,
+    /// Recent service time in µs, or the age of the oldest running call over 2 if that is more.
+    pub service_us: u32,
+    /// Whether the guard takes nothing new.
+    pub is_draining: bool,
+}
+
+/// Smallest patience before a call is handed back, in µs.
+const PATIENCE_MIN_US: u64 = 1_000;
+
+#[derive(Debug)]
+struct State {
+    limit: ConcurrencyLimit,
+    limits: GuardLimits,
+    queue: WaitQueue,
+    /// Start times of running calls, by number, oldest first.
+    running: std::collections::BTreeMap<u64, u64>,
+    next_run: u64,
+}
+
+/// The gate before one target.
+#[derive(Debug)]
+pub struct Guard {
+    clock: Clock,
+    state: Mutex<State>,
+    is_draining: AtomicBool,
+    idle: Notify,
+}
+
+impl Guard {
+    /// A guard that takes calls at once.
+    pub fn new(limits: GuardLimits, clock: Clock) -> Arc<Self> {
+        let state = State {
+            limit: ConcurrencyLimit::new(limits.slots, limits.slots_floor_percent),
+            limits,
+            queue: WaitQueue::default(),
+            running: std::collections::BTreeMap::new(),
+            next_run: 0,
+        };
+        Arc::new(Self {
+            clock,
+            state: Mutex::new(state),
+            is_draining: AtomicBool::new(false),
+            idle: Notify::new(),
+        })
+    }
+
+    /// Puts new limits in force; calls that run or wait stay.
+    pub fn set_limits(&self, limits: GuardLimits) {
+        let mut state = self.lock();
+        state.limits = limits;
+        state.limit.set_slots(limits.slots, limits.slots_floor_percent);
+        state.admit_waiting(&self.clock);
+    }
+
+    /// Starts or ends draining: while it drains, nothing new is admitted.
+    pub fn set_draining(&self, is_draining: bool) {
+        self.is_draining.store(is_draining, Ordering::SeqCst);
+    }
+
+    /// Whether nothing new is admitted.
+    pub fn is_draining(&self) -> bool {
+        self.is_draining.load(Ordering::SeqCst)
+    }
+
+    /// Waits until nothing runs and nothing waits.
+    pub async fn drained(&self) {
+        loop {
+            let notified = self.idle.notified();
+            if self.is_idle() {
+                return;
+            }
+            notified.await;
+        }
+    }
+
+    /// Whether nothing runs and nothing waits.
+    pub fn is_idle(&self) -> bool {
+        let state = self.lock();
+        state.running.is_empty() && state.queue.is_empty()
+    }
+
+    /// What runs and waits now.
+    pub fn load(&self) -> GuardLoad {
+        let now_us = self.clock.now_us();
+        let state = self.lock();
+        let oldest_us = state.running.values().next().map_or(0, |start| now_us.saturating_sub(*start));
+        GuardLoad {
+            in_flight: state.running.len() as u32,
+            queued: state.queue.len() as u32,
+            limit: state.limit.limit(),
+            service_us: state.limit.recent_us().max(oldest_us / 2).min(u64::from(u32::MAX)) as u32,
+            is_draining: self.is_draining(),
+        }
+    }
+
+    /// Admits a call, at once or after a wait.
+    ///
+    /// # Errors
+    ///
+    /// A [`Refusal`]: the target has not seen a byte of the call.
+    pub async fn admit(self: &Arc<Self>, ask: Ask) -> Result<Permit, Refusal> {
+        let (mut waiting, wait_until, is_patience) = match self.enter(&ask)? {
+            Entered::Running(permit) => return Ok(permit),
+            Entered::Waiting { waiting, wait_until, is_patience } => (waiting, wait_until, is_patience),
+        };
+        let woken = timeout_at(wait_until, &mut waiting.woken).await;
+        match woken {
+            Ok(Ok(())) => self.start_woken(waiting, &ask),
+            // The sender was dropped: a more important call took this place.
+            Ok(Err(_)) => Err(self.refusal(RefusalReason::QueueFull)),
+            Err(_) => self.leave_queue(waiting, is_patience),
+        }
+    }
+
+    /// Learns that the target refused work it was given.
+    pub fn note_shed(&self) {
+        self.lock().limit.note_shed();
+    }
+
+    fn enter(self: &Arc<Self>, ask: &Ask) -> Result<Entered, Refusal> {
+        if self.is_draining() {
+            return Err(Refusal::new(RefusalReason::Draining));
+        }
+        let now_us = self.clock.now_us();
+        let mut state = self.lock();
+        if ask.deadline_us <= now_us {
+            return Err(Refusal::new(RefusalReason::Deadline));
+        }
+        if state.queue.is_empty() && state.has_slot() {
+            let number = state.start(now_us);
+            return Ok(Entered::Running(Permit {
+                guard: self.clone(),
+                number,
+                start_us: now_us,
+                is_counted: true,
+            }));
+        }
+        let expected_us = state.expected_wait_us(ask);
+        if now_us + expected_us > ask.deadline_us {
+            drop(state);
+            return Err(self.refusal(RefusalReason::Deadline));
+        }
+        let is_full = state.queue.len() >= state.limits.queue_length;
+        if is_full && !state.queue.evict_below(ask.importance) {
+            drop(state);
+            return Err(self.refusal(RefusalReason::QueueFull));
+        }
+        let (place, woken) = state.queue.push(ask.importance, ask.deadline_us);
+        let most_us = (now_us + state.limits.queue_wait_max_ms * 1_000).min(ask.deadline_us);
+        let patience_us = state.limit.usual_us().max(PATIENCE_MIN_US) << ask.hand_backs.min(6);
+        let is_patience = ask.may_hand_back && now_us + patience_us < most_us;
+        let until_us = if is_patience { now_us + patience_us } else { most_us };
+        let wait_until: Instant = self.clock.instant_of(until_us);
+        let waiting = Waiting { guard: self.clone(), place, woken, is_in_queue: true };
+        Ok(Entered::Waiting { waiting, wait_until, is_patience })
+    }
+
+    fn start_woken(self: &Arc<Self>, mut waiting: Waiting, ask: &Ask) -> Result<Permit, Refusal> {
+        waiting.is_in_queue = false;
+        let now_us = self.clock.now_us();
+        // A slot was taken for this call when it was woken.
+        let number = self.lock().take_reserved(now_us);
+        let mut permit = Permit { guard: self.clone(), number, start_us: now_us, is_counted: false };
+        if ask.deadline_us <= now_us {
+            return Err(Refusal::new(RefusalReason::Deadline));
+        }
+        permit.is_counted = true;
+        Ok(permit)
+    }
+
+    fn leave_queue(self: &Arc<Self>, mut waiting: Waiting, is_patience: bool) -> Result<Permit, Refusal> {
+        let was_waiting = self.lock().queue.remove(&waiting.place);
+        waiting.is_in_queue = false;
+        if !was_waiting && waiting.woken.try_recv().is_ok() {
+            // Woken in the very instant it gave up: the slot is its own and must be given back.
+            let now_us = self.clock.now_us();
+            let number = self.lock().take_reserved(now_us);
+            return Ok(Permit { guard: self.clone(), number, start_us: now_us, is_counted: true });
+        }
+        self.notify_if_idle();
+        let reason = if is_patience { RefusalReason::HandedBack } else { RefusalReason::QueueFull };
+        Err(self.refusal(reason))
+    }
+
+    fn refusal(&self, reason: RefusalReason) -> Refusal {
+        let state = self.lock();
+        let waves = state.queue.len() as u64 / u64::from(state.limit.limit().max(1)) + 1;
+        let retry_after_ms = (waves * state.limit.recent_us() / 1_000).clamp(1, 60_000) as u32;
+        Refusal { reason, retry_after_ms }
+    }
+
+    fn release(&self, number: u64, service_us: Option<u64>) {
+        let mut state = self.lock();
+        state.running.remove(&number);
+        if let Some(service_us) = service_us {
+            state.limit.note_service(service_us);
+        }
+        state.admit_waiting(&self.clock);
+        drop(state);
+        self.notify_if_idle();
+    }
+
+    fn notify_if_idle(&self) {
+        if self.is_idle() {
+            self.idle.notify_waiters();
+        }
+    }
+
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl State {
+    fn has_slot(&self) -> bool {
+        self.running.len() < self.limit.limit() as usize
+    }
+
+    fn start(&mut self, now_us: u64) -> u64 {
+        let number = self.next_run;
+        self.next_run += 1;
+        self.running.insert(number, now_us);
+        number
+    }
+
+    /// The slot reserved longest ago for a woken call; its time starts now.
+    fn take_reserved(&mut self, now_us: u64) -> u64 {
+        let reserved = self.running.iter().find(|(_, start)| **start == RESERVED).map(|(number, _)| *number);
+        let number = reserved.expect("a woken call has a reserved slot");
+        self.running.remove(&number);
+        self.start(now_us)
+    }
+
+    fn admit_waiting(&mut self, clock: &Clock) {
+        let _ = clock;
+        while self.has_slot() && self.queue.wake_first() {
+            self.start(RESERVED);
+        }
+    }
+
+    fn expected_wait_us(&self, ask: &Ask) -> u64 {
+        let ahead = self.queue.ahead_of(ask.importance, ask.deadline_us) as u64;
+        let limit = u64::from(self.limit.limit().max(1));
+        ahead * self.limit.recent_us() / limit
+    }
+}
+
+/// Start time of a slot that is reserved for a woken call.
+const RESERVED: u64 = u64::MAX;
+
+enum Entered {
+    Running(Permit),
+    Waiting { waiting: Waiting, wait_until: Instant, is_patience: bool },
+}
+
+/// A call in the queue; dropping it takes it out, or gives back a slot it was woken for.
+struct Waiting {
+    guard: Arc<Guard>,
+    place: Place,
+    woken: oneshot::Receiver<()>,
+    is_in_queue: bool,
+}
+
+impl Drop for Waiting {
+    fn drop(&mut self) {
+        if !self.is_in_queue {
+            return;
+        }
+        let was_waiting = self.guard.lock().queue.remove(&self.place);
+        if !was_waiting && self.woken.try_recv().is_ok() {
+            let number = self.guard.lock().take_reserved(0);
+            self.guard.release(number, None);
+        }
+        self.guard.notify_if_idle();
+    }
+}
+
+/// The right to run one call at the target; dropping it frees the slot.
+#[derive(Debug)]
+pub struct Permit {
+    guard: Arc<Guard>,
+    number: u64,
+    start_us: u64,
+    is_counted: bool,
+}
+
+impl Permit {
+    /// Frees the slot without learning a service time, for a call that did not run to its end.
+    pub fn release_uncounted(mut self) {
+        self.is_counted = false;
+    }
+}
+
+impl Drop for Permit {
+    fn drop(&mut self) {
+        let service_us = self.guard.clock.now_us().saturating_sub(self.start_us);
+        self.guard.release(self.number, self.is_counted.then_some(service_us));
+    }
+}
--- /dev/null
+++ b/crates/laurelstall_guard/src/lib.rs
@@ -0,0 +1,25 @@
+//! The guard's decisions: what reaches its own target, when, and at most how often.
+//!
+//! A guard is the only way to its target, so it knows exactly what runs there at this instant.
+//! It admits a call, lets it wait for a bounded time, hands it back, or refuses it; until it
+//! admits one, the target has not seen a byte of it, and the guard can prove that it did not run.
+
+pub mod clock;
+pub mod concurrency_limit;
+pub mod guard;
+pub mod ledger;
+pub mod refusal;
+pub mod ticket;
+pub mod wait_queue;
+
+/// The types most callers need.
+pub mod prelude {
+    pub use crate::{
+        clock::Clock,
+        concurrency_limit::ConcurrencyLimit,
+        guard::{Ask, Guard, GuardLimits, GuardLoad, Permit},
+        ledger::{Begin, KeptAnswer, Ledger},
+        refusal::{Refusal, RefusalReason},
+        ticket::{Ticket, TicketError},
+    };
+}
--- /dev/null
+++ b/crates/laurelstall_node/src/admin.rs
@@ -0,0 +1,323 @@
+//! The administration API: looks at the node, and a few switches. Nothing in it writes shared state.
+
+use crate::{
+    active::{Active, check_document},
+    body::{Collected, collect},
+    counters::Counters,
+    decision_log::Decision,
+    entry::{Entry, json},
+    listener::Responder,
+    logging::set_level,
+    target_guard::TargetGuard,
+};
+use futures_util::future::BoxFuture;
+use http::{Method, Request, Response, StatusCode, header::AUTHORIZATION, request::Parts};
+use laurelstall_balance::hint::Hint;
+use laurelstall_config::{
+    document::{Document, DocumentName, Version},
+    problem::Problem,
+    settings::{Role, TokenSettings},
+};
+use laurelstall_peer::{body::AnswerBody, spread::Spread};
+use serde::{Deserialize, Serialize};
+use serde_json::{Value, json as value};
+use std::sync::{Arc, atomic::Ordering};
+use subtle::ConstantTimeEq;
+use tokio::time::Duration;
+
+/// Longest body of an administration request in bytes.
+const BODY_BYTES_MAX: usize = 1_100_000;
+/// Longest wait for it.
+const BODY_PATIENCE: Duration = Duration::from_secs(5);
+/// Rows in one answer at most.
+const ROWS_MAX: usize = 1_000;
+
+/// The administration side of a node.
+#[derive(Debug)]
+pub struct Admin {
+    /// The entry.
+    pub entry: Arc<Entry>,
+    /// The guard.
+    pub guard: TargetGuard,
+    /// The configuration in force.
+    pub active: Arc<Active>,
+    /// The spreading of configuration.
+    pub spread: Arc<Spread>,
+    /// Counts.
+    pub counters: Arc<Counters>,
+    /// Tokens; without any, only loopback may ask, and only read.
+    pub tokens: Vec<TokenSettings>,
+    /// Whether the address is on loopback.
+    pub is_loopback: bool,
+    /// The host's name.
+    pub host: String,
+    /// The data centre.
+    pub data_centre: String,
+}
+
+/// Who asks.
+#[derive(Debug, Clone)]
+struct Caller {
+    role: Role,
+    /// Empty for all teams.
+    team: String,
+}
+
+impl Caller {
+    fn may_see(&self, service: &str) -> bool {
+        self.team.is_empty() || service.split('/').next() == Some(self.team.as_str())
+    }
+}
+
+/// A document to check.
+#[derive(Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+struct CheckRequest {
+    key: String,
+    text: String,
+}
+
+#[derive(Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+struct LevelRequest {
+    level: String,
+}
+
+#[derive(Debug, Serialize)]
+struct TargetRow {
+    service: String,
+    target: String,
+    host: String,
+    is_live: bool,
+    is_eligible: bool,
+    in_flight: u32,
+    error_rate: f64,
+    latency_us: u64,
+    ejections: u32,
+    hint_age_ms: Option<u64>,
+    hint: Option<HintRow>,
+}
+
+#[derive(Debug, Serialize)]
+struct HintRow {
+    in_flight: u32,
+    queued: u32,
+    limit: u32,
+    service_us: u32,
+    state: String,
+}
+
+impl From<Hint> for HintRow {
+    fn from(hint: Hint) -> Self {
+        Self {
+            in_flight: hint.in_flight,
+            queued: hint.queued,
+            limit: hint.limit,
+            service_us: hint.service_us,
+            state: format!("{:?}", hint.state).to_lowercase(),
+        }
+    }
+}
+
+type Answer = Response<AnswerBody>;
+
+impl Responder for Admin {
+    fn respond(&self, request: Request<AnswerBody>) -> BoxFuture<'_, Answer> {
+        Box::pin(self.answer(request))
+    }
+}
+
+impl Admin {
+    async fn answer(&self, request: Request<AnswerBody>) -> Answer {
+        let (parts, body) = request.into_parts();
+        let path = parts.uri.path().to_owned();
+        match (&parts.method, path.as_str()) {
+            (&Method::GET, "/v1/health") => return json(StatusCode::OK, &value!({ "healthy": true })),
+            (&Method::GET, "/v1/ready") => return self.ready(),
+            _ => {}
+        }
+        let Some(caller) = self.caller(&parts) else {
+            return problem(StatusCode::UNAUTHORIZED, "a bearer token is needed");
+        };
+        match (&parts.method, path.as_str()) {
+            (&Method::GET, "/v1/status") => json(StatusCode::OK, &self.status()),
+            (&Method::GET, "/v1/targets") => json(StatusCode::OK, &self.targets(&caller)),
+            (&Method::GET, "/v1/members") => json(StatusCode::OK, &self.members()),
+            (&Method::GET, "/v1/config") => json(StatusCode::OK, &self.config()),
+            (&Method::GET, "/v1/decisions") => json(StatusCode::OK, &self.decisions(&caller)),
+            (&Method::POST, "/v1/check") => check(body).await,
+            (&Method::POST, "/v1/drain") => self.drain(&caller, true),
+            (&Method::POST, "/v1/undrain") => self.drain(&caller, false),
+            (&Method::POST, "/v1/log-level") => change_level(&caller, body).await,
+            _ => problem(StatusCode::NOT_FOUND, "no such resource"),
+        }
+    }
+
+    /// Who asks, by token; without tokens in the settings, loopback may read.
+    fn caller(&self, parts: &Parts) -> Option<Caller> {
+        if self.tokens.is_empty() {
+            return self.is_loopback.then(|| Caller { role: Role::Read, team: String::new() });
+        }
+        let given = parts.headers.get(AUTHORIZATION)?.to_str().ok()?.strip_prefix("Bearer ")?;
+        let mut found = None;
+        // Each token is compared, so that time tells nothing of which one was near.
+        for token in &self.tokens {
+            if bool::from(token.secret.as_bytes().ct_eq(given.as_bytes())) {
+                found = Some(Caller { role: token.role, team: token.team.clone() });
+            }
+        }
+        found
+    }
+
+    fn ready(&self) -> Answer {
+        let is_stopping = self.entry.is_stopping.load(Ordering::Relaxed);
+        let is_ready =
+            self.spread.is_joined() && !self.active.load().configuration.versions.is_empty() && !is_stopping;
+        let status = if is_ready { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE };
+        json(status, &value!({ "ready": is_ready }))
+    }
+
+    fn status(&self) -> Value {
+        let load = self.guard.guard().load();
+        let budget = self.entry.context.observer.budget();
+        let meter = self.entry.context.client.pool().meter();
+        let counters = self.counters.all().into_iter().map(|(name, count)| (name.to_owned(), count.into()));
+        value!({
+            "host": self.host,
+            "data_centre": self.data_centre,
+            "version": env!("CARGO_PKG_VERSION"),
+            "incarnation": format!("{:x}", self.guard.incarnation()),
+            "is_draining": load.is_draining,
+            "in_flight": load.in_flight,
+            "queued": load.queued,
+            "limit": load.limit,
+            "open_tickets": self.guard.open_tickets(),
+            "observe_bytes": budget.spent_bytes(),
+            "observe_messages": budget.spent_messages(),
+            "observe_refused": budget.refused(),
+            "control_bytes": meter.control_bytes.load(Ordering::Relaxed),
+            "peer_connections": meter.open.load(Ordering::Relaxed),
+            "counters": serde_json::Map::from_iter(counters),
+        })
+    }
+
+    fn targets(&self, caller: &Caller) -> Vec<TargetRow> {
+        let now_us = self.entry.context.clock.now_us();
+        let mut rows = Vec::new();
+        for service in self.entry.services.all() {
+            if !caller.may_see(&service.name) {
+                continue;
+            }
+            for view in service.balancer().targets() {
+                let hint = view.hint(now_us);
+                rows.push(TargetRow {
+                    service: service.name.clone(),
+                    target: view.name.clone(),
+                    host: view.host.clone(),
+                    is_live: view.is_live,
+                    is_eligible: view.is_eligible(now_us),
+                    in_flight: view.in_flight(),
+                    error_rate: view.error_rate(),
+                    latency_us: view.latency_us() as u64,
+                    ejections: view.ejection.times(),
+                    hint_age_ms: hint.map(|(_, age_us)| age_us / 1_000),
+                    hint: hint.map(|(hint, _)| hint.into()),
+                });
+            }
+        }
+        rows.sort_by(|a, b| (&a.service, &a.target).cmp(&(&b.service, &b.target)));
+        rows.truncate(ROWS_MAX);
+        rows
+    }
+
+    fn members(&self) -> Value {
+        let in_force = self.active.load();
+        let now_us = self.entry.context.clock.now_us();
+        let partners = self.spread.partner_states().into_iter().map(|(address, state)| {
+            value!({
+                "address": address.to_string(),
+                "is_reached": state.is_reached,
+                "is_in_step": state.is_in_step,
+                "age_ms": now_us.saturating_sub(state.at_us) / 1_000,
+            })
+        });
+        let hosts = in_force.configuration.fleet.hosts.iter().take(ROWS_MAX);
+        value!({ "partners": partners.collect::<Vec<_>>(), "hosts": hosts.collect::<Vec<_>>() })
+    }
+
+    fn config(&self) -> Value {
+        let in_force = self.active.load();
+        let versions = in_force.configuration.versions.iter();
+        let versions = versions.map(|(name, version)| (name.to_string(), (*version).into()));
+        let store = self.spread.store();
+        let refused = store.refused().map(|(name, version)| (name.to_string(), version.into()));
+        let conflicts = in_force.configuration.caller_host_conflicts();
+        value!({
+            "versions": serde_json::Map::from_iter(versions),
+            "refused": serde_json::Map::from_iter(refused),
+            "version_conflicts": store.conflicts(),
+            "caller_host_conflicts": conflicts,
+            "is_reader": self.spread.is_reader(),
+            "platform_read_age_ms": self.spread.platform_read_age_ms(),
+        })
+    }
+
+    fn decisions(&self, caller: &Caller) -> Vec<Decision> {
+        let recent = self.entry.context.decisions.recent(ROWS_MAX);
+        recent.into_iter().filter(|decision| caller.may_see(&decision.service)).collect()
+    }
+
+    fn drain(&self, caller: &Caller, is_draining: bool) -> Answer {
+        let own = self.active.load();
+        let own = own
+            .configuration
+            .services()
+            .find(|(_, service)| service.targets.iter().any(|t| t.host == self.host));
+        let is_own = own.is_none_or(|(name, _)| caller.may_see(&name));
+        if caller.role < Role::Operate || !is_own {
+            return problem(StatusCode::FORBIDDEN, "this needs the role 'operate' for the target's team");
+        }
+        self.guard.set_operator_drain(is_draining);
+        json(StatusCode::OK, &value!({ "is_draining": self.guard.guard().is_draining() }))
+    }
+}
+
+async fn change_level(caller: &Caller, body: AnswerBody) -> Answer {
+    if caller.role < Role::Operate {
+        return problem(StatusCode::FORBIDDEN, "this needs the role 'operate'");
+    }
+    match read_json::<LevelRequest>(body).await {
+        Ok(request) if set_level(&request.level) => json(StatusCode::OK, &value!({ "level": request.level })),
+        Ok(_) => problem(StatusCode::BAD_REQUEST, "no such level"),
+        Err(answer) => answer,
+    }
+}
+
+async fn check(body: AnswerBody) -> Answer {
+    let request = match read_json::<CheckRequest>(body).await {
+        Ok(request) => request,
+        Err(answer) => return answer,
+    };
+    let Some(name) = DocumentName::from_key(&request.key) else {
+        return problem(StatusCode::BAD_REQUEST, "key must be fleet, system or team/NAME");
+    };
+    let document = Document { name, version: Version::MAX, text: request.text };
+    let problems = match check_document(&document) {
+        Ok(_) => Vec::new(),
+        Err(error) => error.problems().iter().map(Problem::to_string).collect(),
+    };
+    json(StatusCode::OK, &value!({ "is_right": problems.is_empty(), "problems": problems }))
+}
+
+async fn read_json<T: for<'de> Deserialize<'de>>(body: AnswerBody) -> Result<T, Answer> {
+    match collect(body, BODY_BYTES_MAX, BODY_PATIENCE).await {
+        Ok(Collected::Whole(bytes)) => serde_json::from_slice(&bytes)
+            .map_err(|error| problem(StatusCode::BAD_REQUEST, &error.to_string())),
+        Ok(Collected::Partial(_)) => Err(problem(StatusCode::PAYLOAD_TOO_LARGE, "body too large or slow")),
+        Err(_) => Err(problem(StatusCode::BAD_REQUEST, "body broke off")),
+    }
+}
+
+fn problem(status: StatusCode, message: &str) -> Answer {
+    json(status, &value!({ "error": message }))
+}
--- /dev/null
+++ b/crates/laurelstall_node/src/call.rs
@@ -0,0 +1,485 @@
+//! One call at the entry: attempts, one after the other, until there is an answer to give.
+
+use crate::{
+    active::InForce,
+    counters::{Counters, count},
+    decision_log::{Decision, DecisionLog},
+    observer::Observer,
+    services::ServiceState,
+};
+use bytes::Bytes;
+use futures_util::future::{BoxFuture, Either, FutureExt, select};
+use http::{HeaderMap, StatusCode};
+use laurelstall_balance::{
+    chooser::Choice,
+    service_balancer::{AttemptResult, Choosing},
+};
+use laurelstall_config::document::{DocumentName, Version};
+use laurelstall_guard::{
+    clock::Clock,
+    refusal::{Refusal, RefusalReason},
+    ticket::Ticket,
+};
+use laurelstall_peer::{
+    attempt::{Admission, Attempt, AttemptAnswer, AttemptBody, AttemptHandler, AttemptOutcome},
+    body::AnswerBody,
+    client::PeerClient,
+    message::{AttemptHead, BodyKind},
+};
+use laurelstall_policy::plan::Route;
+use std::sync::Arc;
+use tokio::time::{sleep_until, timeout_at};
+
+/// What all calls of an entry share.
+#[derive(Debug)]
+pub struct CallContext {
+    /// The node's clock.
+    pub clock: Clock,
+    /// The host's name.
+    pub host: String,
+    /// The guard of the target beside this node.
+    pub local: Arc<dyn AttemptHandler>,
+    /// The way to other nodes.
+    pub client: PeerClient,
+    /// The budget for observing.
+    pub observer: Arc<Observer>,
+    /// Where decisions are written.
+    pub decisions: DecisionLog,
+    /// Counts.
+    pub counters: Arc<Counters>,
+}
+
+/// A call as it was taken from its caller.
+#[derive(Debug)]
+pub struct CallRequest {
+    /// The call's number.
+    pub id: u64,
+    /// HTTP method.
+    pub method: String,
+    /// Path and query.
+    pub uri: String,
+    /// End-to-end headers.
+    pub headers: Vec<(String, Vec<u8>)>,
+    /// The body, or the start and the rest of it.
+    pub body: AttemptBody,
+    /// What the program decided.
+    pub route: Route,
+    /// When the call must be done, in µs of the node's clock.
+    pub deadline_us: u64,
+    /// The ticket it brings.
+    pub ticket: Option<Ticket>,
+}
+
+/// What the caller is told.
+#[derive(Debug)]
+pub enum CallOutcome {
+    /// A target's answer.
+    Answered {
+        /// Its status.
+        status: StatusCode,
+        /// Its end-to-end headers.
+        headers: HeaderMap,
+        /// Its body.
+        body: AnswerBody,
+    },
+    /// Proved: the call ran on no target.
+    NotRun(Refusal),
+    /// The call may have run.
+    Unknown(&'static str),
+}
+
+/// A target's answer that is kept while a repeatable call is tried once more.
+struct Spare {
+    status: StatusCode,
+    headers: HeaderMap,
+    body: AnswerBody,
+}
+
+/// Where an attempt goes.
+struct Destination {
+    choice: Choice,
+    name: String,
+    host: String,
+    why: String,
+    runner_up: Option<(String, u64)>,
+    targets: usize,
+    sent_at_us: u64,
+}
+
+/// A call on its way.
+pub struct Call<'a> {
+    context: &'a CallContext,
+    in_force: &'a InForce,
+    service: Arc<ServiceState>,
+    request: CallRequest,
+    body: Option<AttemptBody>,
+    excluded: Vec<usize>,
+    attempts: u32,
+    tries: u32,
+    hand_backs: u32,
+    is_unknown: bool,
+    last_refusal: Option<Refusal>,
+    spare: Option<Spare>,
+}
+
+/// What comes after an attempt.
+enum Next {
+    Again,
+    End(CallOutcome),
+}
+
+impl<'a> Call<'a> {
+    /// Takes a call up.
+    pub fn new(
+        context: &'a CallContext,
+        in_force: &'a InForce,
+        service: Arc<ServiceState>,
+        mut request: CallRequest,
+    ) -> Self {
+        let body = std::mem::replace(&mut request.body, AttemptBody::Whole(Bytes::new()));
+        Self {
+            context,
+            in_force,
+            service,
+            request,
+            body: Some(body),
+            excluded: Vec::new(),
+            attempts: 0,
+            tries: 0,
+            hand_backs: 0,
+            is_unknown: false,
+            last_refusal: None,
+            spare: None,
+        }
+    }
+
+    /// Runs the call to the answer its caller gets.
+    pub async fn run(mut self) -> CallOutcome {
+        loop {
+            let now_us = self.context.clock.now_us();
+            if now_us >= self.request.deadline_us {
+                return self.give_up(RefusalReason::Deadline);
+            }
+            let Some(destination) = self.choose(now_us) else {
+                return self.give_up(RefusalReason::NoTarget);
+            };
+            let Some(body) = self.take_body() else {
+                return self.give_up(RefusalReason::NoTarget);
+            };
+            self.attempts += 1;
+            let (destination, answer) = self.attempt(destination, body).await;
+            match self.judge(&destination, answer) {
+                Next::Again => {}
+                Next::End(outcome) => return outcome,
+            }
+        }
+    }
+
+    fn choose(&mut self, now_us: u64) -> Option<Destination> {
+        let only = self.request.ticket.as_ref().map(|ticket| ticket.target.as_str());
+        let choosing = Choosing { excluded: &self.excluded, only, now_us };
+        let mut balancer = self.service.balancer();
+        let choice = balancer.choose(&choosing)?;
+        let is_logged = self.context.decisions.is_on();
+        let views = balancer.targets();
+        let view = &views[choice.index];
+        let runner_up = choice.runner_up.filter(|_| is_logged);
+        let destination = Destination {
+            choice,
+            name: view.name.clone(),
+            host: view.host.clone(),
+            why: if is_logged { choice.reason.to_string() } else { String::new() },
+            runner_up: runner_up.map(|(index, score)| (views[index].name.clone(), score as u64)),
+            targets: views.len(),
+            sent_at_us: now_us,
+        };
+        balancer.note_sent(choice.index);
+        Some(destination)
+    }
+
+    /// The body for one more attempt; none when it was a stream that is used up.
+    fn take_body(&mut self) -> Option<AttemptBody> {
+        match self.body.take()? {
+            AttemptBody::Whole(bytes) => {
+                self.body = Some(AttemptBody::Whole(bytes.clone()));
+                Some(AttemptBody::Whole(bytes))
+            }
+            stream => Some(stream),
+        }
+    }
+
+    fn is_whole(&self) -> bool {
+        matches!(self.body, Some(AttemptBody::Whole(_)))
+    }
+
+    async fn attempt(&mut self, destination: Destination, body: AttemptBody) -> (Destination, AttemptAnswer) {
+        let hedge_after_ms =
+            self.request.route.hedge_after_ms.filter(|_| self.is_whole() && self.attempts == 1);
+        let first = self.send(&destination, body);
+        let Some(hedge_after_ms) = hedge_after_ms else {
+            return (destination, first.await);
+        };
+        let wait_until = self.context.clock.instant_of(self.context.clock.now_us() + hedge_after_ms * 1_000);
+        let waited = select(first, Box::pin(sleep_until(wait_until))).await;
+        let first = match waited {
+            Either::Left((answer, _)) => return (destination, answer),
+            Either::Right(((), first)) => first,
+        };
+        match self.start_hedge(&destination) {
+            Some((other, second)) => self.race((destination, first), (other, second)).await,
+            None => (destination, first.await),
+        }
+    }
+
+    fn start_hedge(&mut self, first: &Destination) -> Option<(Destination, BoxFuture<'a, AttemptAnswer>)> {
+        let now_us = self.context.clock.now_us();
+        if !self.service.balancer().may_hedge(now_us) {
+            return None;
+        }
+        self.excluded.push(first.choice.index);
+        let other = self.choose(now_us);
+        self.excluded.pop();
+        let other = other?;
+        let body = self.take_body()?;
+        count(&self.context.counters.hedges);
+        self.attempts += 1;
+        let second = self.send(&other, body);
+        Some((other, second))
+    }
+
+    /// The first of two attempts that is answered; the other is cancelled by being dropped.
+    async fn race(
+        &mut self,
+        first: (Destination, BoxFuture<'a, AttemptAnswer>),
+        second: (Destination, BoxFuture<'a, AttemptAnswer>),
+    ) -> (Destination, AttemptAnswer) {
+        let ((first_to, first), (second_to, second)) = (first, second);
+        let (ended_to, ended, other_to, other) = match select(first, second).await {
+            Either::Left((answer, second)) => (first_to, answer, second_to, second),
+            Either::Right((answer, first)) => (second_to, answer, first_to, first),
+        };
+        if matches!(ended.outcome, AttemptOutcome::Answered { .. }) {
+            drop(other);
+            self.note(&other_to, AttemptResult::Cancelled);
+            self.write_decision(&other_to, "cancelled", 0);
+            return (ended_to, ended);
+        }
+        self.note_outcome(&ended_to, &ended);
+        // The other attempt's word is about itself alone.
+        self.is_unknown |= matches!(ended.outcome, AttemptOutcome::Unknown(_));
+        (other_to, other.await)
+    }
+
+    fn send(&self, destination: &Destination, body: AttemptBody) -> BoxFuture<'a, AttemptAnswer> {
+        let context = self.context;
+        let now_us = context.clock.now_us();
+        let limits = *self.service.balancer().limits();
+        let may_hand_back = self.request.ticket.is_none()
+            && self.hand_backs < limits.hand_backs_max
+            && destination.targets > 1
+            && !self.service.balancer().is_queueing(now_us);
+        let is_local = destination.host == context.host;
+        let observe_percent = self.request.route.observe_percent;
+        let head = AttemptHead {
+            call_id: self.request.id,
+            service: self.service.name.clone(),
+            target: destination.name.clone(),
+            method: self.request.method.clone(),
+            uri: self.request.uri.clone(),
+            headers: self.request.headers.clone(),
+            budget_us: self.request.deadline_us.saturating_sub(now_us),
+            importance: self.request.route.importance,
+            may_hand_back,
+            hand_backs: self.hand_backs,
+            ticket: self.request.ticket.as_ref().map(|ticket| (ticket.incarnation, ticket.number)),
+            body: match &body {
+                AttemptBody::Whole(bytes) if bytes.is_empty() => BodyKind::Empty,
+                AttemptBody::Whole(_) => BodyKind::AtOnce,
+                AttemptBody::Stream(_) => BodyKind::AfterAdmission,
+            },
+            wants_hint: context.observer.may_carry_hint(observe_percent),
+        };
+        let attempt = Attempt { head, body };
+        let deadline = context.clock.instant_of(self.request.deadline_us);
+        let address = self.service.address(&destination.host);
+        count(&context.counters.attempts);
+        async move {
+            let answered = async {
+                match address {
+                    _ if is_local => context.local.attempt(attempt, Admission::default()).await,
+                    Some(address) => context.client.attempt(address, attempt).await,
+                    None => {
+                        AttemptAnswer::new(AttemptOutcome::NotRun(Refusal::new(RefusalReason::NoConnection)))
+                    }
+                }
+            };
+            let answered = timeout_at(deadline, answered).await;
+            answered.unwrap_or_else(|_| AttemptAnswer::new(AttemptOutcome::Unknown("time budget spent")))
+        }
+        .boxed()
+    }
+
+    fn judge(&mut self, destination: &Destination, mut answer: AttemptAnswer) -> Next {
+        self.note_outcome(destination, &answer);
+        match answer.outcome {
+            AttemptOutcome::Answered { status, headers, body } => {
+                if status.is_server_error() && self.may_try_again(None) {
+                    self.excluded.push(destination.choice.index);
+                    self.spare = Some(Spare { status, headers, body });
+                    return Next::Again;
+                }
+                Next::End(CallOutcome::Answered { status, headers, body })
+            }
+            AttemptOutcome::NotRun(refusal) => {
+                self.restore_body(answer.unread.take());
+                self.last_refusal = Some(refusal);
+                self.after_refusal(destination, refusal)
+            }
+            AttemptOutcome::Unknown(why) => {
+                self.is_unknown = true;
+                if self.may_try_again(None) {
+                    self.excluded.push(destination.choice.index);
+                    return Next::Again;
+                }
+                Next::End(self.end_unknown(why))
+            }
+        }
+    }
+
+    fn restore_body(&mut self, unread: Option<AnswerBody>) {
+        if self.body.is_none() {
+            self.body = unread.map(AttemptBody::Stream);
+        }
+    }
+
+    fn after_refusal(&mut self, destination: &Destination, refusal: Refusal) -> Next {
+        if refusal.reason == RefusalReason::HandedBack {
+            self.hand_backs += 1;
+            count(&self.context.counters.hand_backs);
+            return Next::Again;
+        }
+        if self.request.ticket.is_some() || !refusal.reason.may_go_elsewhere() {
+            return Next::End(self.give_up(refusal.reason));
+        }
+        self.excluded.push(destination.choice.index);
+        if refusal.reason.is_free_to_retry() || self.may_try_again(Some(refusal)) {
+            return Next::Again;
+        }
+        Next::End(self.give_up(refusal.reason))
+    }
+
+    /// Whether one more attempt may be made: after a refusal always safe, else only if the
+    /// request may repeat; within the tries of the program and the service's retry budget.
+    fn may_try_again(&mut self, refusal: Option<Refusal>) -> bool {
+        let is_safe = refusal.is_some() || self.request.route.may_repeat;
+        self.tries += 1;
+        if !is_safe || !self.is_whole() && refusal.is_none() || self.tries >= self.request.route.tries {
+            return false;
+        }
+        if self.request.ticket.is_some() {
+            return false;
+        }
+        let is_granted = self.service.balancer().may_retry();
+        count(if is_granted {
+            &self.context.counters.retries
+        } else {
+            &self.context.counters.retries_refused
+        });
+        is_granted
+    }
+
+    /// Tells the balancer and the decision log how an attempt ended.
+    fn note_outcome(&mut self, destination: &Destination, answer: &AttemptAnswer) {
+        let now_us = self.context.clock.now_us();
+        let took_us = now_us.saturating_sub(destination.sent_at_us);
+        if let Some(hint) = answer.hint {
+            let index = destination.choice.index;
+            self.service.balancer().take_hint(index, &destination.name, hint, now_us);
+        }
+        let (result, word) = match &answer.outcome {
+            AttemptOutcome::Answered { status, .. } if status.is_server_error() => {
+                (AttemptResult::Failed, "error")
+            }
+            AttemptOutcome::Answered { .. } => (AttemptResult::Good(took_us), "answered"),
+            AttemptOutcome::NotRun(refusal) => match refusal.reason {
+                RefusalReason::NoConnection => (AttemptResult::Failed, refusal.reason.word()),
+                reason => (AttemptResult::NotRun, reason.word()),
+            },
+            AttemptOutcome::Unknown(_) => (AttemptResult::Failed, "unknown"),
+        };
+        self.note(destination, result);
+        self.write_decision(destination, word, took_us);
+    }
+
+    fn note(&self, destination: &Destination, result: AttemptResult) {
+        let now_us = self.context.clock.now_us();
+        let mut balancer = self.service.balancer();
+        balancer.note_result(destination.choice.index, &destination.name, result, now_us);
+    }
+
+    fn write_decision(&self, destination: &Destination, outcome: &str, took_us: u64) {
+        if !self.context.decisions.is_on() {
+            return;
+        }
+        self.context.decisions.write(Decision {
+            call: self.request.id,
+            attempt: self.attempts,
+            service: self.service.name.clone(),
+            version: self.policy_version(),
+            target: destination.name.clone(),
+            why: destination.why.clone(),
+            expected_us: destination.choice.score_us as u64,
+            runner_up: destination.runner_up.clone(),
+            targets: destination.targets,
+            outcome: outcome.to_owned(),
+            took_us,
+        });
+    }
+
+    fn policy_version(&self) -> Version {
+        let team = self.service.name.split('/').next().unwrap_or_default();
+        self.in_force.configuration.version(&DocumentName::Team(team.to_owned()))
+    }
+
+    fn give_up(&mut self, reason: RefusalReason) -> CallOutcome {
+        if let Some(Spare { status, headers, body }) = self.spare.take() {
+            return CallOutcome::Answered { status, headers, body };
+        }
+        if self.is_unknown {
+            return CallOutcome::Unknown("an earlier attempt may have run");
+        }
+        if self.is_ticket_unproved() {
+            return CallOutcome::Unknown("the ticket's guard gave no word");
+        }
+        let mut refusal = self.last_refusal.unwrap_or(Refusal::new(reason));
+        if refusal.reason == RefusalReason::HandedBack {
+            refusal.reason = reason;
+        }
+        if refusal.retry_after_ms == 0 {
+            refusal.retry_after_ms = self.service.balancer().retry_after_ms() as u32;
+        }
+        CallOutcome::NotRun(refusal)
+    }
+
+    /// Whether *not run* would be no proof: a ticket's call may have been sent before, and only
+    /// its guard, by voiding the ticket, can say that it never runs.
+    fn is_ticket_unproved(&self) -> bool {
+        let is_guards_word = self.last_refusal.is_some_and(|refusal| {
+            !matches!(
+                refusal.reason,
+                RefusalReason::NoConnection
+                    | RefusalReason::OtherTarget
+                    | RefusalReason::Unreadable
+                    | RefusalReason::Stranger
+            )
+        });
+        self.request.ticket.is_some() && !is_guards_word
+    }
+
+    fn end_unknown(&mut self, why: &'static str) -> CallOutcome {
+        match self.spare.take() {
+            Some(Spare { status, headers, body }) => CallOutcome::Answered { status, headers, body },
+            None => CallOutcome::Unknown(why),
+        }
+    }
+}
--- /dev/null
+++ b/crates/laurelstall_node/src/entry.rs
@@ -0,0 +1,405 @@
+//! The entry: from a caller's HTTP request to the answer the caller gets.
+
+use crate::{
+    active::{Active, InForce},
+    body::{Collected, collect, idle_body, whole},
+    call::{Call, CallContext, CallOutcome, CallRequest},
+    counters::count,
+    decision_log::Decision,
+    headers::{
+        BUDGET, CALL, DEPTH, OUTCOME, REASON, RETRY_AFTER_MS, TICKET, host_of, number_value, read_number,
+        strip_request, text_value,
+    },
+    services::Services,
+};
+use bytes::Bytes;
+use http::{HeaderValue, Method, Request, Response, StatusCode, header::RETRY_AFTER, request::Parts};
+use http_body_util::BodyExt;
+use laurelstall_balance::service_balancer::Choosing;
+use laurelstall_config::{settings::CallerLimits, team::Team};
+use laurelstall_guard::{
+    refusal::{Refusal, RefusalReason},
+    ticket::Ticket,
+};
+use laurelstall_peer::{
+    attempt::AttemptBody,
+    body::AnswerBody,
+    client::headers_to_wire,
+    message::{PeerAnswer, PeerRequest, TicketsRequest},
+};
+use laurelstall_policy::{
+    plan::{Plan, Route},
+    program::RequestView,
+};
+use serde::Serialize;
+use std::sync::{
+    Arc,
+    atomic::{AtomicBool, Ordering},
+};
+use tokio::time::Duration;
+
+/// Where callers take tickets: `POST /laurelstall/tickets?service=NAME&count=N`.
+pub const TICKETS_PATH: &str = "/laurelstall/tickets";
+/// How long the start of a body is waited for before it is passed on as a stream.
+const COLLECT_PATIENCE: Duration = Duration::from_millis(20);
+/// Tickets given for one request at most.
+const TICKETS_MAX: u64 = 1_000;
+/// Header fields of a request at most.
+const HEADER_COUNT_MAX: usize = 100;
+
+/// The part of a node that callers meet.
+#[derive(Debug)]
+pub struct Entry {
+    /// What its calls share.
+    pub context: CallContext,
+    /// The configuration in force.
+    pub active: Arc<Active>,
+    /// The services called here.
+    pub services: Arc<Services>,
+    /// Limits on callers.
+    pub limits: CallerLimits,
+    /// Whether the node is about to stop: callers are asked to close their connections.
+    pub is_stopping: AtomicBool,
+}
+
+/// A request that was refused for a fault of its own, or of the configuration.
+struct Rejection {
+    status: StatusCode,
+    reason: String,
+}
+
+impl Rejection {
+    fn new(status: StatusCode, reason: impl Into<String>) -> Self {
+        Self { status, reason: reason.into() }
+    }
+}
+
+/// Tickets, as callers get them.
+#[derive(Debug, Serialize)]
+struct TicketsAnswer {
+    tickets: Vec<String>,
+    lifetime_ms: u64,
+}
+
+impl Entry {
+    /// Answers one request.
+    pub async fn handle(&self, request: Request<AnswerBody>) -> Response<AnswerBody> {
+        let id = rand::random::<u64>();
+        count(&self.context.counters.calls);
+        let is_http1 = request.version() < http::Version::HTTP_2;
+        let mut response = match self.serve(id, request).await {
+            Ok(response) => response,
+            Err(rejection) => {
+                count(&self.context.counters.rejected);
+                rejected(&rejection)
+            }
+        };
+        response.headers_mut().insert(CALL, text_value(&format!("{id:016x}")));
+        if is_http1 && self.is_stopping.load(Ordering::Relaxed) {
+            response.headers_mut().insert(http::header::CONNECTION, HeaderValue::from_static("close"));
+        }
+        response
+    }
+
+    async fn serve(&self, id: u64, request: Request<AnswerBody>) -> Result<Response<AnswerBody>, Rejection> {
+        let (parts, body) = request.into_parts();
+        let in_force = self.active.load();
+        let depth = self.check_head(&parts)?;
+        let host = host_of(&parts.uri, &parts.headers)
+            .ok_or_else(|| Rejection::new(StatusCode::BAD_REQUEST, "no host, or more than one"))?;
+        let team = in_force.configuration.team_of_caller_host(&host);
+        let team = team.ok_or_else(|| Rejection::new(StatusCode::NOT_FOUND, "no team has this host"))?;
+        if parts.uri.path() == TICKETS_PATH {
+            return self.give_tickets(&in_force, team, &parts).await;
+        }
+        let route = match self.decide(&in_force, team, &parts, &host)? {
+            Plan::Route(route) => route,
+            Plan::Refuse(reason) => return Ok(self.refused_by_program(id, &in_force, team, &reason)),
+        };
+        let full_name = format!("{}/{}", team.team, route.service);
+        let service = self.services.get(&in_force, &full_name);
+        let service = service.ok_or_else(|| {
+            Rejection::new(StatusCode::SERVICE_UNAVAILABLE, format!("no service {full_name}"))
+        })?;
+        let request = self.read_call(id, parts, body, route, depth, &full_name).await?;
+        let outcome = Call::new(&self.context, &in_force, service, request).run().await;
+        Ok(self.respond(outcome))
+    }
+
+    fn check_head(&self, parts: &Parts) -> Result<u64, Rejection> {
+        if parts.method == Method::CONNECT {
+            return Err(Rejection::new(StatusCode::METHOD_NOT_ALLOWED, "CONNECT is not served"));
+        }
+        if parts.headers.len() > HEADER_COUNT_MAX {
+            return Err(Rejection::new(
+                StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE,
+                "too many header fields",
+            ));
+        }
+        let has = |name: http::HeaderName| parts.headers.contains_key(name);
+        if has(http::header::TRANSFER_ENCODING) && has(http::header::CONTENT_LENGTH) {
+            return Err(Rejection::new(StatusCode::BAD_REQUEST, "both content-length and transfer-encoding"));
+        }
+        let depth = read_number(&parts.headers, &DEPTH).map_err(bad_number)?.unwrap_or(0);
+        if depth >= u64::from(self.limits.depth_max) {
+            return Err(Rejection::new(StatusCode::LOOP_DETECTED, "calls too deep"));
+        }
+        Ok(depth)
+    }
+
+    fn decide(&self, in_force: &InForce, team: &Team, parts: &Parts, host: &str) -> Result<Plan, Rejection> {
+        let program = in_force.programs.get(&team.team);
+        let program = program.ok_or_else(|| Rejection::new(StatusCode::SERVICE_UNAVAILABLE, "no program"))?;
+        let view = RequestView {
+            method: parts.method.as_str(),
+            host,
+            path: parts.uri.path(),
+            headers: &parts.headers,
+        };
+        program.decide(&view).map_err(|error| {
+            count(&self.context.counters.program_errors);
+            log::debug!("program of team {}: {error}", team.team);
+            Rejection::new(StatusCode::SERVICE_UNAVAILABLE, "the routing program failed")
+        })
+    }
+
+    async fn read_call(
+        &self,
+        id: u64,
+        mut parts: Parts,
+        body: AnswerBody,
+        route: Route,
+        depth: u64,
+        full_name: &str,
+    ) -> Result<CallRequest, Rejection> {
+        let ticket = read_ticket(&parts, full_name)?;
+        let budget_ms = self.budget_ms(&parts, &route)?;
+        let deadline_us = self.context.clock.now_us() + budget_ms * 1_000;
+        let body = self.read_body(&parts, body, ticket.is_some()).await?;
+        let is_whole = matches!(body, AttemptBody::Whole(_));
+        strip_request(&mut parts.headers, is_whole);
+        if let Some(authority) = parts.uri.authority() {
+            // An HTTP/2 request names its host outside the header fields.
+            parts.headers.insert(http::header::HOST, text_value(authority.as_str()));
+        }
+        parts.headers.insert(DEPTH, number_value(depth + 1));
+        parts.headers.insert(CALL, text_value(&format!("{id:016x}")));
+        let uri = parts.uri.path_and_query().map_or("/", |path| path.as_str()).to_owned();
+        Ok(CallRequest {
+            id,
+            method: parts.method.as_str().to_owned(),
+            uri,
+            headers: headers_to_wire(&parts.headers),
+            body,
+            route,
+            deadline_us,
+            ticket,
+        })
+    }
+
+    fn budget_ms(&self, parts: &Parts, route: &Route) -> Result<u64, Rejection> {
+        let asked = read_number(&parts.headers, &BUDGET).map_err(bad_number)?;
+        let decided = route.budget_ms.unwrap_or(self.limits.budget_default_ms);
+        Ok(asked.unwrap_or(decided).min(decided).min(self.limits.budget_max_ms))
+    }
+
+    async fn read_body(
+        &self,
+        parts: &Parts,
+        body: AnswerBody,
+        has_ticket: bool,
+    ) -> Result<AttemptBody, Rejection> {
+        let length = read_number(&parts.headers, &http::header::CONTENT_LENGTH).map_err(bad_number)?;
+        let most = self.limits.body_bytes;
+        if most > 0 && length.is_some_and(|length| length > most) {
+            return Err(Rejection::new(StatusCode::PAYLOAD_TOO_LARGE, "body too large"));
+        }
+        let body = match most {
+            0 => body,
+            most => http_body_util::Limited::new(body, most as usize).boxed_unsync(),
+        };
+        let idle = Duration::from_millis(self.limits.idle_timeout_ms);
+        let body = idle_body(body, idle);
+        let patience = if has_ticket { idle } else { COLLECT_PATIENCE };
+        let collected = collect(body, self.limits.replay_bytes, patience).await;
+        match collected {
+            Ok(Collected::Whole(bytes)) => Ok(AttemptBody::Whole(bytes)),
+            Ok(Collected::Partial(_)) if has_ticket => {
+                Err(Rejection::new(StatusCode::PAYLOAD_TOO_LARGE, "body too large or slow for a ticket"))
+            }
+            Ok(Collected::Partial(rest)) => Ok(AttemptBody::Stream(rest)),
+            Err(error) if error.is::<http_body_util::LengthLimitError>() => {
+                Err(Rejection::new(StatusCode::PAYLOAD_TOO_LARGE, "body too large"))
+            }
+            Err(_) => Err(Rejection::new(StatusCode::BAD_REQUEST, "body broke off")),
+        }
+    }
+
+    fn respond(&self, outcome: CallOutcome) -> Response<AnswerBody> {
+        let counters = &self.context.counters;
+        match outcome {
+            CallOutcome::Answered { status, headers, body } => {
+                count(&counters.answered);
+                let mut response = Response::new(body);
+                *response.status_mut() = status;
+                *response.headers_mut() = headers;
+                response.headers_mut().insert(OUTCOME, HeaderValue::from_static("answered"));
+                response
+            }
+            CallOutcome::NotRun(refusal) => {
+                count(&counters.not_run);
+                not_run(&refusal)
+            }
+            CallOutcome::Unknown(why) => {
+                count(&counters.unknown);
+                let is_late = why.contains("time budget");
+                let status = if is_late { StatusCode::GATEWAY_TIMEOUT } else { StatusCode::BAD_GATEWAY };
+                told(status, "unknown", why)
+            }
+        }
+    }
+
+    fn refused_by_program(
+        &self,
+        id: u64,
+        in_force: &InForce,
+        team: &Team,
+        reason: &str,
+    ) -> Response<AnswerBody> {
+        count(&self.context.counters.not_run);
+        let name = laurelstall_config::document::DocumentName::Team(team.team.clone());
+        self.context.decisions.write(Decision {
+            call: id,
+            attempt: 0,
+            service: team.team.clone(),
+            version: in_force.configuration.version(&name),
+            target: String::new(),
+            why: "refused by the program".to_owned(),
+            expected_us: 0,
+            runner_up: None,
+            targets: 0,
+            outcome: "not-run".to_owned(),
+            took_us: 0,
+        });
+        let mut response = told(StatusCode::SERVICE_UNAVAILABLE, "not-run", reason);
+        response.headers_mut().insert(RETRY_AFTER, HeaderValue::from_static("1"));
+        response
+    }
+
+    async fn give_tickets(
+        &self,
+        in_force: &InForce,
+        team: &Team,
+        parts: &Parts,
+    ) -> Result<Response<AnswerBody>, Rejection> {
+        if parts.method != Method::POST {
+            return Err(Rejection::new(StatusCode::METHOD_NOT_ALLOWED, "tickets are taken with POST"));
+        }
+        let (service_name, wanted) = read_tickets_query(parts.uri.query().unwrap_or_default())?;
+        let full_name = format!("{}/{service_name}", team.team);
+        let service = self.services.get(in_force, &full_name);
+        let service = service.ok_or_else(|| Rejection::new(StatusCode::NOT_FOUND, "no such service"))?;
+        let mut excluded = Vec::new();
+        loop {
+            let choosing = Choosing { excluded: &excluded, only: None, now_us: self.context.clock.now_us() };
+            let chosen = {
+                let mut balancer = service.balancer();
+                let choice = balancer.choose(&choosing);
+                choice.map(|choice| {
+                    let view = &balancer.targets()[choice.index];
+                    (choice.index, view.name.clone(), view.host.clone())
+                })
+            };
+            let Some((index, target, host)) = chosen else {
+                return Ok(not_run(&Refusal::new(RefusalReason::NoTarget)));
+            };
+            excluded.push(index);
+            let request =
+                TicketsRequest { service: full_name.clone(), target: target.clone(), count: wanted as u32 };
+            let Some(address) = service.address(&host) else { continue };
+            let answer = self.context.client.ask(address, &PeerRequest::Tickets(request)).await;
+            if let Ok(PeerAnswer::Tickets { incarnation, first, count, lifetime_ms }) = answer
+                && count > 0
+            {
+                let ticket = |number| Ticket {
+                    service: full_name.clone(),
+                    target: target.clone(),
+                    incarnation,
+                    number,
+                };
+                let tickets = (first..first + u64::from(count)).map(|number| ticket(number).to_string());
+                return Ok(json(StatusCode::OK, &TicketsAnswer { tickets: tickets.collect(), lifetime_ms }));
+            }
+        }
+    }
+}
+
+fn read_tickets_query(query: &str) -> Result<(String, u64), Rejection> {
+    let bad = || Rejection::new(StatusCode::BAD_REQUEST, "wanted: service=NAME&count=1 to 1000");
+    let mut service = None;
+    let mut wanted = 1;
+    for pair in query.split('&') {
+        match pair.split_once('=') {
+            Some(("service", name)) => service = Some(name.to_owned()),
+            Some(("count", number)) => wanted = number.parse().map_err(|_| bad())?,
+            _ => return Err(bad()),
+        }
+    }
+    if !(1..=TICKETS_MAX).contains(&wanted) {
+        return Err(bad());
+    }
+    Ok((service.ok_or_else(bad)?, wanted))
+}
+
+fn read_ticket(parts: &Parts, full_name: &str) -> Result<Option<Ticket>, Rejection> {
+    let mut values = parts.headers.get_all(TICKET).iter();
+    let Some(value) = values.next() else { return Ok(None) };
+    let bad = |message: &str| Rejection::new(StatusCode::BAD_REQUEST, message.to_owned());
+    if values.next().is_some() {
+        return Err(bad("more than one ticket"));
+    }
+    let ticket = Ticket::from_text(value.to_str().unwrap_or_default());
+    let ticket = ticket.map_err(|error| bad(&error.to_string()))?;
+    if ticket.service != full_name {
+        return Err(bad("the ticket is for another service"));
+    }
+    Ok(Some(ticket))
+}
+
+fn bad_number(name: http::HeaderName) -> Rejection {
+    Rejection::new(StatusCode::BAD_REQUEST, format!("{name} is not one number"))
+}
+
+fn rejected(rejection: &Rejection) -> Response<AnswerBody> {
+    told(rejection.status, "not-run", &rejection.reason)
+}
+
+/// The answer to a call that ran on no target, with when to come back.
+pub fn not_run(refusal: &Refusal) -> Response<AnswerBody> {
+    let mut response = told(StatusCode::SERVICE_UNAVAILABLE, "not-run", refusal.reason.word());
+    let retry_after_ms = u64::from(refusal.retry_after_ms.max(1));
+    let headers = response.headers_mut();
+    headers.insert(RETRY_AFTER, number_value(retry_after_ms.div_ceil(1_000)));
+    headers.insert(RETRY_AFTER_MS, number_value(retry_after_ms));
+    response
+}
+
+fn told(status: StatusCode, outcome: &'static str, reason: &str) -> Response<AnswerBody> {
+    let mut response = Response::new(whole(Bytes::from(format!("{outcome}: {reason}\n"))));
+    *response.status_mut() = status;
+    let headers = response.headers_mut();
+    headers.insert(OUTCOME, HeaderValue::from_static(outcome));
+    headers.insert(REASON, text_value(reason));
+    headers.insert(http::header::CONTENT_TYPE, HeaderValue::from_static("text/plain"));
+    response
+}
+
+/// A JSON answer.
+pub fn json<T: Serialize>(status: StatusCode, value: &T) -> Response<AnswerBody> {
+    let text = serde_json::to_vec(value).unwrap_or_default();
+    let mut response = Response::new(whole(Bytes::from(text)));
+    *response.status_mut() = status;
+    let content_type = HeaderValue::from_static("application/json");
+    response.headers_mut().insert(http::header::CONTENT_TYPE, content_type);
+    response
+}
--- /dev/null
+++ b/crates/laurelstall_node/src/lib.rs
@@ -0,0 +1,27 @@
+//! The node: the entry that takes callers' requests, the guard of the target beside it, and the
+//! administration API, wired together.
+
+pub mod active;
+pub mod admin;
+pub mod body;
+pub mod call;
+pub mod counters;
+pub mod decision_log;
+pub mod entry;
+pub mod headers;
+pub mod idle_stream;
+pub mod listener;
+pub mod logging;
+pub mod node;
+pub mod observer;
+pub mod platform_http;
+pub mod services;
+pub mod target_guard;
+
+/// The types most callers need.
+pub mod prelude {
+    pub use crate::{
+        counters::Counters,
+        node::{Listeners, Node, NodeError, NodeOptions},
+    };
+}
--- /dev/null
+++ b/crates/laurelstall_node/src/listener.rs
@@ -0,0 +1,147 @@
+//! Taking connections of callers and operators.
+
+use crate::{
+    body::whole,
+    counters::{Counters, count},
+    entry::Entry,
+    idle_stream::IdleStream,
+};
+use bytes::Bytes;
+use futures_util::future::BoxFuture;
+use http::{HeaderValue, Request, Response, StatusCode, header::CONNECTION};
+use http_body_util::BodyExt;
+use hyper::{body::Incoming, service::service_fn};
+use hyper_util::{
+    rt::{TokioExecutor, TokioIo, TokioTimer},
+    server::{conn::auto::Builder, graceful::GracefulShutdown},
+};
+use laurelstall_config::settings::CallerLimits;
+use laurelstall_peer::body::{AnswerBody, BodyError};
+use std::{convert::Infallible, fmt, sync::Arc};
+use tokio::{
+    net::{TcpListener, TcpStream},
+    sync::{Semaphore, watch},
+    time::{Duration, timeout},
+};
+
+/// Connections above the limit that are still told so.
+const REFUSED_CONNECTIONS_MAX: usize = 64;
+/// Longest time to tell them.
+const REFUSAL_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// Whoever answers requests.
+pub trait Responder: Send + Sync + fmt::Debug {
+    /// Answers one.
+    fn respond(&self, request: Request<AnswerBody>) -> BoxFuture<'_, Response<AnswerBody>>;
+}
+
+impl Responder for Entry {
+    fn respond(&self, request: Request<AnswerBody>) -> BoxFuture<'_, Response<AnswerBody>> {
+        Box::pin(self.handle(request))
+    }
+}
+
+/// Serves HTTP/1.1 and HTTP/2 on one address.
+#[derive(Debug)]
+pub struct HttpListener {
+    responder: Arc<dyn Responder>,
+    limits: CallerLimits,
+    counters: Arc<Counters>,
+    stopping: watch::Receiver<bool>,
+}
+
+impl HttpListener {
+    /// Hands requests to `responder` until `stopping` turns true.
+    pub fn new(
+        responder: Arc<dyn Responder>,
+        limits: CallerLimits,
+        counters: Arc<Counters>,
+        stopping: watch::Receiver<bool>,
+    ) -> Self {
+        Self { responder, limits, counters, stopping }
+    }
+
+    /// Takes connections until it is time to stop; returns when the last one has ended.
+    pub async fn serve(mut self, listener: TcpListener) {
+        let builder = self.builder();
+        let graceful = GracefulShutdown::new();
+        let places = Arc::new(Semaphore::new(self.limits.connections));
+        let refused_places = Arc::new(Semaphore::new(REFUSED_CONNECTIONS_MAX));
+        loop {
+            let accepted = tokio::select! {
+                accepted = listener.accept() => accepted,
+                _ = self.stopping.wait_for(|is_stopping| *is_stopping) => break,
+            };
+            let Ok((stream, _)) = accepted else {
+                // Out of descriptors, or a connection that was gone at once.
+                tokio::time::sleep(Duration::from_millis(10)).await;
+                continue;
+            };
+            let Ok(place) = places.clone().try_acquire_owned() else {
+                count(&self.counters.connections_refused);
+                if let Ok(place) = refused_places.clone().try_acquire_owned() {
+                    tokio::spawn(async move {
+                        let _place = place;
+                        refuse_connection(stream).await;
+                    });
+                }
+                continue;
+            };
+            // Without it, small answers wait for the caller's acknowledgement.
+            let _ = stream.set_nodelay(true);
+            let idle = Duration::from_millis(self.limits.idle_timeout_ms);
+            let responder = self.responder.clone();
+            let service = service_fn(move |request: Request<Incoming>| {
+                let responder = responder.clone();
+                async move {
+                    let request = request.map(|body| body.map_err(BodyError::from).boxed_unsync());
+                    Ok::<_, Infallible>(responder.respond(request).await)
+                }
+            });
+            let io = TokioIo::new(IdleStream::new(stream, idle));
+            let connection = builder.serve_connection(io, service).into_owned();
+            let connection = graceful.watch(connection);
+            tokio::spawn(async move {
+                let _place = place;
+                if let Err(error) = connection.await {
+                    log::debug!("caller's connection ended: {error}");
+                }
+            });
+        }
+        drop(listener);
+        graceful.shutdown().await;
+    }
+
+    fn builder(&self) -> Builder<TokioExecutor> {
+        let mut builder = Builder::new(TokioExecutor::new());
+        builder
+            .http1()
+            .timer(TokioTimer::new())
+            .header_read_timeout(Duration::from_millis(self.limits.head_timeout_ms))
+            .max_buf_size(self.limits.head_bytes);
+        builder
+            .http2()
+            .timer(TokioTimer::new())
+            .max_concurrent_streams(self.limits.streams)
+            .max_header_list_size(self.limits.head_bytes as u32)
+            .keep_alive_interval(Duration::from_millis(self.limits.idle_timeout_ms))
+            .keep_alive_timeout(Duration::from_millis(self.limits.idle_timeout_ms));
+        builder
+    }
+}
+
+async fn refuse_connection(stream: TcpStream) {
+    let service = service_fn(|_: Request<Incoming>| async {
+        let mut response = Response::new(whole(Bytes::from_static(b"not-run: too many connections\n")));
+        *response.status_mut() = StatusCode::SERVICE_UNAVAILABLE;
+        let headers = response.headers_mut();
+        headers.insert(CONNECTION, HeaderValue::from_static("close"));
+        headers.insert(crate::headers::OUTCOME, HeaderValue::from_static("not-run"));
+        headers.insert(http::header::RETRY_AFTER, HeaderValue::from_static("1"));
+        Ok::<_, Infallible>(response)
+    });
+    let builder = Builder::new(TokioExecutor::new());
+    let served = builder.serve_connection(TokioIo::new(stream), service);
+    // Whoever does not ask within this time is closed without an answer.
+    let _ = timeout(REFUSAL_TIMEOUT, served).await;
+}
--- /dev/null
+++ b/crates/laurelstall_node/src/node.rs
@@ -0,0 +1,403 @@
+//! A whole node: its parts, started and stopped together.
+
+use crate::{
+    active::Active,
+    admin::Admin,
+    call::CallContext,
+    counters::{Counters, MetricSender},
+    decision_log::DecisionLog,
+    entry::Entry,
+    listener::HttpListener,
+    observer::Observer,
+    platform_http::HttpPlatform,
+    services::{ChooserFactory, Own, Services},
+    target_guard::{TargetGuard, TargetGuardOptions, drained},
+};
+use futures_util::future::{BoxFuture, FutureExt};
+use laurelstall_balance::least_wait::LeastWait;
+use laurelstall_config::{fleet::Fleet, settings::Settings};
+use laurelstall_guard::{
+    clock::Clock,
+    refusal::{Refusal, RefusalReason},
+};
+use laurelstall_peer::{
+    attempt::AttemptHandler,
+    client::PeerClient,
+    link::{Link, OpenLink},
+    message::{PeerAnswer, PeerRequest},
+    meter::Meter,
+    platform::PlatformSource,
+    pool::Pool,
+    server::{PeerHandler, PeerServer},
+    spread::{Spread, SpreadOptions, SpreadView},
+};
+use quick_error::quick_error;
+use std::{
+    fmt, io,
+    net::{IpAddr, SocketAddr, TcpListener as StdListener},
+    sync::{Arc, atomic::Ordering},
+};
+use tokio::{
+    net::TcpListener,
+    sync::watch,
+    task::{JoinHandle, JoinSet},
+    time::{Duration, sleep, timeout},
+};
+
+/// How long a stopping node goes on serving callers while it asks them to close.
+const LINGER: Duration = Duration::from_millis(1_000);
+/// Pause between two closings of idle connections.
+const HOUSEKEEPING_INTERVAL: Duration = Duration::from_secs(5);
+
+quick_error! {
+    /// A node that could not start.
+    #[derive(Debug)]
+    pub enum NodeError {
+        /// An address could not be listened on.
+        Listen(address: SocketAddr, error: io::Error) {
+            display("{address}: {error}")
+            source(error)
+        }
+    }
+}
+
+/// Sockets that are listened on already.
+#[derive(Debug)]
+pub struct Listeners {
+    /// For callers.
+    pub entry: StdListener,
+    /// For other nodes.
+    pub peer: StdListener,
+    /// For operators.
+    pub admin: StdListener,
+}
+
+impl Listeners {
+    /// Listens on the addresses of the settings.
+    ///
+    /// # Errors
+    ///
+    /// [`NodeError::Listen`] with the address that is taken or not there.
+    pub fn bind(settings: &Settings) -> Result<Self, NodeError> {
+        let bind = |address: SocketAddr| {
+            StdListener::bind(address).map_err(|error| NodeError::Listen(address, error))
+        };
+        Ok(Self {
+            entry: bind(settings.node.entry_address)?,
+            peer: bind(settings.node.peer_address)?,
+            admin: bind(settings.node.admin_address)?,
+        })
+    }
+}
+
+/// What a node is started with.
+pub struct NodeOptions {
+    /// Its settings.
+    pub settings: Settings,
+    /// Its sockets.
+    pub listeners: Listeners,
+    /// Its way to choose targets.
+    pub chooser: ChooserFactory,
+    /// Whether its guard acts as behind a plain balancer.
+    pub is_plain: bool,
+    /// Seed of its random choices.
+    pub seed: u64,
+    /// The network to other nodes.
+    pub link: Arc<dyn Link>,
+    /// The platform, if it is not the one of the settings.
+    pub platform: Option<Arc<dyn PlatformSource>>,
+}
+
+impl NodeOptions {
+    /// Options for a node as it runs beside a target.
+    pub fn new(settings: Settings, listeners: Listeners) -> Self {
+        let chooser: ChooserFactory = Arc::new(|| Box::new(LeastWait::default()));
+        Self {
+            settings,
+            listeners,
+            chooser,
+            is_plain: false,
+            seed: rand::random(),
+            link: Arc::new(OpenLink),
+            platform: None,
+        }
+    }
+}
+
+impl fmt::Debug for NodeOptions {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("NodeOptions").field("settings", &self.settings).finish_non_exhaustive()
+    }
+}
+
+/// A running node.
+#[derive(Debug)]
+pub struct Node {
+    /// Where callers connect.
+    pub entry_address: SocketAddr,
+    /// Where other nodes connect.
+    pub peer_address: SocketAddr,
+    /// Where operators connect.
+    pub admin_address: SocketAddr,
+    /// Counts.
+    pub counters: Arc<Counters>,
+    /// The spreading of configuration.
+    pub spread: Arc<Spread>,
+    /// The configuration in force.
+    pub active: Arc<Active>,
+    /// The guard.
+    pub guard: TargetGuard,
+    /// The entry.
+    pub entry: Arc<Entry>,
+    stop_max: Duration,
+    peer_server: Arc<PeerServer>,
+    stopping: watch::Sender<bool>,
+    listening: Vec<JoinHandle<()>>,
+    background: JoinSet<()>,
+}
+
+/// What a node does for other nodes.
+#[derive(Debug)]
+struct NodePeers {
+    guard: TargetGuard,
+    spread: Arc<Spread>,
+    active: Arc<Active>,
+    observer: Arc<Observer>,
+    seeds: Vec<SocketAddr>,
+}
+
+impl PeerHandler for NodePeers {
+    fn attempts(&self) -> &dyn AttemptHandler {
+        &self.guard
+    }
+
+    fn is_member(&self, ip: IpAddr) -> bool {
+        let fleet: Arc<Fleet> = self.active.fleet();
+        // Before a list is known, only seeds can be told from strangers.
+        fleet.has_ip(ip) || self.seeds.iter().any(|seed| seed.ip() == ip)
+    }
+
+    fn answer(&self, from: IpAddr, request: PeerRequest) -> BoxFuture<'_, PeerAnswer> {
+        async move {
+            match request {
+                PeerRequest::Probe => {
+                    let may_answer = self.observer.may_answer_probe();
+                    PeerAnswer::Probed(may_answer.then(|| self.guard.hint().into()))
+                }
+                PeerRequest::Tickets(request) => self.guard.give_tickets(&request),
+                PeerRequest::Exchange(exchange) => self.spread.answer_exchange(&exchange),
+                PeerRequest::Pull(items) => self.spread.answer_pull(&items),
+                PeerRequest::Offer(address, versions) => {
+                    self.spread.note_offer(from, address, versions);
+                    PeerAnswer::Noted
+                }
+                PeerRequest::Attempt(_) => {
+                    PeerAnswer::Refused(Refusal::new(RefusalReason::Unreadable).into())
+                }
+            }
+        }
+        .boxed()
+    }
+}
+
+impl Node {
+    /// Starts a node on the current runtime. It answers peers at once and callers when it has
+    /// asked platform and peers for the newest configuration.
+    ///
+    /// # Errors
+    ///
+    /// [`NodeError`] when a socket cannot be used.
+    pub async fn start(options: NodeOptions) -> Result<Self, NodeError> {
+        let NodeOptions { settings, listeners, chooser, is_plain, seed, link, platform } = options;
+        let clock = Clock::new();
+        let counters = Arc::new(Counters::default());
+        let meter = Arc::new(Meter::default());
+        let active = Active::new();
+        let observer = Arc::new(Observer::new(clock, counters.clone()));
+        let client = PeerClient::new(Arc::new(Pool::new(clock, meter.clone(), link)));
+        let host = settings.node.host.clone();
+        let data_centre = settings.node.data_centre.clone();
+        let entry_listener = into_tokio(listeners.entry)?;
+        let peer_listener = into_tokio(listeners.peer)?;
+        let admin_listener = into_tokio(listeners.admin)?;
+        let peer_address = peer_listener.1;
+
+        let guard = TargetGuard::new(TargetGuardOptions {
+            clock,
+            host: host.clone(),
+            settings: settings.target.clone(),
+            is_plain,
+            incarnation: rand::random(),
+            active: active.clone(),
+            observer: observer.clone(),
+            counters: counters.clone(),
+        });
+        let spread_options = SpreadOptions {
+            host: host.clone(),
+            data_centre: data_centre.clone(),
+            peer_address,
+            seeds: settings.seeds.clone(),
+            seed,
+        };
+        let platform = platform.unwrap_or_else(|| Arc::new(HttpPlatform::new(&settings.platform)));
+        let spread =
+            Spread::new(spread_options, clock, client.clone(), platform, active.clone(), active.clone());
+        let own = Own { host: host.clone(), data_centre: data_centre.clone() };
+        let services = Arc::new(Services::new(own, clock, chooser, seed));
+        let log = &settings.log;
+        let entry = Arc::new(Entry {
+            context: CallContext {
+                clock,
+                host: host.clone(),
+                local: Arc::new(guard.clone()),
+                client: client.clone(),
+                observer: observer.clone(),
+                decisions: DecisionLog::new(log.decisions, log.decisions_waiting_max, counters.clone()),
+                counters: counters.clone(),
+            },
+            active: active.clone(),
+            services: services.clone(),
+            limits: settings.callers,
+            is_stopping: false.into(),
+        });
+
+        let mut background = JoinSet::new();
+        background.spawn(follow_configuration(active.clone(), guard.clone(), observer.clone()));
+        let peers = NodePeers {
+            guard: guard.clone(),
+            spread: spread.clone(),
+            active: active.clone(),
+            observer: observer.clone(),
+            seeds: settings.seeds.clone(),
+        };
+        let peer_server = PeerServer::new(Arc::new(peers), meter.clone());
+        background.spawn(peer_server.clone().serve(peer_listener.0));
+
+        spread.join().await;
+        background.spawn(spread.clone().run());
+        let probe_client = client.clone();
+        let probe_observer = observer.clone();
+        background.spawn(async move { probe_observer.probe_loop(&services, &probe_client).await });
+        background.spawn(close_idle(client));
+        let sender = MetricSender::new(log.statsd_address, &host);
+        let interval = Duration::from_millis(log.metrics_interval_ms);
+        background.spawn(send_metrics(sender, interval, counters.clone(), guard.clone(), meter));
+
+        let (stopping, is_stopping) = watch::channel(false);
+        let admin = Arc::new(Admin {
+            entry: entry.clone(),
+            guard: guard.clone(),
+            active: active.clone(),
+            spread: spread.clone(),
+            counters: counters.clone(),
+            tokens: settings.tokens.clone(),
+            is_loopback: admin_listener.1.ip().is_loopback(),
+            host,
+            data_centre,
+        });
+        let callers =
+            HttpListener::new(entry.clone(), settings.callers, counters.clone(), is_stopping.clone());
+        let operators = HttpListener::new(admin, settings.callers, counters.clone(), is_stopping);
+        let listening = vec![
+            tokio::spawn(callers.serve(entry_listener.0)),
+            tokio::spawn(operators.serve(admin_listener.0)),
+        ];
+        log::info!("node of {} serves callers on {}", settings.node.host, entry_listener.1);
+        Ok(Self {
+            entry_address: entry_listener.1,
+            peer_address,
+            admin_address: admin_listener.1,
+            counters,
+            spread,
+            active,
+            guard,
+            entry,
+            stop_max: Duration::from_millis(settings.node.stop_max_ms),
+            peer_server,
+            stopping,
+            listening,
+            background,
+        })
+    }
+
+    /// Stops without cutting off a request; true when all ended within the longest time.
+    ///
+    /// The guard takes nothing new at once. The entry serves on for a moment while it asks
+    /// callers to close, then takes no connections and waits for the last answer.
+    pub async fn stop(mut self) -> bool {
+        log::info!("stopping");
+        self.guard.set_stopping();
+        self.entry.is_stopping.store(true, Ordering::Relaxed);
+        let limit = self.stop_max;
+        let stopped = timeout(limit, async {
+            sleep(LINGER).await;
+            self.stopping.send_replace(true);
+            for task in &mut self.listening {
+                // A task that panicked has nothing left to wait for.
+                let _ = task.await;
+            }
+            drained(&self.guard, limit).await;
+            self.peer_server.stop();
+            // Answers that left the guard may still be on their way out.
+            sleep(Duration::from_millis(200)).await;
+        });
+        let is_whole = stopped.await.is_ok();
+        self.background.shutdown().await;
+        is_whole
+    }
+
+    /// Stops at once, as a crash would.
+    pub async fn kill(mut self) {
+        for task in &self.listening {
+            task.abort();
+        }
+        self.background.shutdown().await;
+    }
+}
+
+fn into_tokio(listener: StdListener) -> Result<(TcpListener, SocketAddr), NodeError> {
+    let unspecified = SocketAddr::from(([0, 0, 0, 0], 0));
+    let address = listener.local_addr().map_err(|error| NodeError::Listen(unspecified, error))?;
+    let converted = listener.set_nonblocking(true).and_then(|()| TcpListener::from_std(listener));
+    let listener = converted.map_err(|error| NodeError::Listen(address, error))?;
+    Ok((listener, address))
+}
+
+async fn follow_configuration(active: Arc<Active>, guard: TargetGuard, observer: Arc<Observer>) {
+    let mut changes = active.changes();
+    loop {
+        observer.set_limits(active.load().configuration.system.observe);
+        guard.update();
+        if changes.changed().await.is_err() {
+            return;
+        }
+    }
+}
+
+async fn close_idle(client: PeerClient) {
+    loop {
+        sleep(HOUSEKEEPING_INTERVAL).await;
+        client.pool().close_idle();
+    }
+}
+
+async fn send_metrics(
+    mut sender: MetricSender,
+    interval: Duration,
+    counters: Arc<Counters>,
+    guard: TargetGuard,
+    meter: Arc<Meter>,
+) {
+    loop {
+        sleep(interval).await;
+        let load = guard.guard().load();
+        let gauges = [
+            ("in_flight", u64::from(load.in_flight)),
+            ("queued", u64::from(load.queued)),
+            ("limit", u64::from(load.limit)),
+            ("control_bytes", meter.control_bytes.load(Ordering::Relaxed)),
+            ("peer_connections", meter.open.load(Ordering::Relaxed)),
+        ];
+        sender.send(&counters, &gauges);
+    }
+}
--- /dev/null
+++ b/crates/laurelstall_node/src/observer.rs
@@ -0,0 +1,106 @@
+//! What this node spends on observing targets.
+
+use crate::{
+    counters::{Counters, count},
+    services::Services,
+};
+use laurelstall_balance::{
+    hint::{HINT_BYTES, Hint},
+    observe_budget::{ObserveBudget, ObserveCost},
+};
+use laurelstall_config::system::ObserveLimits;
+use laurelstall_guard::clock::Clock;
+use laurelstall_peer::{
+    client::PeerClient,
+    message::{PeerAnswer, PeerRequest},
+    meter::MESSAGE_OVERHEAD_BYTES,
+};
+use std::{
+    net::SocketAddr,
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
+};
+use tokio::time::{Duration, sleep};
+
+/// Bytes of a probe's or its answer's payload at most.
+const PROBE_PAYLOAD_BYTES: u64 = 12 + HINT_BYTES;
+/// A probe and its answer.
+pub const PROBE_BYTES: u64 = 2 * (PROBE_PAYLOAD_BYTES + MESSAGE_OVERHEAD_BYTES);
+/// Opening a connection for it: TCP and `h2` handshakes, both directions.
+pub const OPEN_BYTES: u64 = 650;
+/// Pause between two looks for a target to probe.
+const PROBE_INTERVAL: Duration = Duration::from_millis(25);
+/// Hints younger than this need no probe, in µs.
+const PROBE_AGE_US: u64 = 100_000;
+/// Services without a call for so long are not probed, in µs.
+pub const SERVICE_IDLE_US: u64 = 5_000_000;
+
+/// The budget for observing and what is done with it.
+#[derive(Debug)]
+pub struct Observer {
+    clock: Clock,
+    budget: Mutex<ObserveBudget>,
+    counters: Arc<Counters>,
+}
+
+impl Observer {
+    /// A budget as the defaults say, until a configuration is in force.
+    pub fn new(clock: Clock, counters: Arc<Counters>) -> Self {
+        let limits = ObserveLimits::default();
+        let budget = ObserveBudget::new(limits.bytes_per_s, limits.probes_per_s);
+        Self { clock, budget: Mutex::new(budget), counters }
+    }
+
+    /// Puts new limits in force.
+    pub fn set_limits(&self, limits: ObserveLimits) {
+        // A probe and its answer are two messages; the limit counts them as one probe.
+        self.budget().set_rates(limits.bytes_per_s, limits.probes_per_s);
+    }
+
+    /// The budget, for operators and measurements.
+    pub fn budget(&self) -> MutexGuard<'_, ObserveBudget> {
+        self.budget.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Takes the cost of one hint on an answer.
+    pub fn may_carry_hint(&self, share_percent: u8) -> bool {
+        let cost = ObserveCost { bytes: HINT_BYTES, messages: 0 };
+        share_percent > 0 && self.budget().try_take(self.clock.now_us(), cost, share_percent)
+    }
+
+    /// Takes the cost of answering one probe.
+    pub fn may_answer_probe(&self) -> bool {
+        let cost = ObserveCost { bytes: PROBE_BYTES, messages: 1 };
+        self.budget().try_take(self.clock.now_us(), cost, 100)
+    }
+
+    /// Probes the targets of which least is known, as far as the budget goes, until dropped.
+    pub async fn probe_loop(&self, services: &Services, client: &PeerClient) {
+        loop {
+            sleep(PROBE_INTERVAL).await;
+            for service in services.used_since(self.clock.now_us().saturating_sub(SERVICE_IDLE_US)) {
+                let now_us = self.clock.now_us();
+                let Some((index, name, address)) = service.stalest(now_us, PROBE_AGE_US) else { continue };
+                if !self.take_probe(client, address) {
+                    continue;
+                }
+                count(&self.counters.probes);
+                if let Some(hint) = probe(client, address).await {
+                    service.balancer().take_hint(index, &name, hint, self.clock.now_us());
+                }
+            }
+        }
+    }
+
+    fn take_probe(&self, client: &PeerClient, address: SocketAddr) -> bool {
+        let open_bytes = if client.pool().has(address) { 0 } else { OPEN_BYTES };
+        let cost = ObserveCost { bytes: PROBE_BYTES + open_bytes, messages: 1 };
+        self.budget().try_take(self.clock.now_us(), cost, 100)
+    }
+}
+
+async fn probe(client: &PeerClient, address: SocketAddr) -> Option<Hint> {
+    match client.ask(address, &PeerRequest::Probe).await {
+        Ok(PeerAnswer::Probed(hint)) => hint.map(Hint::from),
+        _ => None,
+    }
+}
--- /dev/null
+++ b/crates/laurelstall_peer/src/client.rs
@@ -0,0 +1,319 @@
+//! Asking other nodes.
+
+use crate::{
+    attempt::{Attempt, AttemptAnswer, AttemptBody, AttemptOutcome},
+    body::{AnswerBody, BodyError, StreamBody, send_body, send_data},
+    frame::{DOCUMENTS_BYTES_MAX, FrameError, FrameReader, HEAD_BYTES_MAX, encode},
+    message::{BodyKind, PeerAnswer, PeerRequest},
+    pool::{ConnectError, Pool},
+};
+use bytes::Bytes;
+use h2::{
+    Reason, RecvStream, SendStream,
+    client::{ResponseFuture, SendRequest},
+};
+use http::{HeaderMap, HeaderName, HeaderValue, Method, Request, StatusCode, Uri};
+use http_body::{Body, Frame};
+use http_body_util::BodyExt;
+use laurelstall_balance::hint::Hint;
+use laurelstall_guard::refusal::{Refusal, RefusalReason};
+use quick_error::quick_error;
+use std::{
+    net::SocketAddr,
+    pin::Pin,
+    sync::Arc,
+    task::{Context, Poll},
+};
+use tokio::{
+    task::JoinHandle,
+    time::{Duration, timeout},
+};
+
+/// Longest a control message may take.
+pub const CONTROL_TIMEOUT: Duration = Duration::from_secs(2);
+
+quick_error! {
+    /// A control message that got no answer.
+    #[derive(Debug)]
+    pub enum PeerError {
+        /// No connection.
+        Connect(error: ConnectError) {
+            display("{error}")
+            source(error)
+            from()
+        }
+        /// The stream broke.
+        Stream(error: h2::Error) {
+            display("{error}")
+            source(error)
+            from()
+        }
+        /// The answer could not be read.
+        Frame(error: FrameError) {
+            display("{error}")
+            source(error)
+            from()
+        }
+        /// No answer in time.
+        TimedOut {
+            display("no answer in time")
+        }
+        /// The answer is not one to this question.
+        Unexpected {
+            display("unexpected answer")
+        }
+    }
+}
+
+/// The asking side of a node.
+#[derive(Debug, Clone)]
+pub struct PeerClient {
+    pool: Arc<Pool>,
+}
+
+impl PeerClient {
+    /// Asks over the connections of `pool`.
+    pub fn new(pool: Arc<Pool>) -> Self {
+        Self { pool }
+    }
+
+    /// The connections.
+    pub fn pool(&self) -> &Arc<Pool> {
+        &self.pool
+    }
+
+    /// Sends a control message and reads its answer.
+    ///
+    /// # Errors
+    ///
+    /// [`PeerError`] when there is none.
+    pub async fn ask(&self, address: SocketAddr, request: &PeerRequest) -> Result<PeerAnswer, PeerError> {
+        let asked = timeout(CONTROL_TIMEOUT, self.ask_unbounded(address, request)).await;
+        asked.map_err(|_| PeerError::TimedOut)?
+    }
+
+    /// Runs an attempt at another node's target.
+    ///
+    /// Dropping the future, or the body of its answer, cancels the attempt there.
+    pub async fn attempt(&self, address: SocketAddr, attempt: Attempt) -> AttemptAnswer {
+        let Attempt { head, body } = attempt;
+        let call_id = head.call_id;
+        let kind = head.body;
+        let sender = match self.pool.sender(address).await {
+            Ok(sender) => sender,
+            Err(error) => {
+                log::debug!("no connection to {address}: {error}");
+                return not_sent(body);
+            }
+        };
+        let (mut response, mut stream) = match open(sender) {
+            Ok(opened) => opened,
+            Err(_) => return not_sent(body),
+        };
+        let frame = encode(&PeerRequest::Attempt(head));
+        let unsent = match send_head(frame, body, kind, &mut stream).await {
+            Ok(unsent) => unsent,
+            Err(answer) => return answer,
+        };
+        let mut reader = match (&mut response).await {
+            Ok(response) => FrameReader::new(response.into_body()),
+            Err(error) => return broken(&error, unsent),
+        };
+        match (unsent, kind) {
+            (Some(body), BodyKind::AfterAdmission) => read_admitted(reader, stream, body, call_id).await,
+            _ => {
+                let answer = reader.read(HEAD_BYTES_MAX).await;
+                read_answer(answer, reader, call_id, None)
+            }
+        }
+    }
+
+    async fn ask_unbounded(
+        &self,
+        address: SocketAddr,
+        request: &PeerRequest,
+    ) -> Result<PeerAnswer, PeerError> {
+        let sender = self.pool.sender(address).await?;
+        let (response, mut stream) = open(sender)?;
+        let frame = encode(request);
+        self.pool.meter().note_control(frame.len());
+        stream.send_data(frame, true)?;
+        let response = response.await?;
+        let mut reader = FrameReader::new(response.into_body());
+        let answer = reader.read(DOCUMENTS_BYTES_MAX).await?;
+        self.pool.meter().note_control(encoded_length(&answer));
+        Ok(answer)
+    }
+}
+
+fn encoded_length(answer: &PeerAnswer) -> usize {
+    encode(answer).len()
+}
+
+fn open(mut sender: SendRequest<Bytes>) -> Result<(ResponseFuture, SendStream<Bytes>), h2::Error> {
+    let mut request = Request::new(());
+    *request.method_mut() = Method::POST;
+    *request.uri_mut() = Uri::from_static("http://n/");
+    sender.send_request(request, false)
+}
+
+fn not_sent(body: AttemptBody) -> AttemptAnswer {
+    let refusal = Refusal::new(RefusalReason::NoConnection);
+    let mut answer = AttemptAnswer::new(AttemptOutcome::NotRun(refusal));
+    if let AttemptBody::Stream(body) = body {
+        answer.unread = Some(body);
+    }
+    answer
+}
+
+/// Sends the head, and the body with it unless it must wait; gives back a body that waits.
+async fn send_head(
+    frame: Bytes,
+    body: AttemptBody,
+    kind: BodyKind,
+    stream: &mut SendStream<Bytes>,
+) -> Result<Option<AnswerBody>, AttemptAnswer> {
+    let lost = |_: BodyError| AttemptAnswer::new(AttemptOutcome::Unknown("stream broke"));
+    match body {
+        AttemptBody::Whole(bytes) => {
+            if bytes.is_empty() {
+                stream.send_data(frame, true).map_err(|error| lost(error.into()))?;
+                return Ok(None);
+            }
+            send_data(frame, stream).await.map_err(lost)?;
+            send_data(bytes, stream).await.map_err(lost)?;
+            stream.send_data(Bytes::new(), true).map_err(|error| lost(error.into()))?;
+            Ok(None)
+        }
+        AttemptBody::Stream(body) => {
+            debug_assert_eq!(kind, BodyKind::AfterAdmission);
+            send_data(frame, stream).await.map_err(lost)?;
+            Ok(Some(body))
+        }
+    }
+}
+
+/// What a broken stream proves: only the library's word REFUSED_STREAM means *not run*.
+fn broken(error: &h2::Error, unread: Option<AnswerBody>) -> AttemptAnswer {
+    let is_refused = error.is_remote() && error.reason() == Some(Reason::REFUSED_STREAM);
+    if !is_refused {
+        return AttemptAnswer::new(AttemptOutcome::Unknown("stream broke"));
+    }
+    let refusal = Refusal::new(RefusalReason::Draining);
+    let mut answer = AttemptAnswer::new(AttemptOutcome::NotRun(refusal));
+    answer.unread = unread;
+    answer
+}
+
+async fn read_admitted(
+    mut reader: FrameReader,
+    mut stream: SendStream<Bytes>,
+    body: AnswerBody,
+    call_id: u64,
+) -> AttemptAnswer {
+    match reader.read(HEAD_BYTES_MAX).await {
+        Ok(PeerAnswer::Admitted) => {}
+        other => {
+            let mut answer = read_answer(other, reader, call_id, None);
+            if matches!(answer.outcome, AttemptOutcome::NotRun(_)) {
+                answer.unread = Some(body);
+            }
+            return answer;
+        }
+    }
+    let sending = SendingTask(tokio::spawn(async move {
+        if let Err(error) = send_body(body, &mut stream).await {
+            log::debug!("request body broke off: {error}");
+        }
+    }));
+    let answer = reader.read(HEAD_BYTES_MAX).await;
+    read_answer(answer, reader, call_id, Some(sending))
+}
+
+fn read_answer(
+    answer: Result<PeerAnswer, FrameError>,
+    reader: FrameReader,
+    call_id: u64,
+    sending: Option<SendingTask>,
+) -> AttemptAnswer {
+    let answer = match answer {
+        Ok(answer) => answer,
+        Err(FrameError::Stream(error)) => return broken(&error, None),
+        Err(_) => return AttemptAnswer::new(AttemptOutcome::Unknown("unreadable answer")),
+    };
+    let (outcome, hint) = match answer {
+        PeerAnswer::Answered { call_id: answered, status, headers, hint } => {
+            assert_eq!(answered, call_id, "an answer came back on another call's stream");
+            (read_http(status, headers, reader, sending), hint)
+        }
+        PeerAnswer::NotRun { call_id: answered, refusal, hint } => {
+            assert_eq!(answered, call_id, "an answer came back on another call's stream");
+            (AttemptOutcome::NotRun(refusal.into()), hint)
+        }
+        PeerAnswer::Refused(refusal) => (AttemptOutcome::NotRun(refusal.into()), None),
+        PeerAnswer::Unknown { hint, .. } => (AttemptOutcome::Unknown("lost at the target"), hint),
+        _ => (AttemptOutcome::Unknown("unexpected answer"), None),
+    };
+    AttemptAnswer { outcome, hint: hint.map(Hint::from), unread: None }
+}
+
+fn read_http(
+    status: u16,
+    headers: Vec<(String, Vec<u8>)>,
+    reader: FrameReader,
+    sending: Option<SendingTask>,
+) -> AttemptOutcome {
+    let (Ok(status), Some(headers)) = (StatusCode::from_u16(status), headers_from_wire(&headers)) else {
+        return AttemptOutcome::Unknown("unreadable answer");
+    };
+    let (first, stream): (Bytes, RecvStream) = reader.into_rest();
+    let body = GuardedBody { inner: StreamBody::new(first, stream), _sending: sending };
+    AttemptOutcome::Answered { status, headers, body: body.boxed_unsync() }
+}
+
+/// Headers as they travel.
+pub fn headers_to_wire(headers: &HeaderMap) -> Vec<(String, Vec<u8>)> {
+    let pair =
+        |(name, value): (&HeaderName, &HeaderValue)| (name.as_str().to_owned(), value.as_bytes().to_vec());
+    headers.iter().map(pair).collect()
+}
+
+/// Headers as they arrive; none when one is no header.
+pub fn headers_from_wire(pairs: &[(String, Vec<u8>)]) -> Option<HeaderMap> {
+    let mut headers = HeaderMap::with_capacity(pairs.len());
+    for (name, value) in pairs {
+        let name = HeaderName::from_bytes(name.as_bytes()).ok()?;
+        headers.append(name, HeaderValue::from_bytes(value).ok()?);
+    }
+    Some(headers)
+}
+
+/// The task that sends a request's body; it ends with whoever waits for the answer.
+struct SendingTask(JoinHandle<()>);
+
+impl Drop for SendingTask {
+    fn drop(&mut self) {
+        self.0.abort();
+    }
+}
+
+struct GuardedBody {
+    inner: StreamBody,
+    _sending: Option<SendingTask>,
+}
+
+impl Body for GuardedBody {
+    type Data = Bytes;
+    type Error = BodyError;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
+        Pin::new(&mut self.inner).poll_frame(cx)
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.inner.is_end_stream()
+    }
+}
--- /dev/null
+++ b/crates/laurelstall_peer/src/frame.rs
@@ -0,0 +1,122 @@
+//! Heads on a stream: a version, a length, a `bincode` message.
+
+use bincode::config;
+use bytes::{Buf, BufMut, Bytes, BytesMut};
+use h2::RecvStream;
+use quick_error::quick_error;
+use serde::{Serialize, de::DeserializeOwned};
+
+/// Version of the messages that this node speaks.
+///
+/// A message of any other version, or with a field this version does not know, is refused and
+/// never guessed at.
+pub const MESSAGE_VERSION: u8 = 1;
+/// Longest head of an attempt or answer in bytes.
+pub const HEAD_BYTES_MAX: usize = 256 * 1024;
+/// Longest message with documents in bytes.
+pub const DOCUMENTS_BYTES_MAX: usize = 4 * 1024 * 1024;
+const PREFIX_BYTES: usize = 5;
+
+quick_error! {
+    /// A stream that does not hold what it should.
+    #[derive(Debug)]
+    pub enum FrameError {
+        /// The other side speaks another version.
+        Version(found: u8) {
+            display("message version {found}, not {MESSAGE_VERSION}")
+        }
+        /// The message is longer than allowed.
+        TooLong(bytes: usize) {
+            display("message of {bytes} bytes")
+        }
+        /// The message does not decode, or holds more than this version knows.
+        Malformed(message: String) {
+            display("malformed message: {message}")
+        }
+        /// The stream ended inside a message.
+        Ended {
+            display("stream ended inside a message")
+        }
+        /// The stream broke.
+        Stream(error: h2::Error) {
+            display("stream: {error}")
+            source(error)
+            from()
+        }
+    }
+}
+
+/// Writes a message with its prefix.
+pub fn encode<T: Serialize>(message: &T) -> Bytes {
+    let payload = bincode::serde::encode_to_vec(message, config::standard());
+    let payload = payload.expect("messages hold nothing that cannot be encoded");
+    let mut frame = BytesMut::with_capacity(PREFIX_BYTES + payload.len());
+    frame.put_u8(MESSAGE_VERSION);
+    frame.put_u32(payload.len() as u32);
+    frame.put_slice(&payload);
+    frame.freeze()
+}
+
+/// Reads a message's payload.
+///
+/// # Errors
+///
+/// [`FrameError::Malformed`] when it does not decode, or when bytes are left over.
+pub fn decode<T: DeserializeOwned>(payload: &[u8]) -> Result<T, FrameError> {
+    let config = config::standard().with_limit::<DOCUMENTS_BYTES_MAX>();
+    let decoded = bincode::serde::decode_from_slice(payload, config);
+    let (message, read) = decoded.map_err(|error| FrameError::Malformed(error.to_string()))?;
+    if read != payload.len() {
+        return Err(FrameError::Malformed(format!("{} bytes left over", payload.len() - read)));
+    }
+    Ok(message)
+}
+
+/// Reads messages, and then the body, from a stream.
+#[derive(Debug)]
+pub struct FrameReader {
+    stream: RecvStream,
+    buffer: BytesMut,
+}
+
+impl FrameReader {
+    /// Reads from `stream`.
+    pub fn new(stream: RecvStream) -> Self {
+        Self { stream, buffer: BytesMut::new() }
+    }
+
+    /// Reads the next message of at most `bytes_max`.
+    ///
+    /// # Errors
+    ///
+    /// [`FrameError`]; after one, nothing more can be read.
+    pub async fn read<T: DeserializeOwned>(&mut self, bytes_max: usize) -> Result<T, FrameError> {
+        self.fill(PREFIX_BYTES).await?;
+        let version = self.buffer[0];
+        if version != MESSAGE_VERSION {
+            return Err(FrameError::Version(version));
+        }
+        self.buffer.advance(1);
+        let length = self.buffer.get_u32() as usize;
+        if length > bytes_max {
+            return Err(FrameError::TooLong(length));
+        }
+        self.fill(length).await?;
+        let payload = self.buffer.split_to(length);
+        decode(&payload)
+    }
+
+    /// The rest of the stream: what was read too far, and the stream itself.
+    pub fn into_rest(self) -> (Bytes, RecvStream) {
+        (self.buffer.freeze(), self.stream)
+    }
+
+    async fn fill(&mut self, length: usize) -> Result<(), FrameError> {
+        while self.buffer.len() < length {
+            let data = self.stream.data().await.ok_or(FrameError::Ended)??;
+            self.stream.flow_control().release_capacity(data.len())?;
+            self.buffer.extend_from_slice(&data);
+        }
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/laurelstall_peer/src/lib.rs
@@ -0,0 +1,33 @@
+//! What nodes say to each other: attempts at calls, probes, tickets, and the spreading of
+//! configuration, over `h2` streams with `bincode` heads.
+
+pub mod attempt;
+pub mod body;
+pub mod client;
+pub mod delta;
+pub mod frame;
+pub mod link;
+pub mod message;
+pub mod meter;
+pub mod partners;
+pub mod platform;
+pub mod pool;
+pub mod server;
+pub mod spread;
+pub mod store;
+
+/// The types most callers need.
+pub mod prelude {
+    pub use crate::{
+        attempt::{Admission, Attempt, AttemptAnswer, AttemptBody, AttemptHandler, AttemptOutcome},
+        body::{AnswerBody, BodyError},
+        client::{PeerClient, PeerError},
+        link::{Link, OpenLink},
+        message::{AttemptHead, PeerAnswer, PeerRequest, TicketsRequest, WireHint},
+        meter::Meter,
+        platform::{Listing, PlatformError, PlatformSource},
+        server::{PeerHandler, PeerServer},
+        spread::{Spread, SpreadOptions},
+        store::{Acceptor, Offer, Store},
+    };
+}
--- /dev/null
+++ b/crates/laurelstall_peer/src/message.rs
@@ -0,0 +1,278 @@
+//! The messages between nodes.
+
+use laurelstall_balance::hint::{Hint, TargetState};
+use laurelstall_config::document::{DocumentName, Version};
+use laurelstall_guard::refusal::{Refusal, RefusalReason};
+use serde::{Deserialize, Serialize};
+use std::net::SocketAddr;
+
+/// How a request body comes.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub enum BodyKind {
+    /// There is none.
+    Empty,
+    /// It follows the head at once.
+    AtOnce,
+    /// It follows once the guard said [`PeerAnswer::Admitted`], so that a refused call still
+    /// has its body and can go elsewhere.
+    AfterAdmission,
+}
+
+/// The head of one attempt at a call.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct AttemptHead {
+    /// The call's number, the same in the answer.
+    pub call_id: u64,
+    /// Full name of the service.
+    pub service: String,
+    /// The target that must run it.
+    pub target: String,
+    /// HTTP method.
+    pub method: String,
+    /// Path and query.
+    pub uri: String,
+    /// End-to-end headers.
+    pub headers: Vec<(String, Vec<u8>)>,
+    /// Time left in µs, counted from when the head is read.
+    pub budget_us: u64,
+    /// Importance, 0 to 9.
+    pub importance: u8,
+    /// Whether the guard may hand the call back while it waits.
+    pub may_hand_back: bool,
+    /// Times it was handed back before.
+    pub hand_backs: u32,
+    /// Incarnation and number of the ticket it brings.
+    pub ticket: Option<(u64, u64)>,
+    /// How its body comes.
+    pub body: BodyKind,
+    /// Whether the answer may carry a hint.
+    pub wants_hint: bool,
+}
+
+/// A guard's word on its target, as it travels.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct WireHint {
+    incarnation: u64,
+    in_flight: u32,
+    queued: u32,
+    limit: u32,
+    service_us: u32,
+    is_draining: bool,
+}
+
+impl From<Hint> for WireHint {
+    fn from(hint: Hint) -> Self {
+        Self {
+            incarnation: hint.incarnation,
+            in_flight: hint.in_flight,
+            queued: hint.queued,
+            limit: hint.limit,
+            service_us: hint.service_us,
+            is_draining: hint.state == TargetState::Draining,
+        }
+    }
+}
+
+impl From<WireHint> for Hint {
+    fn from(wire: WireHint) -> Self {
+        let state = if wire.is_draining { TargetState::Draining } else { TargetState::Serving };
+        Self {
+            incarnation: wire.incarnation,
+            in_flight: wire.in_flight,
+            queued: wire.queued,
+            limit: wire.limit,
+            service_us: wire.service_us,
+            state,
+        }
+    }
+}
+
+/// A refusal, as it travels.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct WireRefusal {
+    reason: WireReason,
+    retry_after_ms: u32,
+}
+
+/// A reason, as it travels; [`RefusalReason`] names each.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+enum WireReason {
+    Draining,
+    QueueFull,
+    Deadline,
+    HandedBack,
+    OtherTarget,
+    Unreadable,
+    NoConnection,
+    Shed,
+    Stranger,
+    NoTarget,
+    TicketVoid,
+}
+
+impl From<Refusal> for WireRefusal {
+    fn from(refusal: Refusal) -> Self {
+        let reason = match refusal.reason {
+            RefusalReason::Draining => WireReason::Draining,
+            RefusalReason::QueueFull => WireReason::QueueFull,
+            RefusalReason::Deadline => WireReason::Deadline,
+            RefusalReason::HandedBack => WireReason::HandedBack,
+            RefusalReason::OtherTarget => WireReason::OtherTarget,
+            RefusalReason::Unreadable => WireReason::Unreadable,
+            RefusalReason::NoConnection => WireReason::NoConnection,
+            RefusalReason::Shed => WireReason::Shed,
+            RefusalReason::Stranger => WireReason::Stranger,
+            RefusalReason::NoTarget => WireReason::NoTarget,
+            RefusalReason::TicketVoid => WireReason::TicketVoid,
+        };
+        Self { reason, retry_after_ms: refusal.retry_after_ms }
+    }
+}
+
+impl From<WireRefusal> for Refusal {
+    fn from(wire: WireRefusal) -> Self {
+        let reason = match wire.reason {
+            WireReason::Draining => RefusalReason::Draining,
+            WireReason::QueueFull => RefusalReason::QueueFull,
+            WireReason::Deadline => RefusalReason::Deadline,
+            WireReason::HandedBack => RefusalReason::HandedBack,
+            WireReason::OtherTarget => RefusalReason::OtherTarget,
+            WireReason::Unreadable => RefusalReason::Unreadable,
+            WireReason::NoConnection => RefusalReason::NoConnection,
+            WireReason::Shed => RefusalReason::Shed,
+            WireReason::Stranger => RefusalReason::Stranger,
+            WireReason::NoTarget => RefusalReason::NoTarget,
+            WireReason::TicketVoid => RefusalReason::TicketVoid,
+        };
+        Self { reason, retry_after_ms: wire.retry_after_ms }
+    }
+}
+
+/// Asks a guard for tickets.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct TicketsRequest {
+    /// Full name of the service.
+    pub service: String,
+    /// The target they are for.
+    pub target: String,
+    /// How many.
+    pub count: u32,
+}
+
+/// A document and what the asker has of it.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct PullItem {
+    /// Which document.
+    pub name: DocumentName,
+    /// The version the asker has; 0 for none.
+    pub known_version: Version,
+    /// Checksum of that version's text.
+    pub known_checksum: u64,
+}
+
+/// A document's text on its way.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub enum TransferText {
+    /// All of it, compressed.
+    Whole(Vec<u8>),
+    /// Compressed against the version the asker has.
+    Delta(Vec<u8>),
+}
+
+/// A document on its way.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Transfer {
+    /// Which document.
+    pub name: DocumentName,
+    /// Its version.
+    pub version: Version,
+    /// Checksum of its text.
+    pub checksum: u64,
+    /// Bytes of its text.
+    pub text_bytes: u32,
+    /// Its text.
+    pub text: TransferText,
+}
+
+/// Which versions a node has, and how old its news from the platform is.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Exchange {
+    /// Hash of all versions.
+    pub versions_hash: u64,
+    /// Since a platform read that the node heard of, in ms.
+    pub platform_read_age_ms: u64,
+}
+
+/// What a node asks of another.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub enum PeerRequest {
+    /// Run a call.
+    Attempt(AttemptHead),
+    /// Say how your target is.
+    Probe,
+    /// Give tickets.
+    Tickets(TicketsRequest),
+    /// Compare versions.
+    Exchange(Exchange),
+    /// The sender, at this address, has these versions.
+    Offer(SocketAddr, Vec<(DocumentName, Version)>),
+    /// Send documents newer than these.
+    Pull(Vec<PullItem>),
+}
+
+/// What a node answers.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub enum PeerAnswer {
+    /// The call has a slot: send its body.
+    Admitted,
+    /// The target answered; the body follows.
+    Answered {
+        /// The call's number.
+        call_id: u64,
+        /// HTTP status.
+        status: u16,
+        /// End-to-end headers.
+        headers: Vec<(String, Vec<u8>)>,
+        /// How the target is.
+        hint: Option<WireHint>,
+    },
+    /// The call did not run.
+    NotRun {
+        /// The call's number.
+        call_id: u64,
+        /// Why.
+        refusal: WireRefusal,
+        /// How the target is.
+        hint: Option<WireHint>,
+    },
+    /// The call may have run.
+    Unknown {
+        /// The call's number.
+        call_id: u64,
+        /// How the target is.
+        hint: Option<WireHint>,
+    },
+    /// How the target is; none when the budget for observing is spent.
+    Probed(Option<WireHint>),
+    /// Tickets with consecutive numbers.
+    Tickets {
+        /// The guard's start.
+        incarnation: u64,
+        /// The first number.
+        first: u64,
+        /// How many.
+        count: u32,
+        /// Lifetime in ms.
+        lifetime_ms: u64,
+    },
+    /// Versions are the same on both sides.
+    Same(Exchange),
+    /// Versions differ; these are here.
+    Versions(Exchange, Vec<(DocumentName, Version)>),
+    /// Documents that were asked for.
+    Documents(Vec<Transfer>),
+    /// Taken note of.
+    Noted,
+    /// Not done, for this reason.
+    Refused(WireRefusal),
+}
--- /dev/null
+++ b/crates/laurelstall_peer/src/partners.rs
@@ -0,0 +1,46 @@
+//! Who watches the platform, and with whom a node exchanges versions.
+
+use laurelstall_config::fleet::{Fleet, Host, HostState};
+use rand::{SeedableRng, rngs::SmallRng, seq::IndexedRandom};
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+/// Seed of the hash that picks readers.
+const READER_SEED: u64 = 0x1a75;
+
+/// Whether `host` is one of the `count` hosts of its data centre that watch the platform.
+///
+/// Rendezvous hashing over the live hosts: each node decides alike from the same list, and a
+/// host that comes or goes moves at most one reader.
+pub fn is_reader(fleet: &Fleet, host: &str, data_centre: &str, count: usize) -> bool {
+    let own = weight(host);
+    let is_ahead = |other: &&Host| {
+        other.data_centre == data_centre && other.state == HostState::Live && weight(&other.name) > own
+    };
+    fleet.hosts.iter().filter(is_ahead).count() < count
+}
+
+/// Hosts to exchange versions with: half of the own data centre, half of others.
+///
+/// The pick is random but lasts as long as `seed` and the fleet do, so connections stay open;
+/// a random graph of degree 6 reaches 550 nodes in four steps.
+pub fn pick_partners<'a>(
+    fleet: &'a Fleet,
+    host: &str,
+    data_centre: &str,
+    count: usize,
+    seed: u64,
+) -> Vec<&'a Host> {
+    let mut rng = SmallRng::seed_from_u64(seed);
+    let others = fleet.hosts.iter().filter(|other| other.name != host);
+    let (near, far): (Vec<_>, Vec<_>) = others.partition(|other| other.data_centre == data_centre);
+    let far_count = (count / 2).min(far.len());
+    let near_count = (count - far_count).min(near.len());
+    let far_count = (count - near_count).min(far.len());
+    let mut partners = near.sample(&mut rng, near_count).copied().collect::<Vec<_>>();
+    partners.extend(far.sample(&mut rng, far_count).copied());
+    partners
+}
+
+fn weight(host: &str) -> u64 {
+    xxh3_64_with_seed(host.as_bytes(), READER_SEED)
+}
--- /dev/null
+++ b/crates/laurelstall_peer/src/platform.rs
@@ -0,0 +1,35 @@
+//! The border to the platform's configuration service, which can only be read.
+
+use futures_util::future::BoxFuture;
+use laurelstall_config::document::{Document, DocumentName, Version};
+use quick_error::quick_error;
+use std::fmt;
+
+/// What the platform has.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Listing {
+    /// Grows with each change; a watch waits for one above the last seen.
+    pub sequence: u64,
+    /// The newest version of each document.
+    pub versions: Vec<(DocumentName, Version)>,
+}
+
+quick_error! {
+    /// A read that failed.
+    #[derive(Debug)]
+    pub enum PlatformError {
+        /// The platform did not answer, or not well.
+        Unreachable(message: String) {
+            display("{message}")
+        }
+    }
+}
+
+/// A reader of the platform.
+pub trait PlatformSource: Send + Sync + fmt::Debug {
+    /// Waits for a listing with a sequence above `after`, or for the watch to end.
+    fn watch(&self, after: Option<u64>) -> BoxFuture<'_, Result<Listing, PlatformError>>;
+
+    /// Reads one document.
+    fn read(&self, name: DocumentName) -> BoxFuture<'_, Result<Document, PlatformError>>;
+}
--- /dev/null
+++ b/crates/laurelstall_peer/src/spread.rs
@@ -0,0 +1,508 @@
+//! Keeping a node's configuration the newest there is.
+//!
+//! A few readers in each data centre watch the platform. Whoever takes a new document offers it
+//! to its partners at once, and they pull it; besides, each node compares versions with one
+//! partner at a steady pace, so whatever was missed is found. Nodes that hear nothing of any
+//! platform read for long read themselves, seldom and spread.
+
+use crate::{
+    client::{PeerClient, PeerError},
+    message::{Exchange, PeerAnswer, PeerRequest, PullItem},
+    partners::{is_reader, pick_partners},
+    platform::{Listing, PlatformError, PlatformSource},
+    store::{Acceptor, Offer, Store},
+};
+use laurelstall_config::{
+    document::{Document, DocumentName, Version},
+    fleet::Fleet,
+    system::SpreadLimits,
+};
+use laurelstall_guard::clock::Clock;
+use rand::RngExt;
+use std::{
+    collections::HashMap,
+    net::{IpAddr, SocketAddr},
+    sync::{
+        Arc, Mutex, MutexGuard, PoisonError,
+        atomic::{AtomicBool, AtomicU64, Ordering},
+    },
+};
+use tokio::{
+    sync::{Mutex as AsyncMutex, Notify},
+    time::{Duration, sleep},
+};
+
+/// Most documents in one pull.
+const PULL_ITEMS_MAX: usize = 64;
+/// Random pause before a change is offered on, in ms: spreads a burst.
+const OFFER_JITTER_MS: u64 = 20;
+/// First and longest pause after a failed platform read in ms.
+const READ_BACKOFF_FIRST_MS: u64 = 200;
+const READ_BACKOFF_MAX_MS: u64 = 10_000;
+/// Pause between two looks at who reads, in ms.
+const ROLE_CHECK_MS: u64 = 1_000;
+/// Nodes of the whole fleet that may read in one fallback round, on average.
+const FALLBACK_READS: f64 = 4.0;
+/// Longest pause of a partner that does not answer, in exchanges.
+const PARTNER_PAUSE_MAX: u32 = 32;
+/// How long a joining node waits for peers and platform before it takes what it has.
+pub const JOIN_TIMEOUT: Duration = Duration::from_secs(3);
+/// Partners whose last exchange is remembered.
+const PARTNER_STATES_MAX: usize = 64;
+/// Peers that a joining node asks.
+const JOIN_PEERS: usize = 5;
+
+/// Who this node is.
+#[derive(Debug, Clone)]
+pub struct SpreadOptions {
+    /// Its host's name.
+    pub host: String,
+    /// Its data centre.
+    pub data_centre: String,
+    /// Where other nodes reach it.
+    pub peer_address: SocketAddr,
+    /// Nodes to ask before a fleet list is known.
+    pub seeds: Vec<SocketAddr>,
+    /// Seed of its random picks.
+    pub seed: u64,
+}
+
+/// Counts since the start.
+#[derive(Debug, Default)]
+pub struct SpreadCounts {
+    /// Documents put in force.
+    pub taken: AtomicU64,
+    /// Documents refused for faults.
+    pub refused: AtomicU64,
+    /// Pulls answered with a delta that did not fit.
+    pub deltas_failed: AtomicU64,
+    /// Calls made to the platform, a watch as one.
+    pub platform_calls: AtomicU64,
+    /// Exchanges that failed.
+    pub exchanges_failed: AtomicU64,
+}
+
+/// How a partner stood at the last exchange.
+#[derive(Debug, Clone, Copy)]
+pub struct PartnerState {
+    /// Whether it had the same versions.
+    pub is_in_step: bool,
+    /// Whether it answered.
+    pub is_reached: bool,
+    /// When, in µs of this node's clock.
+    pub at_us: u64,
+}
+
+/// What the configuration in force says about spreading.
+pub trait SpreadView: Send + Sync + std::fmt::Debug {
+    /// The hosts.
+    fn fleet(&self) -> Arc<Fleet>;
+    /// The limits.
+    fn spread(&self) -> SpreadLimits;
+}
+
+/// A node's part in the spreading of configuration.
+#[derive(Debug)]
+pub struct Spread {
+    options: SpreadOptions,
+    clock: Clock,
+    client: PeerClient,
+    platform: Arc<dyn PlatformSource>,
+    acceptor: Arc<dyn Acceptor>,
+    view: Arc<dyn SpreadView>,
+    store: Mutex<Store>,
+    /// The latest platform read this node heard of, its own or another's, in µs of its clock.
+    platform_read_us: AtomicU64,
+    changed: Mutex<HashMap<DocumentName, Version>>,
+    has_changed: Notify,
+    pulling: AsyncMutex<()>,
+    is_joined: AtomicBool,
+    partner_seed: AtomicU64,
+    partner_states: Mutex<HashMap<SocketAddr, PartnerState>>,
+    /// Counts.
+    pub counts: SpreadCounts,
+}
+
+impl Spread {
+    /// A node that holds nothing yet.
+    pub fn new(
+        options: SpreadOptions,
+        clock: Clock,
+        client: PeerClient,
+        platform: Arc<dyn PlatformSource>,
+        acceptor: Arc<dyn Acceptor>,
+        view: Arc<dyn SpreadView>,
+    ) -> Arc<Self> {
+        let partner_seed = AtomicU64::new(options.seed);
+        Arc::new(Self {
+            options,
+            clock,
+            client,
+            platform,
+            acceptor,
+            view,
+            store: Mutex::default(),
+            platform_read_us: AtomicU64::new(0),
+            changed: Mutex::default(),
+            has_changed: Notify::new(),
+            pulling: AsyncMutex::new(()),
+            is_joined: AtomicBool::new(false),
+            partner_seed,
+            partner_states: Mutex::default(),
+            counts: SpreadCounts::default(),
+        })
+    }
+
+    /// The documents held.
+    pub fn store(&self) -> MutexGuard<'_, Store> {
+        self.store.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Whether this node watches the platform now.
+    pub fn is_reader(&self) -> bool {
+        let fleet = self.view.fleet();
+        let count = self.view.spread().readers_per_data_centre;
+        is_reader(&fleet, &self.options.host, &self.options.data_centre, count)
+    }
+
+    /// Whether this node asked around before it served.
+    pub fn is_joined(&self) -> bool {
+        self.is_joined.load(Ordering::Relaxed)
+    }
+
+    /// Since a platform read that this node heard of, in ms.
+    pub fn platform_read_age_ms(&self) -> u64 {
+        match self.platform_read_us.load(Ordering::Relaxed) {
+            0 => u64::from(u32::MAX),
+            read_us => self.clock.now_us().saturating_sub(read_us) / 1_000,
+        }
+    }
+
+    /// How each partner stood at the last exchange.
+    pub fn partner_states(&self) -> Vec<(SocketAddr, PartnerState)> {
+        let states = self.partner_states.lock().unwrap_or_else(PoisonError::into_inner);
+        states.iter().map(|(address, state)| (*address, *state)).collect()
+    }
+
+    /// Asks platform and peers for what they have and takes the newest of each document.
+    ///
+    /// Returns when both were asked or [`JOIN_TIMEOUT`] is over; a node without any document
+    /// goes on asking in [`run`](Self::run).
+    pub async fn join(&self) {
+        let asked = async {
+            // Either may be away; what both know is taken.
+            let _ = tokio::join!(self.read_platform(None), self.ask_seeds());
+            self.ask_some_peers().await;
+        };
+        // A part that did not answer in time is caught up with by the exchanges.
+        let _ = tokio::time::timeout(JOIN_TIMEOUT, asked).await;
+        self.is_joined.store(true, Ordering::Relaxed);
+    }
+
+    /// Reads, offers and exchanges until it is dropped.
+    pub async fn run(self: Arc<Self>) {
+        tokio::join!(self.read_loop(), self.offer_loop(), self.exchange_loop());
+    }
+
+    /// Answers a node that compares versions.
+    pub fn answer_exchange(&self, theirs: &Exchange) -> PeerAnswer {
+        self.note_platform_age(theirs.platform_read_age_ms);
+        let ours = self.exchange();
+        if ours.versions_hash == theirs.versions_hash {
+            return PeerAnswer::Same(ours);
+        }
+        let versions = self.store().versions();
+        PeerAnswer::Versions(ours, versions)
+    }
+
+    /// Answers a pull.
+    pub fn answer_pull(&self, items: &[PullItem]) -> PeerAnswer {
+        let store = self.store();
+        let transfers = items.iter().take(PULL_ITEMS_MAX).filter_map(|item| store.pack(item));
+        PeerAnswer::Documents(transfers.collect())
+    }
+
+    /// Notes what another node has, and pulls what is newer.
+    ///
+    /// The address must be that of the connection: nobody can send a node after a third one.
+    pub fn note_offer(
+        self: &Arc<Self>,
+        from: IpAddr,
+        address: SocketAddr,
+        theirs: Vec<(DocumentName, Version)>,
+    ) {
+        if address.ip() != from || self.store().behind(&theirs).is_empty() {
+            return;
+        }
+        let this = self.clone();
+        tokio::spawn(async move {
+            if let Err(error) = this.pull(address, &theirs).await {
+                log::debug!("pull from {address}: {error}");
+            }
+        });
+    }
+
+    /// Offers a document to the store and, if it is taken, to the partners.
+    pub fn take(&self, document: Document) -> bool {
+        let name = document.name.clone();
+        let version = document.version;
+        let offer = self.store().offer(document, &*self.acceptor);
+        match offer {
+            Offer::Taken => {
+                self.counts.taken.fetch_add(1, Ordering::Relaxed);
+                log::info!("{name} version {version} is in force");
+                self.changed.lock().unwrap_or_else(PoisonError::into_inner).insert(name, version);
+                self.has_changed.notify_one();
+                return true;
+            }
+            Offer::Refused(error) => {
+                self.counts.refused.fetch_add(1, Ordering::Relaxed);
+                log::error!("{name} version {version} refused, the last good one stays: {error}");
+            }
+            Offer::Conflict => log::error!("{name} version {version} came with another text; ours stays"),
+            Offer::TooLarge => log::error!("{name} version {version} is too large"),
+            Offer::NotNewer => {}
+        }
+        false
+    }
+
+    fn exchange(&self) -> Exchange {
+        Exchange {
+            versions_hash: self.store().versions_hash(),
+            platform_read_age_ms: self.platform_read_age_ms(),
+        }
+    }
+
+    fn note_platform_age(&self, age_ms: u64) {
+        let read_us = self.clock.now_us().saturating_sub(age_ms.saturating_mul(1_000));
+        self.platform_read_us.fetch_max(read_us, Ordering::Relaxed);
+    }
+
+    async fn read_loop(&self) {
+        let mut after = None;
+        let mut failures = 0;
+        loop {
+            if !self.is_reader() && self.has_documents() {
+                after = None;
+                self.read_if_cut_off().await;
+                continue;
+            }
+            match self.read_platform(after).await {
+                Ok(sequence) => {
+                    after = Some(sequence);
+                    failures = 0;
+                }
+                Err(error) => {
+                    if failures == 0 {
+                        log::warn!("platform: {error}");
+                    }
+                    failures += 1;
+                    after = None;
+                    sleep(jittered(backoff_ms(failures))).await;
+                }
+            }
+        }
+    }
+
+    fn has_documents(&self) -> bool {
+        !self.store().versions().is_empty()
+    }
+
+    /// Reads once, if nobody seems to have read for long, with a chance that keeps the whole
+    /// fleet's reads about constant.
+    async fn read_if_cut_off(&self) {
+        sleep(jittered(ROLE_CHECK_MS)).await;
+        let after_ms = self.view.spread().fallback_read_after_ms;
+        if self.platform_read_age_ms() < after_ms {
+            return;
+        }
+        let hosts = self.view.fleet().hosts.len().max(1) as f64;
+        let round = after_ms as f64 / ROLE_CHECK_MS as f64;
+        let chance = (FALLBACK_READS / hosts / round.max(1.0) * 4.0).min(1.0);
+        if rand::rng().random_bool(chance) {
+            // A failure is what made this node read; the next round tries again.
+            let _ = self.read_platform(None).await;
+        }
+    }
+
+    async fn read_platform(&self, after: Option<u64>) -> Result<u64, PlatformError> {
+        self.counts.platform_calls.fetch_add(1, Ordering::Relaxed);
+        let listing: Listing = self.platform.watch(after).await?;
+        self.platform_read_us.store(self.clock.now_us(), Ordering::Relaxed);
+        let wanted = {
+            let store = self.store();
+            let wants = |(name, version): &&(DocumentName, Version)| store.wants(name, *version);
+            listing.versions.iter().filter(wants).map(|(name, _)| name.clone()).collect::<Vec<_>>()
+        };
+        for name in wanted {
+            self.counts.platform_calls.fetch_add(1, Ordering::Relaxed);
+            let document = self.platform.read(name).await?;
+            self.take(document);
+        }
+        Ok(listing.sequence)
+    }
+
+    async fn offer_loop(&self) {
+        loop {
+            self.has_changed.notified().await;
+            sleep(jittered(OFFER_JITTER_MS)).await;
+            let changed = std::mem::take(&mut *self.changed.lock().unwrap_or_else(PoisonError::into_inner));
+            let versions = changed.into_iter().collect::<Vec<_>>();
+            if versions.is_empty() {
+                continue;
+            }
+            let offers =
+                self.partners().into_iter().map(|address| self.send_offer(address, versions.clone()));
+            futures_util::future::join_all(offers).await;
+        }
+    }
+
+    async fn send_offer(&self, address: SocketAddr, versions: Vec<(DocumentName, Version)>) {
+        let request = PeerRequest::Offer(self.options.peer_address, versions);
+        if let Err(error) = self.client.ask(address, &request).await {
+            log::debug!("offer to {address}: {error}");
+        }
+    }
+
+    async fn exchange_loop(&self) {
+        let mut next = 0;
+        let mut pauses: HashMap<SocketAddr, (u32, u32)> = HashMap::new();
+        loop {
+            let interval_ms = self.view.spread().exchange_interval_ms;
+            sleep(jittered(interval_ms)).await;
+            let partners = self.partners();
+            if partners.is_empty() {
+                self.ask_seeds().await;
+                continue;
+            }
+            pauses.retain(|address, _| partners.contains(address));
+            let address = partners[next % partners.len()];
+            next += 1;
+            let (skip, growth) = pauses.get(&address).copied().unwrap_or((0, 1));
+            if skip > 0 {
+                pauses.insert(address, (skip - 1, growth));
+                continue;
+            }
+            match self.exchange_with(address).await {
+                Ok(()) => drop(pauses.remove(&address)),
+                Err(_) => {
+                    self.counts.exchanges_failed.fetch_add(1, Ordering::Relaxed);
+                    self.replace_partner_if_due(growth);
+                    pauses.insert(address, (growth, (growth * 2).min(PARTNER_PAUSE_MAX)));
+                }
+            }
+        }
+    }
+
+    /// Picks other partners when one has not answered for long, unless most do not answer.
+    fn replace_partner_if_due(&self, growth: u32) {
+        if growth >= PARTNER_PAUSE_MAX {
+            self.partner_seed.fetch_add(1, Ordering::Relaxed);
+        }
+    }
+
+    async fn exchange_with(&self, address: SocketAddr) -> Result<(), PeerError> {
+        let answer = self.client.ask(address, &PeerRequest::Exchange(self.exchange())).await;
+        self.note_partner(address, answer.as_ref().ok());
+        match answer? {
+            PeerAnswer::Same(theirs) => {
+                self.note_platform_age(theirs.platform_read_age_ms);
+                Ok(())
+            }
+            PeerAnswer::Versions(theirs, versions) => {
+                self.note_platform_age(theirs.platform_read_age_ms);
+                let ahead = self.store().ahead(&versions);
+                if !ahead.is_empty() {
+                    self.send_offer(address, ahead).await;
+                }
+                self.pull(address, &versions).await
+            }
+            _ => Err(PeerError::Unexpected),
+        }
+    }
+
+    fn note_partner(&self, address: SocketAddr, answer: Option<&PeerAnswer>) {
+        let state = PartnerState {
+            is_in_step: matches!(answer, Some(PeerAnswer::Same(_))),
+            is_reached: answer.is_some(),
+            at_us: self.clock.now_us(),
+        };
+        let mut states = self.partner_states.lock().unwrap_or_else(PoisonError::into_inner);
+        states.insert(address, state);
+        if states.len() > PARTNER_STATES_MAX {
+            let oldest = states.iter().min_by_key(|(_, state)| state.at_us).map(|(address, _)| *address);
+            oldest.map(|address| states.remove(&address));
+        }
+    }
+
+    /// Pulls what is newer there; one pull at a time, so offers of the same news cost nothing.
+    async fn pull(&self, address: SocketAddr, theirs: &[(DocumentName, Version)]) -> Result<(), PeerError> {
+        let _one_at_a_time = self.pulling.lock().await;
+        let mut items = self.store().behind(theirs);
+        while !items.is_empty() {
+            let rest = items.split_off(items.len().min(PULL_ITEMS_MAX));
+            let again = self.pull_items(address, items).await?;
+            if !again.is_empty() {
+                self.pull_items(address, again).await?;
+            }
+            items = rest;
+        }
+        Ok(())
+    }
+
+    /// Pulls these; gives back those whose delta did not fit, to be asked for whole.
+    async fn pull_items(
+        &self,
+        address: SocketAddr,
+        items: Vec<PullItem>,
+    ) -> Result<Vec<PullItem>, PeerError> {
+        let answer = self.client.ask(address, &PeerRequest::Pull(items)).await?;
+        let PeerAnswer::Documents(transfers) = answer else { return Err(PeerError::Unexpected) };
+        let mut again = Vec::new();
+        for transfer in transfers {
+            let unpacked = self.store().unpack(&transfer);
+            match unpacked {
+                Ok(document) => drop(self.take(document)),
+                Err(error) => {
+                    log::debug!("{} from {address}: {error}", transfer.name);
+                    self.counts.deltas_failed.fetch_add(1, Ordering::Relaxed);
+                    again.push(PullItem { name: transfer.name, known_version: 0, known_checksum: 0 });
+                }
+            }
+        }
+        Ok(again)
+    }
+
+    async fn ask_seeds(&self) {
+        for address in &self.options.seeds {
+            if *address != self.options.peer_address {
+                // A seed that is gone is one of several ways to the news.
+                let _ = self.exchange_with(*address).await;
+            }
+        }
+    }
+
+    async fn ask_some_peers(&self) {
+        let peers = self.partners().into_iter().take(JOIN_PEERS);
+        let asked = peers.map(|address| self.exchange_with(address));
+        futures_util::future::join_all(asked).await;
+    }
+
+    fn partners(&self) -> Vec<SocketAddr> {
+        let fleet = self.view.fleet();
+        let count = self.view.spread().partners;
+        let seed = self.partner_seed.load(Ordering::Relaxed);
+        let partners = pick_partners(&fleet, &self.options.host, &self.options.data_centre, count, seed);
+        partners.into_iter().map(|host| host.node_address).collect()
+    }
+}
+
+fn backoff_ms(failures: u32) -> u64 {
+    (READ_BACKOFF_FIRST_MS << failures.min(10)).min(READ_BACKOFF_MAX_MS)
+}
+
+/// Half to one and a half of a pause, so that nodes do not act in step.
+fn jittered(pause_ms: u64) -> Duration {
+    let pause_us = pause_ms * 1_000;
+    Duration::from_micros(rand::rng().random_range(pause_us / 2..=pause_us + pause_us / 2))
+}
--- /dev/null
+++ b/crates/laurelstall_peer/src/store.rs
@@ -0,0 +1,215 @@
+//! The documents that a node holds, the newest accepted version of each.
+
+use crate::{
+    delta::{DeltaError, pack_delta, pack_whole, unpack_delta, unpack_whole},
+    message::{PullItem, Transfer, TransferText},
+};
+use laurelstall_config::{
+    document::{DOCUMENT_BYTES_MAX, DOCUMENTS_MAX, Document, DocumentName, Version},
+    problem::ConfigError,
+};
+use std::{
+    collections::{BTreeMap, VecDeque},
+    fmt,
+    hash::Hasher,
+};
+use xxhash_rust::xxh3::Xxh3;
+
+/// Older versions kept of each document, to make deltas against.
+pub const HISTORY_LENGTH: usize = 4;
+
+/// Whoever checks a document and puts it in force.
+pub trait Acceptor: Send + Sync + fmt::Debug {
+    /// Checks `document` whole and, if it is right, swaps it in.
+    ///
+    /// # Errors
+    ///
+    /// All its faults; nothing has changed then.
+    fn accept(&self, document: &Document) -> Result<(), ConfigError>;
+}
+
+/// What became of a document that was offered.
+#[derive(Debug, Clone)]
+pub enum Offer {
+    /// It is in force now.
+    Taken,
+    /// The version held is as new or newer.
+    NotNewer,
+    /// The same version came with another text; the one held stays.
+    Conflict,
+    /// It has faults; the one held stays.
+    Refused(ConfigError),
+    /// It is too long, or there are too many.
+    TooLarge,
+}
+
+#[derive(Debug)]
+struct Entry {
+    current: Document,
+    checksum: u64,
+    older: VecDeque<Document>,
+}
+
+/// Documents by name; versions only grow.
+#[derive(Debug, Default)]
+pub struct Store {
+    entries: BTreeMap<DocumentName, Entry>,
+    refused: BTreeMap<DocumentName, Version>,
+    conflicts: u64,
+}
+
+impl Store {
+    /// Offers a document, from wherever it came.
+    pub fn offer(&mut self, document: Document, acceptor: &dyn Acceptor) -> Offer {
+        let held = self.version(&document.name);
+        if document.version < held || document.version == 0 {
+            return Offer::NotNewer;
+        }
+        if document.version == held {
+            return self.compare(&document);
+        }
+        let is_new_name = !self.entries.contains_key(&document.name);
+        if document.text.len() > DOCUMENT_BYTES_MAX || (is_new_name && self.entries.len() >= DOCUMENTS_MAX) {
+            return Offer::TooLarge;
+        }
+        if let Err(error) = acceptor.accept(&document) {
+            let refused = self.refused.entry(document.name).or_default();
+            *refused = document.version.max(*refused);
+            return Offer::Refused(error);
+        }
+        self.put(document);
+        Offer::Taken
+    }
+
+    /// The version held; 0 for none.
+    pub fn version(&self, name: &DocumentName) -> Version {
+        self.entries.get(name).map_or(0, |entry| entry.current.version)
+    }
+
+    /// The document held.
+    pub fn document(&self, name: &DocumentName) -> Option<&Document> {
+        self.entries.get(name).map(|entry| &entry.current)
+    }
+
+    /// All versions held.
+    pub fn versions(&self) -> Vec<(DocumentName, Version)> {
+        self.entries.iter().map(|(name, entry)| (name.clone(), entry.current.version)).collect()
+    }
+
+    /// A hash of all versions held.
+    pub fn versions_hash(&self) -> u64 {
+        let mut hash = Xxh3::new();
+        for (name, entry) in &self.entries {
+            hash.write(name.to_string().as_bytes());
+            hash.write_u64(entry.current.version);
+            hash.write_u64(entry.checksum);
+        }
+        hash.finish()
+    }
+
+    /// Versions that were refused and not replaced since.
+    pub fn refused(&self) -> impl Iterator<Item = (&DocumentName, Version)> {
+        let newer = |(name, version): &(&DocumentName, Version)| *version > self.version(name);
+        self.refused.iter().map(|(name, version)| (name, *version)).filter(newer)
+    }
+
+    /// Offers that had a held version with another text.
+    pub fn conflicts(&self) -> u64 {
+        self.conflicts
+    }
+
+    /// Whether `version` is worth fetching: newer than what is held and not refused before.
+    pub fn wants(&self, name: &DocumentName, version: Version) -> bool {
+        let refused = self.refused.get(name).copied().unwrap_or(0);
+        version > self.version(name) && version != refused
+    }
+
+    /// What to pull from somebody who has these versions.
+    pub fn behind(&self, theirs: &[(DocumentName, Version)]) -> Vec<PullItem> {
+        let wanted = theirs.iter().filter(|(name, version)| self.wants(name, *version));
+        wanted.map(|(name, _)| self.pull_item(name)).collect()
+    }
+
+    /// The versions held that are newer than `theirs`.
+    pub fn ahead(&self, theirs: &[(DocumentName, Version)]) -> Vec<(DocumentName, Version)> {
+        let known = |name: &DocumentName| theirs.iter().find(|(n, _)| n == name).map_or(0, |(_, v)| *v);
+        self.versions().into_iter().filter(|(name, version)| *version > known(name)).collect()
+    }
+
+    /// Packs a document for somebody who has what `item` says; none when it is not newer.
+    pub fn pack(&self, item: &PullItem) -> Option<Transfer> {
+        let entry = self.entries.get(&item.name)?;
+        let current = &entry.current;
+        if current.version <= item.known_version {
+            return None;
+        }
+        let is_base =
+            |old: &&Document| old.version == item.known_version && old.checksum() == item.known_checksum;
+        let text = match entry.older.iter().find(is_base) {
+            Some(base) => TransferText::Delta(pack_delta(&base.text, &current.text)),
+            None => TransferText::Whole(pack_whole(&current.text)),
+        };
+        Some(Transfer {
+            name: item.name.clone(),
+            version: current.version,
+            checksum: entry.checksum,
+            text_bytes: current.text.len() as u32,
+            text,
+        })
+    }
+
+    /// Rebuilds a document that was sent.
+    ///
+    /// # Errors
+    ///
+    /// [`DeltaError`]: the sender must then be asked for the whole text.
+    pub fn unpack(&self, transfer: &Transfer) -> Result<Document, DeltaError> {
+        let text_bytes = (transfer.text_bytes as usize).min(DOCUMENT_BYTES_MAX);
+        let text = match &transfer.text {
+            TransferText::Whole(packed) => unpack_whole(packed, text_bytes)?,
+            TransferText::Delta(packed) => {
+                let base = self.document(&transfer.name).map_or("", |document| &document.text);
+                unpack_delta(base, packed, text_bytes)?
+            }
+        };
+        let document = Document { name: transfer.name.clone(), version: transfer.version, text };
+        if document.checksum() != transfer.checksum {
+            return Err(DeltaError::Checksum);
+        }
+        Ok(document)
+    }
+
+    fn pull_item(&self, name: &DocumentName) -> PullItem {
+        let entry = self.entries.get(name);
+        PullItem {
+            name: name.clone(),
+            known_version: entry.map_or(0, |entry| entry.current.version),
+            known_checksum: entry.map_or(0, |entry| entry.checksum),
+        }
+    }
+
+    fn compare(&mut self, document: &Document) -> Offer {
+        let is_same = self.document(&document.name).is_some_and(|held| held.text == document.text);
+        if is_same {
+            return Offer::NotNewer;
+        }
+        self.conflicts += 1;
+        Offer::Conflict
+    }
+
+    fn put(&mut self, document: Document) {
+        let checksum = document.checksum();
+        let name = document.name.clone();
+        let Some(entry) = self.entries.get_mut(&name) else {
+            self.entries.insert(name, Entry { current: document, checksum, older: VecDeque::new() });
+            return;
+        };
+        assert!(document.version > entry.current.version, "a configuration never goes back");
+        let old = std::mem::replace(&mut entry.current, document);
+        entry.checksum = checksum;
+        entry.older.push_back(old);
+        if entry.older.len() > HISTORY_LENGTH {
+            entry.older.pop_front();
+        }
+    }
+}
--- /dev/null
+++ b/crates/laurelstall_spec/src/lib.rs
@@ -0,0 +1,1 @@
+//! Model-checked specification of outcomes, tickets and the spreading of configuration.
