--- /dev/null
+++ b/crates/laurelstall_standin/src/harness.rs
@@ -0,0 +1,480 @@
+//! Platform, targets and nodes of one deployment, started together on loopback.
+
+use crate::{
+    node_thread::NodeThread,
+    platform::{PlatformWay, StandinPlatform},
+    records::Records,
+    target::{StandinTarget, TargetPlan, Targets, listen},
+    threads::RuntimeThread,
+};
+use laurelstall_config::{
+    document::DocumentName,
+    fleet::{Fleet, Host, HostState},
+    settings::{
+        CallerLimits, DecisionFormat, LogSettings, NodeSettings, PlatformSettings, Settings, TargetHttp,
+        TargetSettings,
+    },
+    system::{Distance, ObserveLimits, SystemLimits},
+    team::{Service, ServiceLimits, Target, Team},
+};
+use laurelstall_node::{
+    node::{Listeners, NodeError, NodeOptions},
+    services::ChooserFactory,
+};
+use laurelstall_peer::link::Link;
+use std::{
+    collections::{HashMap, HashSet},
+    fmt,
+    net::{SocketAddr, TcpListener as StdListener},
+    sync::{
+        Arc, Mutex, PoisonError, RwLock,
+        atomic::{AtomicBool, Ordering},
+    },
+};
+
+/// Team that all stand-in services belong to.
+pub const TEAM: &str = "standin";
+/// Host name that stand-in callers use.
+pub const CALLER_HOST: &str = "standin.example";
+/// Longest wait of a platform watch in ms.
+const WATCH_WAIT_MS: u64 = 10_000;
+
+/// One service to start.
+#[derive(Debug, Clone)]
+pub struct ServicePlan {
+    /// Its name.
+    pub name: String,
+    /// How many targets.
+    pub targets: usize,
+    /// Slots of each.
+    pub slots: u32,
+    /// Mean service time in ms.
+    pub service_mean_ms: f64,
+    /// Its limits.
+    pub limits: ServiceLimits,
+}
+
+/// What to start.
+#[derive(Clone)]
+pub struct HarnessPlan {
+    /// The services.
+    pub services: Vec<ServicePlan>,
+    /// The data centres, over which hosts are spread in turn.
+    pub data_centres: Vec<String>,
+    /// One-way time between them in µs, as the configuration says.
+    pub one_way_us: u64,
+    /// Time to open a connection to a target in ms.
+    pub open_ms: u64,
+    /// The routing program.
+    pub program: String,
+    /// Budget for observing.
+    pub observe: ObserveLimits,
+    /// Decision log.
+    pub decisions: DecisionFormat,
+    /// Way to choose, given the true loads; the product's own when absent.
+    pub chooser: Option<ChooserMaker>,
+    /// Whether guards act as behind a plain balancer.
+    pub is_plain: bool,
+    /// Seed of all random choices.
+    pub seed: u64,
+}
+
+/// Makes a chooser from the true loads.
+pub type ChooserMaker = Arc<dyn Fn(&Arc<Targets>) -> ChooserFactory + Send + Sync>;
+
+impl fmt::Debug for HarnessPlan {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("HarnessPlan").field("services", &self.services).finish_non_exhaustive()
+    }
+}
+
+/// Program of stand-in services: `/SERVICE/...`, `GET` may repeat.
+pub const PROGRAM: &str = r#"
+let parts = path.split("/");
+#{ service: parts[1], repeat: method == "GET", tries: 3, budget_ms: 5000 }
+"#;
+
+impl HarnessPlan {
+    /// The deployment called `name`, with `services` of its services.
+    ///
+    /// Its sizes are those of the brief; targets of a service are 4.
+    pub fn deployment(name: &str, services: usize, service_mean_ms: f64) -> Option<Self> {
+        let (names, slots, prefix, one_way_us) = match name {
+            "faltgard" => {
+                (["market-board", "crop-trading", "field-planting", "barn-weather"], 12, "sv", 1_000)
+            }
+            "kuantan" => (["news-website", "circulation", "classifieds", "wire-desk"], 6, "kt", 500),
+            _ => return None,
+        };
+        let service = |name: &&str| ServicePlan {
+            name: (*name).to_owned(),
+            targets: 4,
+            slots,
+            service_mean_ms,
+            limits: ServiceLimits::default(),
+        };
+        Some(Self {
+            services: names.iter().take(services).map(service).collect(),
+            data_centres: (1..=3).map(|number| format!("{prefix}-{number}")).collect(),
+            one_way_us,
+            open_ms: 1,
+            program: PROGRAM.to_owned(),
+            observe: ObserveLimits::default(),
+            decisions: DecisionFormat::Human,
+            chooser: None,
+            is_plain: false,
+            seed: 1,
+        })
+    }
+
+    /// Calls a second that all targets can do together.
+    pub fn capacity_per_s(&self) -> f64 {
+        let of = |service: &ServicePlan| {
+            service.targets as f64 * f64::from(service.slots) * 1_000.0 / service.service_mean_ms
+        };
+        self.services.iter().map(of).sum()
+    }
+}
+
+/// Which data centres are cut off from the others.
+#[derive(Debug, Default)]
+pub struct Cuts {
+    data_centre_of: RwLock<HashMap<SocketAddr, String>>,
+    cut: RwLock<HashSet<String>>,
+    platform: RwLock<HashMap<String, Arc<AtomicBool>>>,
+}
+
+impl Cuts {
+    /// Cuts a data centre off from the others and from the platform, or brings it back.
+    pub fn set_cut(&self, data_centre: &str, is_cut: bool) {
+        let mut cut = self.cut.write().unwrap_or_else(PoisonError::into_inner);
+        if is_cut {
+            cut.insert(data_centre.to_owned());
+        } else {
+            cut.remove(data_centre);
+        }
+        self.platform_flag(data_centre).store(is_cut, Ordering::Relaxed);
+    }
+
+    /// The flag that cuts a data centre's way to the platform.
+    pub fn platform_flag(&self, data_centre: &str) -> Arc<AtomicBool> {
+        let mut flags = self.platform.write().unwrap_or_else(PoisonError::into_inner);
+        flags.entry(data_centre.to_owned()).or_default().clone()
+    }
+
+    /// Notes where a node stands.
+    pub fn place(&self, address: SocketAddr, data_centre: &str) {
+        let mut places = self.data_centre_of.write().unwrap_or_else(PoisonError::into_inner);
+        places.insert(address, data_centre.to_owned());
+    }
+}
+
+/// The network as one host sees it.
+#[derive(Debug)]
+pub struct HostLink {
+    /// Its data centre.
+    pub data_centre: String,
+    /// What is cut.
+    pub cuts: Arc<Cuts>,
+}
+
+impl Link for HostLink {
+    fn is_cut(&self, other: SocketAddr) -> bool {
+        let cut = self.cuts.cut.read().unwrap_or_else(PoisonError::into_inner);
+        if cut.is_empty() {
+            return false;
+        }
+        let places = self.cuts.data_centre_of.read().unwrap_or_else(PoisonError::into_inner);
+        let Some(other) = places.get(&other) else { return false };
+        *other != self.data_centre && (cut.contains(&self.data_centre) || cut.contains(other))
+    }
+}
+
+/// One host: a target and the node beside it.
+#[derive(Debug)]
+pub struct HarnessHost {
+    /// The host's name.
+    pub name: String,
+    /// Its data centre.
+    pub data_centre: String,
+    /// Service of its target.
+    pub service: String,
+    /// Its target's address.
+    pub target_address: SocketAddr,
+    /// Its node, unless it was stopped.
+    pub node: Option<Arc<NodeThread>>,
+}
+
+/// A running deployment.
+#[derive(Debug)]
+pub struct Harness {
+    /// What was started.
+    pub plan: HarnessPlan,
+    /// The platform.
+    pub platform: Arc<StandinPlatform>,
+    /// The targets.
+    pub targets: Arc<Targets>,
+    /// What they ran.
+    pub records: Arc<Records>,
+    /// What is cut.
+    pub cuts: Arc<Cuts>,
+    hosts: Mutex<Vec<HarnessHost>>,
+    _target_threads: Vec<RuntimeThread>,
+}
+
+/// Threads on which targets run.
+const TARGET_THREADS: usize = 2;
+
+impl Harness {
+    /// Starts platform, targets and nodes, and waits until all nodes serve.
+    ///
+    /// # Errors
+    ///
+    /// What kept a node from starting.
+    pub async fn start(plan: HarnessPlan) -> Result<Self, NodeError> {
+        let platform = StandinPlatform::new();
+        let targets = Arc::new(Targets::default());
+        let records = Arc::new(Records::default());
+        let cuts = Arc::new(Cuts::default());
+        let threads =
+            (0..TARGET_THREADS).map(|n| RuntimeThread::start(&format!("targets-{n}"))).collect::<Vec<_>>();
+        let mut hosts = Vec::new();
+        let mut sockets = Vec::new();
+        for service in &plan.services {
+            for number in 1..=service.targets {
+                let index = hosts.len();
+                let (listener, target_address) = listen();
+                let target_plan = TargetPlan {
+                    name: format!("{}-{number}", service.name),
+                    slots: service.slots,
+                    service_mean_ms: service.service_mean_ms,
+                    open_ms: plan.open_ms,
+                    seed: plan.seed.wrapping_mul(1_000) + index as u64,
+                };
+                let (targets, records) = (targets.clone(), records.clone());
+                let thread = &threads[index % threads.len()];
+                let started = thread.handle().spawn(async move {
+                    targets.add(StandinTarget::start(target_plan, records, listener));
+                });
+                started.await.expect("a target starts");
+                let data_centre = plan.data_centres[index % plan.data_centres.len()].clone();
+                let listeners = Sockets::bind();
+                cuts.place(listeners.peer.1, &data_centre);
+                hosts.push(HarnessHost {
+                    name: format!("{}-{number}-host", service.name),
+                    data_centre,
+                    service: service.name.clone(),
+                    target_address,
+                    node: None,
+                });
+                sockets.push(listeners);
+            }
+        }
+        let this = Self {
+            plan,
+            platform,
+            targets,
+            records,
+            cuts,
+            hosts: Mutex::new(hosts),
+            _target_threads: threads,
+        };
+        this.publish_all(&sockets);
+        this.start_nodes(sockets).await?;
+        Ok(this)
+    }
+
+    /// The nodes that run, with their hosts' names.
+    pub fn nodes(&self) -> Vec<(String, Arc<NodeThread>)> {
+        let hosts = self.hosts();
+        hosts.iter().filter_map(|host| Some((host.name.clone(), host.node.clone()?))).collect()
+    }
+
+    /// The node of a host.
+    pub fn node(&self, host: &str) -> Option<Arc<NodeThread>> {
+        self.hosts().iter().find(|other| other.name == host)?.node.clone()
+    }
+
+    /// Takes a node out, to be stopped or dropped.
+    pub fn take_node(&self, host: &str) -> Option<Arc<NodeThread>> {
+        self.hosts().iter_mut().find(|other| other.name == host)?.node.take()
+    }
+
+    /// Starts a node again on a host that has none, on the addresses it had.
+    ///
+    /// # Errors
+    ///
+    /// What kept it from starting.
+    pub async fn restart_node(&self, host: &str, old: &NodeThread) -> Result<(), NodeError> {
+        let bind = |address| StdListener::bind(address).map_err(|error| NodeError::Listen(address, error));
+        let sockets = Sockets {
+            entry: (bind(old.entry_address)?, old.entry_address),
+            peer: (bind(old.peer_address)?, old.peer_address),
+            admin: (bind(old.admin_address)?, old.admin_address),
+        };
+        let options = {
+            let hosts = self.hosts();
+            let index = hosts.iter().position(|other| other.name == host).unwrap_or(0);
+            self.node_options(&hosts[index], index, sockets)
+        };
+        let node = NodeThread::start(options, None).await?;
+        if let Some(state) = self.hosts().iter_mut().find(|other| other.name == host) {
+            state.node = Some(Arc::new(node));
+        }
+        Ok(())
+    }
+
+    /// Address of a service's targets, to call them without the system.
+    pub fn target_addresses(&self, service: &str) -> Vec<SocketAddr> {
+        let hosts = self.hosts();
+        hosts.iter().filter(|host| host.service == service).map(|host| host.target_address).collect()
+    }
+
+    /// Marks a host as live or leaving in the platform's list.
+    pub fn set_host_state(&self, host: &str, state: HostState) {
+        let text = self.platform.text(&DocumentName::Fleet).unwrap_or_default();
+        let mut fleet = Fleet::from_text("fleet", &text).unwrap_or_default();
+        if let Some(host) = fleet.hosts.iter_mut().find(|other| other.name == host) {
+            host.state = state;
+        }
+        self.platform.publish(&DocumentName::Fleet, &to_toml(&fleet));
+    }
+
+    fn hosts(&self) -> std::sync::MutexGuard<'_, Vec<HarnessHost>> {
+        self.hosts.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn publish_all(&self, sockets: &[Sockets]) {
+        let hosts = self.hosts();
+        let host = |(host, sockets): (&HarnessHost, &Sockets)| Host {
+            name: host.name.clone(),
+            node_address: sockets.peer.1,
+            data_centre: host.data_centre.clone(),
+            state: HostState::Live,
+        };
+        let fleet = Fleet { hosts: hosts.iter().zip(sockets).map(host).collect() };
+        self.platform.publish(&DocumentName::Fleet, &to_toml(&fleet));
+        self.platform.publish(&DocumentName::System, &to_toml(&self.system_limits()));
+        self.platform.publish(&DocumentName::Team(TEAM.to_owned()), &to_toml(&self.team()));
+    }
+
+    fn system_limits(&self) -> SystemLimits {
+        let centres = &self.plan.data_centres;
+        let mut limits = SystemLimits { observe: self.plan.observe, ..SystemLimits::default() };
+        for (index, from) in centres.iter().enumerate() {
+            for to in &centres[index + 1..] {
+                let one_way_us = self.plan.one_way_us;
+                limits.distances.push(Distance { from: from.clone(), to: to.clone(), one_way_us });
+            }
+        }
+        limits
+    }
+
+    fn team(&self) -> Team {
+        let service = |plan: &ServicePlan| Service {
+            name: plan.name.clone(),
+            limits: plan.limits,
+            targets: (1..=plan.targets).map(|number| target(plan, number)).collect(),
+        };
+        Team {
+            team: TEAM.to_owned(),
+            caller_hosts: vec![CALLER_HOST.to_owned()],
+            program: self.plan.program.clone(),
+            services: self.plan.services.iter().map(service).collect(),
+        }
+    }
+
+    async fn start_nodes(&self, sockets: Vec<Sockets>) -> Result<(), NodeError> {
+        let options = {
+            let hosts = self.hosts();
+            let options = hosts.iter().zip(sockets).enumerate();
+            options
+                .map(|(index, (host, sockets))| self.node_options(host, index, sockets))
+                .collect::<Vec<_>>()
+        };
+        let started = options.into_iter().map(|options| NodeThread::start(options, None));
+        for (index, node) in futures_util::future::join_all(started).await.into_iter().enumerate() {
+            self.hosts()[index].node = Some(Arc::new(node?));
+        }
+        Ok(())
+    }
+
+    fn node_options(&self, host: &HarnessHost, index: usize, sockets: Sockets) -> NodeOptions {
+        let settings = node_settings(host, &sockets, self.plan.decisions);
+        let listeners = Listeners { entry: sockets.entry.0, peer: sockets.peer.0, admin: sockets.admin.0 };
+        let mut options = NodeOptions::new(settings, listeners);
+        options.seed = self.plan.seed.wrapping_mul(7_919) + index as u64;
+        options.is_plain = self.plan.is_plain;
+        options.link = Arc::new(HostLink { data_centre: host.data_centre.clone(), cuts: self.cuts.clone() });
+        let flag = self.cuts.platform_flag(&host.data_centre);
+        options.platform = Some(Arc::new(PlatformWay::new(self.platform.clone(), flag, WATCH_WAIT_MS)));
+        if let Some(maker) = &self.plan.chooser {
+            options.chooser = maker(&self.targets);
+        }
+        options
+    }
+}
+
+/// A host's three sockets with their addresses.
+#[derive(Debug)]
+pub struct Sockets {
+    /// For callers.
+    pub entry: (StdListener, SocketAddr),
+    /// For other nodes.
+    pub peer: (StdListener, SocketAddr),
+    /// For operators.
+    pub admin: (StdListener, SocketAddr),
+}
+
+impl Sockets {
+    /// Three free ports of loopback.
+    pub fn bind() -> Self {
+        Self { entry: listen(), peer: listen(), admin: listen() }
+    }
+}
+
+fn target(plan: &ServicePlan, number: usize) -> Target {
+    Target {
+        name: format!("{}-{number}", plan.name),
+        host: format!("{}-{number}-host", plan.name),
+        slots: plan.slots,
+        connections: 200,
+    }
+}
+
+fn node_settings(host: &HarnessHost, sockets: &Sockets, decisions: DecisionFormat) -> Settings {
+    Settings {
+        node: NodeSettings {
+            host: host.name.clone(),
+            data_centre: host.data_centre.clone(),
+            entry_address: sockets.entry.1,
+            peer_address: sockets.peer.1,
+            admin_address: sockets.admin.1,
+            stop_max_ms: 30_000,
+        },
+        target: Some(TargetSettings {
+            service: format!("{TEAM}/{}", host.service),
+            address: host.target_address,
+            http: TargetHttp::Http1,
+            connect_timeout_ms: 1_000,
+        }),
+        platform: PlatformSettings {
+            address: sockets.admin.1,
+            read_timeout_ms: 1_000,
+            watch_wait_ms: WATCH_WAIT_MS,
+        },
+        seeds: Vec::new(),
+        callers: CallerLimits { connections: 10_000, ..CallerLimits::default() },
+        tokens: Vec::new(),
+        log: LogSettings { decisions, ..LogSettings::default() },
+    }
+}
+
+/// A value as the TOML that the platform publishes.
+///
+/// # Panics
+///
+/// Never for the documents of this system.
+pub fn to_toml<T: serde::Serialize>(value: &T) -> String {
+    toml::to_string(value).expect("documents are tables")
+}
--- /dev/null
+++ b/crates/laurelstall_standin/src/lib.rs
@@ -0,0 +1,24 @@
+//! Stand-ins for what surrounds the system, and the programs that measure it with them.
+//!
+//! Targets, the platform and callers are small fakes that speak the same HTTP as the real ones;
+//! the nodes between them are the real thing over real sockets.
+
+pub mod callers;
+pub mod harness;
+pub mod latency;
+pub mod node_thread;
+pub mod platform;
+pub mod records;
+pub mod target;
+pub mod threads;
+
+/// The types most programs need.
+pub mod prelude {
+    pub use crate::{
+        callers::{CallPlan, Callers, Totals},
+        harness::{Harness, HarnessPlan},
+        platform::StandinPlatform,
+        records::Records,
+        target::StandinTarget,
+    };
+}
