--- /dev/null
+++ b/crates/laurelstall_standin/src/bin/laurelstall-load.rs
@@ -0,0 +1,174 @@
+//! Runs a scenario under several balancers in turn and compares them.
+
+use gumdrop::Options;
+use laurelstall_standin::{
+    experiment::{Balancer, BalancerResult, Tuning, run},
+    report,
+    scenario::Scenario,
+    threads::RuntimeThread,
+};
+use serde::Serialize;
+use std::{collections::BTreeMap, path::Path, process::ExitCode};
+
+/// Exit code for wrong use.
+const WRONG_USE: u8 = 2;
+/// Exit code for a broken promise.
+const BROKEN_PROMISE: u8 = 3;
+
+#[derive(Debug, Options)]
+struct Arguments {
+    #[options(help = "print this help")]
+    help: bool,
+    #[options(help = "print the version")]
+    version: bool,
+    #[options(help = "scenario file (TOML)", meta = "FILE")]
+    scenario: Option<String>,
+    #[options(help = "balancers in turn, by comma; all when absent", meta = "NAMES")]
+    balancer: Option<String>,
+    #[options(help = "seed of all random choices", default = "1", meta = "N")]
+    seed: u64,
+    #[options(help = "length in s instead of the scenario's", no_short, meta = "N")]
+    seconds: Option<u64>,
+    #[options(help = "write the results as JSON", meta = "FILE")]
+    json: Option<String>,
+    #[options(help = "draw the results as SVG", no_short, meta = "FILE")]
+    svg: Option<String>,
+    #[options(help = "observing budget in percent of the default", no_short, default = "100", meta = "N")]
+    observe_percent: u64,
+    #[options(help = "most hand-backs of a call", no_short, meta = "N")]
+    hand_backs: Option<u32>,
+    #[options(help = "floor of the adaptive limit in percent of the slots", no_short, meta = "N")]
+    slots_floor: Option<u32>,
+    #[options(help = "hedge repeatable calls after so many ms", no_short, meta = "N")]
+    hedge_after_ms: Option<u64>,
+    #[options(help = "no decision log", no_short)]
+    no_decision_log: bool,
+}
+
+#[derive(Debug, Serialize)]
+struct LoadResult {
+    scenario: String,
+    seed: u64,
+    balancers: BTreeMap<String, BalancerResult>,
+    /// The product's own figures over each other balancer's.
+    ratios: BTreeMap<String, Ratios>,
+}
+
+#[derive(Debug, Serialize)]
+struct Ratios {
+    p99: f64,
+    p999: f64,
+    goodput: f64,
+}
+
+fn main() -> ExitCode {
+    let arguments = Arguments::parse_args_default_or_exit();
+    if arguments.version {
+        println!("laurelstall-load {}", env!("CARGO_PKG_VERSION"));
+        return ExitCode::SUCCESS;
+    }
+    let (scenario, balancers) = match read(&arguments) {
+        Ok(read) => read,
+        Err(message) => {
+            eprintln!("{message}");
+            return ExitCode::from(WRONG_USE);
+        }
+    };
+    match measure(&arguments, &scenario, &balancers) {
+        Ok(true) => ExitCode::SUCCESS,
+        Ok(false) => ExitCode::from(BROKEN_PROMISE),
+        Err(message) => {
+            eprintln!("laurelstall-load: {message}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+fn read(arguments: &Arguments) -> Result<(Scenario, Vec<Balancer>), String> {
+    let file = arguments.scenario.as_ref().ok_or("laurelstall-load: --scenario FILE is needed; see --help")?;
+    let text = std::fs::read_to_string(file).map_err(|error| format!("{file}: {error}"))?;
+    let mut scenario = Scenario::from_text(file, &text).map_err(|error| error.to_string())?;
+    scenario.seconds = arguments.seconds.unwrap_or(scenario.seconds);
+    let Some(names) = &arguments.balancer else { return Ok((scenario, Balancer::ALL.to_vec())) };
+    let by_name = |name: &str| Balancer::from_name(name).ok_or(format!("laurelstall-load: no balancer '{name}'"));
+    let balancers = names.split(',').map(by_name).collect::<Result<Vec<_>, _>>()?;
+    Ok((scenario, balancers))
+}
+
+/// Runs all balancers; false when a promise was broken.
+fn measure(arguments: &Arguments, scenario: &Scenario, balancers: &[Balancer]) -> Result<bool, String> {
+    let tuning = Tuning {
+        observe_percent: arguments.observe_percent,
+        hand_backs_max: arguments.hand_backs,
+        slots_floor_percent: arguments.slots_floor,
+        hedge_after_ms: arguments.hedge_after_ms,
+        has_decision_log: !arguments.no_decision_log,
+    };
+    let mut results = Vec::new();
+    println!("{} at seed {}", scenario.name, arguments.seed);
+    println!(
+        "{:12} {:>8} {:>8} {:>8} {:>9} {:>8} {:>7} {:>7} {:>6} {:>6} {:>8} {:>8} {:>7}",
+        "balancer", "p50 ms", "p99 ms", "p99.9", "good/s", "not run", "unknown", "failed", "lost", "wrong", "handback",
+        "obs B/s", "cpu us"
+    );
+    for balancer in balancers {
+        let thread = RuntimeThread::start("callers");
+        let (owned, balancer, seed) = (scenario.clone(), *balancer, arguments.seed);
+        let result = thread.block_on(async move { run(&owned, balancer, tuning, seed).await })?;
+        print_row(balancer.name(), &result);
+        results.push((balancer.name().to_owned(), result));
+    }
+    write_files(arguments, scenario, &results)?;
+    let broken = results.iter().filter(|(name, result)| name == "laurelstall" && is_broken(result));
+    Ok(broken.count() == 0)
+}
+
+fn is_broken(result: &BalancerResult) -> bool {
+    result.totals.is_broken() || result.observe_bytes_per_s_max > result.observe_budget_bytes_per_s
+}
+
+fn print_row(name: &str, result: &BalancerResult) {
+    let totals = &result.totals;
+    println!(
+        "{name:12} {:8.1} {:8.1} {:8.1} {:9.0} {:8} {:7} {:7} {:6} {:6} {:8} {:8} {:7.0}",
+        result.p50_ms,
+        result.p99_ms,
+        result.p999_ms,
+        result.goodput_per_s,
+        totals.not_run,
+        totals.unknown,
+        totals.failed,
+        totals.lost,
+        totals.wrong + totals.not_run_but_ran + totals.ran_twice,
+        result.hand_backs,
+        result.observe_bytes_per_s_max,
+        result.cpu_us_per_call,
+    );
+}
+
+fn write_files(arguments: &Arguments, scenario: &Scenario, results: &[(String, BalancerResult)]) -> Result<(), String> {
+    let own = results.iter().find(|(name, _)| name == "laurelstall").map(|(_, result)| result);
+    let ratio = |other: &BalancerResult| {
+        own.map(|own| Ratios {
+            p99: own.p99_ms / other.p99_ms.max(0.001),
+            p999: own.p999_ms / other.p999_ms.max(0.001),
+            goodput: own.goodput_per_s / other.goodput_per_s.max(0.001),
+        })
+    };
+    let ratios = results.iter().filter(|(name, _)| name != "laurelstall");
+    let ratios = ratios.filter_map(|(name, result)| Some((name.clone(), ratio(result)?))).collect();
+    let whole = LoadResult {
+        scenario: scenario.name.clone(),
+        seed: arguments.seed,
+        balancers: results.iter().cloned().collect(),
+        ratios,
+    };
+    if let Some(file) = &arguments.json {
+        let text = serde_json::to_string_pretty(&whole).map_err(|error| error.to_string())?;
+        std::fs::write(file, text).map_err(|error| format!("{file}: {error}"))?;
+    }
+    if let Some(file) = &arguments.svg {
+        report::draw(Path::new(file), &scenario.name, results).map_err(|error| format!("{file}: {error}"))?;
+    }
+    Ok(())
+}
--- a/crates/laurelstall_standin/src/bin/laurelstall-try.rs
+++ b/crates/laurelstall_standin/src/bin/laurelstall-try.rs
@@ -94,7 +94,15 @@
     let entries = Entries::new(nodes.iter().map(|(_, node)| node.entry_address).collect());
     let callers = Callers::new(entries);
     let length = Duration::from_secs(seconds);
-    let calls = CallPlan { services: services.clone(), rate_per_s, length, write_share: 0.3, seed };
+    let calls = CallPlan {
+        services: services.clone(),
+        rate_per_s,
+        start: Duration::ZERO,
+        length,
+        write_share: 0.3,
+        seed,
+        chain: Vec::new(),
+    };
     let before = control_bytes(&harness);
     let ping_targets = harness.target_addresses(&services[0]);
     let (calling, pinging, progress) = (callers.clone(), callers.clone(), callers.clone());
--- a/crates/laurelstall_standin/src/callers.rs
+++ b/crates/laurelstall_standin/src/callers.rs
@@ -5,7 +5,7 @@
     harness::CALLER_HOST,
     latency::Latency,
     records::Records,
-    target::{ANSWER_BYTES, KEY, NO_WORK, pattern_byte},
+    target::{ANSWER_BYTES, CHAIN, KEY, NO_WORK, pattern_byte},
 };
 use bytes::Bytes;
 use http::{HeaderValue, Method, Request, StatusCode, Uri, header::HOST};
@@ -52,12 +52,16 @@
     pub services: Vec<String>,
     /// Calls a second.
     pub rate_per_s: f64,
+    /// Start of this plan on the clock that planned instants count from.
+    pub start: StdDuration,
     /// For how long.
     pub length: StdDuration,
     /// Share of calls that may not be repeated.
     pub write_share: f64,
     /// Seed of instants and choices.
     pub seed: u64,
+    /// Services that the first one calls on, one after the other.
+    pub chain: Vec<String>,
 }
 
 /// What a caller saw.
@@ -92,6 +96,28 @@
     pub latency_us: u64,
 }
 
+/// One call to make.
+#[derive(Debug, Clone)]
+pub struct CallRequest {
+    /// Where to.
+    pub uri: Uri,
+    /// Its kind.
+    pub kind: CallKind,
+    /// Its key.
+    pub key: String,
+    /// Length of the answer to ask for.
+    pub answer_bytes: Option<u64>,
+    /// Services that the target calls on, separated by commas.
+    pub chain: String,
+}
+
+impl CallRequest {
+    /// A call without anything special.
+    pub fn new(uri: Uri, kind: CallKind, key: &str) -> Self {
+        Self { uri, kind, key: key.to_owned(), answer_bytes: None, chain: String::new() }
+    }
+}
+
 /// Counts over finished calls.
 #[derive(Debug, Clone, Default, serde::Serialize)]
 pub struct Totals {
@@ -205,6 +231,7 @@
         let mut at = StdDuration::ZERO;
         let mut number = 0;
         let mut running = JoinSet::new();
+        let chain = plan.chain.join(",");
         loop {
             let gap_s = -(1.0 - rng.random::<f64>()).ln() / plan.rate_per_s;
             at += StdDuration::from_secs_f64(gap_s);
@@ -217,12 +244,14 @@
             let kind = if rng.random_bool(plan.write_share) { CallKind::Write } else { CallKind::Read };
             let key = format!("{}-{number}", plan.seed);
             number += 1;
-            let (this, uri) = (self.clone(), uri(entry, service));
+            let request = CallRequest { chain: chain.clone(), ..CallRequest::new(uri(entry, service), kind, &key) };
+            let this = self.clone();
+            let plan_start = plan.start;
             running.spawn(async move {
                 let planned = start + at;
-                let seen = this.call(uri, kind, &key, None).await;
+                let seen = this.call(&request).await;
                 let latency_us = planned.elapsed().as_micros() as u64;
-                let planned_us = at.as_micros() as u64;
+                let planned_us = (plan_start + at).as_micros() as u64;
                 this.finished().push(Finished { key, kind, seen, planned_us, latency_us });
             });
             while running.try_join_next().is_some() {}
@@ -249,7 +278,8 @@
             let target = targets[rng.random_range(0..targets.len())];
             for (address, latency) in [(entry, &mut through), (target, &mut direct)] {
                 let started = StdInstant::now();
-                let seen = self.call(uri(address, service), CallKind::Ping, "ping", None).await;
+                let request = CallRequest::new(uri(address, service), CallKind::Ping, "ping");
+                let seen = self.call(&request).await;
                 if seen == Seen::Answered {
                     latency.add_us(started.elapsed().as_micros() as u64);
                 }
@@ -264,22 +294,25 @@
     }
 
     /// Makes one call and checks its answer.
-    pub async fn call(&self, uri: Uri, kind: CallKind, key: &str, answer_bytes: Option<u64>) -> Seen {
-        let method = if kind == CallKind::Write { Method::POST } else { Method::GET };
-        let body = if kind == CallKind::Write { Bytes::from(format!("body of {key}")) } else { Bytes::new() };
+    pub async fn call(&self, call: &CallRequest) -> Seen {
+        let is_write = call.kind == CallKind::Write;
+        let body = if is_write { Bytes::from(format!("body of {}", call.key)) } else { Bytes::new() };
         let mut request = Request::new(Full::new(body.clone()));
-        *request.method_mut() = method;
-        *request.uri_mut() = uri;
+        *request.method_mut() = if is_write { Method::POST } else { Method::GET };
+        *request.uri_mut() = call.uri.clone();
         let headers = request.headers_mut();
         headers.insert(HOST, HeaderValue::from_static(CALLER_HOST));
-        headers.insert(KEY, HeaderValue::from_str(key).expect("keys are plain"));
-        if kind == CallKind::Ping {
+        headers.insert(KEY, HeaderValue::from_str(&call.key).expect("keys are plain"));
+        if call.kind == CallKind::Ping {
             headers.insert(NO_WORK, HeaderValue::from_static("1"));
         }
-        if let Some(bytes) = answer_bytes {
+        if let Some(bytes) = call.answer_bytes {
             headers.insert(ANSWER_BYTES, HeaderValue::from(bytes));
         }
-        let called = timeout(CALL_TIMEOUT, self.read_answer(request, key, &body, answer_bytes)).await;
+        if !call.chain.is_empty() {
+            headers.insert(CHAIN, HeaderValue::from_str(&call.chain).expect("names are plain"));
+        }
+        let called = timeout(CALL_TIMEOUT, self.read_answer(request, &call.key, &body, call.answer_bytes)).await;
         called.unwrap_or(Seen::Lost)
     }
 
--- /dev/null
+++ b/crates/laurelstall_standin/src/fault.rs
@@ -0,0 +1,298 @@
+//! Faults of a scenario, each behind the same trait.
+
+use crate::{callers::Entries, harness::Harness, node_thread::NodeThread, scenario::FaultPlan, target::StandinTarget};
+use futures_util::future::{BoxFuture, FutureExt};
+use laurelstall_config::fleet::HostState;
+use serde::Deserialize;
+use std::sync::{Arc, Mutex, PoisonError};
+use tokio::time::{Duration, sleep};
+
+/// Steps in which a cold target gets up to speed.
+const COLD_STEPS: u64 = 10;
+
+/// Where a fault acts.
+#[derive(Debug, Clone)]
+pub struct FaultContext {
+    /// The deployment.
+    pub harness: Arc<Harness>,
+    /// What callers use.
+    pub entries: Arc<Entries>,
+}
+
+/// A fault that starts and ends.
+pub trait Fault: Send + Sync {
+    /// Starts it.
+    fn start<'a>(&'a self, context: &'a FaultContext) -> BoxFuture<'a, ()>;
+
+    /// Ends it.
+    fn end<'a>(&'a self, context: &'a FaultContext) -> BoxFuture<'a, ()>;
+}
+
+/// The kinds of fault.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum FaultKind {
+    /// The target gets slower by `factor`.
+    Slow,
+    /// The target answers nothing.
+    Pause,
+    /// The target answers each call at once with an error.
+    FailFast,
+    /// The target sheds each call.
+    Shed,
+    /// Answers break off.
+    CutAnswers,
+    /// The target starts cold: slow by `factor`, up to speed at the end.
+    ColdStart,
+    /// The node's process is paused.
+    NodePause,
+    /// The node's process is killed, and started again at the end.
+    NodeKill,
+    /// The node is stopped as planned, and started again at the end.
+    NodeDrain,
+    /// The platform lists the host as leaving until the end.
+    HostLeaving,
+    /// A data centre is cut off from the others and from the platform.
+    CutDataCentre,
+    /// The platform is away.
+    PlatformAway,
+    /// The platform shows what it had at the start.
+    PlatformStale,
+}
+
+impl FaultKind {
+    /// The fault itself.
+    pub fn object(self, plan: &FaultPlan) -> Box<dyn Fault> {
+        match self {
+            Self::Slow | Self::Pause | Self::FailFast | Self::Shed | Self::CutAnswers => {
+                Box::new(TargetFault { kind: self, target: plan.target, factor: plan.factor })
+            }
+            Self::ColdStart => {
+                Box::new(ColdStart { target: plan.target, factor: plan.factor, for_ms: plan.for_ms })
+            }
+            Self::NodePause => Box::new(NodePause { target: plan.target, for_ms: plan.for_ms }),
+            Self::NodeKill => Box::new(NodeStop { target: plan.target, is_planned: false, old: Mutex::default() }),
+            Self::NodeDrain => Box::new(NodeStop { target: plan.target, is_planned: true, old: Mutex::default() }),
+            Self::HostLeaving => Box::new(HostLeaving { target: plan.target }),
+            Self::CutDataCentre => Box::new(CutDataCentre { number: plan.data_centre }),
+            Self::PlatformAway => Box::new(PlatformFault { is_stale: false }),
+            Self::PlatformStale => Box::new(PlatformFault { is_stale: true }),
+        }
+    }
+}
+
+fn target_of(context: &FaultContext, number: usize) -> Option<Arc<StandinTarget>> {
+    let host = context.harness.host_name(number)?;
+    context.harness.targets.get(host.trim_end_matches("-host"))
+}
+
+struct TargetFault {
+    kind: FaultKind,
+    target: usize,
+    factor: f64,
+}
+
+impl TargetFault {
+    fn set(&self, context: &FaultContext, is_on: bool) {
+        let Some(target) = target_of(context, self.target) else { return };
+        target.change(|behaviour| match self.kind {
+            FaultKind::Slow => behaviour.speed = if is_on { 1.0 / self.factor } else { 1.0 },
+            FaultKind::Pause => behaviour.speed = if is_on { 0.0 } else { 1.0 },
+            FaultKind::FailFast => behaviour.is_failing_fast = is_on,
+            FaultKind::Shed => behaviour.is_shedding = is_on,
+            _ => behaviour.is_cutting_answers = is_on,
+        });
+    }
+}
+
+impl Fault for TargetFault {
+    fn start<'a>(&'a self, context: &'a FaultContext) -> BoxFuture<'a, ()> {
+        async { self.set(context, true) }.boxed()
+    }
+
+    fn end<'a>(&'a self, context: &'a FaultContext) -> BoxFuture<'a, ()> {
+        async { self.set(context, false) }.boxed()
+    }
+}
+
+struct ColdStart {
+    target: usize,
+    factor: f64,
+    for_ms: u64,
+}
+
+impl Fault for ColdStart {
+    fn start<'a>(&'a self, context: &'a FaultContext) -> BoxFuture<'a, ()> {
+        async {
+            let Some(target) = target_of(context, self.target) else { return };
+            for step in 0..COLD_STEPS {
+                let warm = step as f64 / COLD_STEPS as f64;
+                let cold = 1.0 / self.factor;
+                target.change(|behaviour| behaviour.speed = cold + (1.0 - cold) * warm);
+                sleep(Duration::from_millis(self.for_ms / COLD_STEPS)).await;
+            }
+        }
+        .boxed()
+    }
+
+    fn end<'a>(&'a self, context: &'a FaultContext) -> BoxFuture<'a, ()> {
+        async {
+            if let Some(target) = target_of(context, self.target) {
+                target.change(|behaviour| behaviour.speed = 1.0);
+            }
+        }
+        .boxed()
+    }
+}
+
+struct NodePause {
+    target: usize,
+    for_ms: u64,
+}
+
+impl Fault for NodePause {
+    fn start<'a>(&'a self, context: &'a FaultContext) -> BoxFuture<'a, ()> {
+        async {
+            let host = context.harness.host_name(self.target);
+            if let Some(node) = host.and_then(|host| context.harness.node(&host)) {
+                node.pause(Duration::from_millis(self.for_ms));
+            }
+        }
+        .boxed()
+    }
+
+    fn end<'a>(&'a self, _: &'a FaultContext) -> BoxFuture<'a, ()> {
+        async {}.boxed()
+    }
+}
+
+/// How long callers go on using the entry of a node that stops as planned.
+const CALLERS_LAG: Duration = Duration::from_millis(500);
+
+struct NodeStop {
+    target: usize,
+    is_planned: bool,
+    old: Mutex<Option<Addresses>>,
+}
+
+#[derive(Debug, Clone, Copy)]
+struct Addresses {
+    entry: std::net::SocketAddr,
+    peer: std::net::SocketAddr,
+    admin: std::net::SocketAddr,
+}
+
+impl NodeStop {
+    fn keep(&self, node: &NodeThread) {
+        let addresses =
+            Addresses { entry: node.entry_address, peer: node.peer_address, admin: node.admin_address };
+        *self.old.lock().unwrap_or_else(PoisonError::into_inner) = Some(addresses);
+    }
+}
+
+impl Fault for NodeStop {
+    fn start<'a>(&'a self, context: &'a FaultContext) -> BoxFuture<'a, ()> {
+        async {
+            let host = context.harness.host_name(self.target);
+            let Some(node) = host.and_then(|host| context.harness.take_node(&host)) else { return };
+            self.keep(&node);
+            if self.is_planned {
+                let entries = context.entries.clone();
+                let entry = node.entry_address;
+                tokio::spawn(async move {
+                    sleep(CALLERS_LAG).await;
+                    entries.close(entry);
+                });
+                if !node.stop().await {
+                    log::error!("a planned stop did not end in time");
+                }
+            } else {
+                context.entries.close(node.entry_address);
+                node.kill().await;
+            }
+        }
+        .boxed()
+    }
+
+    fn end<'a>(&'a self, context: &'a FaultContext) -> BoxFuture<'a, ()> {
+        async {
+            let old = self.old.lock().unwrap_or_else(PoisonError::into_inner).take();
+            let host = context.harness.host_name(self.target);
+            let (Some(old), Some(host)) = (old, host) else { return };
+            match context.harness.restart_node(&host, old.entry, old.peer, old.admin).await {
+                Ok(()) => context.entries.open(old.entry),
+                Err(error) => log::error!("restart of {host}: {error}"),
+            }
+        }
+        .boxed()
+    }
+}
+
+struct HostLeaving {
+    target: usize,
+}
+
+impl HostLeaving {
+    fn set(&self, context: &FaultContext, state: HostState) {
+        if let Some(host) = context.harness.host_name(self.target) {
+            context.harness.set_host_state(&host, state);
+        }
+    }
+}
+
+impl Fault for HostLeaving {
+    fn start<'a>(&'a self, context: &'a FaultContext) -> BoxFuture<'a, ()> {
+        async { self.set(context, HostState::Leaving) }.boxed()
+    }
+
+    fn end<'a>(&'a self, context: &'a FaultContext) -> BoxFuture<'a, ()> {
+        async { self.set(context, HostState::Live) }.boxed()
+    }
+}
+
+struct CutDataCentre {
+    number: usize,
+}
+
+impl CutDataCentre {
+    fn set(&self, context: &FaultContext, is_cut: bool) {
+        let name = self.number.checked_sub(1).and_then(|index| context.harness.plan.data_centres.get(index));
+        if let Some(name) = name {
+            context.harness.cuts.set_cut(name, is_cut);
+        }
+    }
+}
+
+impl Fault for CutDataCentre {
+    fn start<'a>(&'a self, context: &'a FaultContext) -> BoxFuture<'a, ()> {
+        async { self.set(context, true) }.boxed()
+    }
+
+    fn end<'a>(&'a self, context: &'a FaultContext) -> BoxFuture<'a, ()> {
+        async { self.set(context, false) }.boxed()
+    }
+}
+
+struct PlatformFault {
+    is_stale: bool,
+}
+
+impl PlatformFault {
+    fn set(&self, context: &FaultContext, is_on: bool) {
+        if self.is_stale {
+            context.harness.platform.set_stale(is_on);
+        } else {
+            context.harness.platform.set_away(is_on);
+        }
+    }
+}
+
+impl Fault for PlatformFault {
+    fn start<'a>(&'a self, context: &'a FaultContext) -> BoxFuture<'a, ()> {
+        async { self.set(context, true) }.boxed()
+    }
+
+    fn end<'a>(&'a self, context: &'a FaultContext) -> BoxFuture<'a, ()> {
+        async { self.set(context, false) }.boxed()
+    }
+}
--- a/crates/laurelstall_standin/src/harness.rs
+++ b/crates/laurelstall_standin/src/harness.rs
@@ -305,12 +305,18 @@
     /// # Errors
     ///
     /// What kept it from starting.
-    pub async fn restart_node(&self, host: &str, old: &NodeThread) -> Result<(), NodeError> {
+    pub async fn restart_node(
+        &self,
+        host: &str,
+        entry: SocketAddr,
+        peer: SocketAddr,
+        admin: SocketAddr,
+    ) -> Result<(), NodeError> {
         let bind = |address| StdListener::bind(address).map_err(|error| NodeError::Listen(address, error));
         let sockets = Sockets {
-            entry: (bind(old.entry_address)?, old.entry_address),
-            peer: (bind(old.peer_address)?, old.peer_address),
-            admin: (bind(old.admin_address)?, old.admin_address),
+            entry: (bind(entry)?, entry),
+            peer: (bind(peer)?, peer),
+            admin: (bind(admin)?, admin),
         };
         let options = {
             let hosts = self.hosts();
@@ -324,6 +330,45 @@
         Ok(())
     }
 
+    /// Name of the host with this number, from 1.
+    pub fn host_name(&self, number: usize) -> Option<String> {
+        let hosts = self.hosts();
+        number.checked_sub(1).and_then(|index| hosts.get(index)).map(|host| host.name.clone())
+    }
+
+    /// A count by name, over all nodes that run.
+    pub fn count(&self, name: &str) -> u64 {
+        let of = |node: &NodeThread| {
+            let all = node.counters.all();
+            all.iter().find(|(other, _)| *other == name).map_or(0, |(_, count)| *count)
+        };
+        self.nodes().iter().map(|(_, node)| of(node)).sum()
+    }
+
+    /// Most attempts for each call at any level of a chain of `levels`; 0 without a chain.
+    ///
+    /// Calls of a level are those that the targets one level up made.
+    pub fn attempts_per_call_max_level(&self, levels: usize, calls: u64) -> f64 {
+        let seen = |level: usize| {
+            let names = (1..=2).map(|number| format!("level-{level}-{number}"));
+            let targets = names.filter_map(|name| self.targets.get(&name));
+            targets.fold((0, 0), |(seen, made), target| (seen + target.seen(), made + target.made()))
+        };
+        if levels < 2 {
+            return 0.0;
+        }
+        let mut made = calls;
+        let mut most: f64 = 0.0;
+        for level in 1..=levels {
+            let (attempts, next) = seen(level);
+            if made > 0 {
+                most = most.max(attempts as f64 / made as f64);
+            }
+            made = next;
+        }
+        most
+    }
+
     /// Address of a service's targets, to call them without the system.
     pub fn target_addresses(&self, service: &str) -> Vec<SocketAddr> {
         let hosts = self.hosts();
@@ -394,7 +439,12 @@
         };
         let started = options.into_iter().map(|options| NodeThread::start(options, None));
         for (index, node) in futures_util::future::join_all(started).await.into_iter().enumerate() {
-            self.hosts()[index].node = Some(Arc::new(node?));
+            let node = node?;
+            let host = &mut self.hosts()[index];
+            if let Some(target) = self.targets.get(host.name.trim_end_matches("-host")) {
+                target.set_entry(node.entry_address);
+            }
+            host.node = Some(Arc::new(node));
         }
         Ok(())
     }
--- a/crates/laurelstall_standin/src/lib.rs
+++ b/crates/laurelstall_standin/src/lib.rs
@@ -4,11 +4,15 @@
 //! the nodes between them are the real thing over real sockets.
 
 pub mod callers;
+pub mod experiment;
+pub mod fault;
 pub mod harness;
 pub mod latency;
 pub mod node_thread;
 pub mod platform;
 pub mod records;
+pub mod report;
+pub mod scenario;
 pub mod target;
 pub mod threads;
 
--- a/crates/laurelstall_standin/src/target.rs
+++ b/crates/laurelstall_standin/src/target.rs
@@ -1,17 +1,19 @@
 //! A stand-in for a target: slots, service times, faults, and a record of what it ran.
 
-use crate::records::Records;
+use crate::{harness::CALLER_HOST, records::Records};
 use bytes::Bytes;
-use http::{HeaderName, HeaderValue, Request, Response, StatusCode};
+use http::{HeaderName, HeaderValue, Request, Response, StatusCode, header::HOST};
 use http_body::{Body, Frame};
-use http_body_util::{BodyExt, Full, combinators::UnsyncBoxBody};
+use http_body_util::{BodyExt, Empty, Full, combinators::UnsyncBoxBody};
 use hyper::{body::Incoming, service::service_fn};
 use hyper_util::{
+    client::legacy::{Client, connect::HttpConnector},
     rt::{TokioExecutor, TokioIo},
     server::{conn::auto::Builder, graceful::GracefulShutdown},
 };
 use laurelstall_balance::baseline::TrueLoads;
 use laurelstall_config::team::SHED_HEADER;
+use laurelstall_node::headers::{BUDGET, DEPTH};
 use rand::{RngExt, SeedableRng, rngs::SmallRng};
 use std::{
     collections::HashMap,
@@ -20,7 +22,7 @@
     net::{SocketAddr, TcpListener as StdListener},
     pin::Pin,
     sync::{
-        Arc, Mutex, PoisonError, RwLock,
+        Arc, Mutex, OnceLock, PoisonError, RwLock,
         atomic::{AtomicU32, AtomicU64, Ordering},
     },
     task::{Context, Poll},
@@ -37,6 +39,8 @@
 pub const ANSWER_BYTES: HeaderName = HeaderName::from_static("standin-answer-bytes");
 /// Header that asks for no work at all, to measure the way.
 pub const NO_WORK: HeaderName = HeaderName::from_static("standin-no-work");
+/// Header with the services to call on, separated by commas.
+pub const CHAIN: HeaderName = HeaderName::from_static("standin-chain");
 /// Body of an answer to a call without a request body.
 const ANSWER_CHUNK_BYTES: usize = 16 * 1024;
 /// Mean overshoot of the timer in µs, taken off each wait.
@@ -87,6 +91,10 @@
     slots: Semaphore,
     in_flight: AtomicU32,
     served: AtomicU64,
+    seen: AtomicU64,
+    made: AtomicU64,
+    entry: OnceLock<SocketAddr>,
+    client: Client<HttpConnector, Empty<Bytes>>,
     rng: Mutex<SmallRng>,
     stopping: watch::Sender<bool>,
 }
@@ -108,6 +116,10 @@
             behaviour,
             in_flight: AtomicU32::new(0),
             served: AtomicU64::new(0),
+            seen: AtomicU64::new(0),
+            made: AtomicU64::new(0),
+            entry: OnceLock::new(),
+            client: Client::builder(TokioExecutor::new()).build(HttpConnector::new()),
             stopping,
         });
         listener.set_nonblocking(true).expect("the listener is usable");
@@ -131,6 +143,22 @@
         self.stopping.send_replace(true);
     }
 
+    /// Tells it the entry beside it, for calls of its own.
+    pub fn set_entry(&self, entry: SocketAddr) {
+        // A node that is started again on the same addresses changes nothing.
+        let _ = self.entry.set(entry);
+    }
+
+    /// Requests that reached it.
+    pub fn seen(&self) -> u64 {
+        self.seen.load(Ordering::Relaxed)
+    }
+
+    /// Calls it made on.
+    pub fn made(&self) -> u64 {
+        self.made.load(Ordering::Relaxed)
+    }
+
     /// Calls it has served.
     pub fn served(&self) -> u64 {
         self.served.load(Ordering::Relaxed)
@@ -183,6 +211,7 @@
         if request.uri().path().starts_with("/standin/") {
             return self.control(&request);
         }
+        self.seen.fetch_add(1, Ordering::Relaxed);
         let behaviour = *self.behaviour.borrow();
         if behaviour.is_shedding {
             let mut response = text(StatusCode::SERVICE_UNAVAILABLE, "shed");
@@ -198,6 +227,9 @@
             let _slot = self.slots.acquire().await;
             self.note_run(&request);
             self.work().await;
+            if !self.call_on(&request).await {
+                return text(StatusCode::BAD_GATEWAY, "a call further down failed");
+            }
         } else {
             self.note_run(&request);
         }
@@ -206,6 +238,30 @@
         respond(request, is_cut).await
     }
 
+    /// Calls the next service of a chain; false when that failed.
+    async fn call_on(&self, request: &Request<Incoming>) -> bool {
+        let chain = request.headers().get(CHAIN).and_then(|chain| chain.to_str().ok()).unwrap_or_default();
+        let (next, rest) = chain.split_once(',').unwrap_or((chain, ""));
+        let Some(entry) = self.entry.get().filter(|_| !next.is_empty()) else { return true };
+        let mut call = Request::new(Empty::new());
+        *call.uri_mut() = crate::callers::uri(*entry, next);
+        let headers = call.headers_mut();
+        headers.insert(HOST, HeaderValue::from_static(CALLER_HOST));
+        for name in [KEY, BUDGET, DEPTH] {
+            if let Some(value) = request.headers().get(&name) {
+                headers.insert(name, value.clone());
+            }
+        }
+        if !rest.is_empty() {
+            headers.insert(CHAIN, HeaderValue::from_str(rest).expect("names are plain"));
+        }
+        self.made.fetch_add(1, Ordering::Relaxed);
+        match self.client.request(call).await {
+            Ok(response) if response.status() == StatusCode::OK => response.into_body().collect().await.is_ok(),
+            _ => false,
+        }
+    }
+
     fn note_run(&self, request: &Request<Incoming>) {
         let key = request.headers().get(KEY).and_then(|key| key.to_str().ok());
         if let Some(key) = key {
