Balance: slowness ejects only when it lasts; limit no longer follows latency by default

Cause: under noise, ejecting a target that slowed for 100 ms takes a quarter of the service away for 1 s, and a limit that falls with latency refuses work that the target would do in time. Conclusion: floor 100 % and EJECTION_SLOW_US = 1.5 s are the defaults.

--- a/crates/laurelstall_balance/src/baseline.rs
+++ b/crates/laurelstall_balance/src/baseline.rs
@@ -69,6 +69,9 @@
 pub trait TrueLoads: Send + Sync {
     /// Expected time at `target` in µs at this instant.
     fn expected_us(&self, target: &str) -> f64;
+
+    /// Notes that a call is on its way to `target`, so that the next choice counts it.
+    fn note_chosen(&self, target: &str);
 }
 
 /// The least loaded target by a report of up to [`REPORT_INTERVAL_US`] ago.
@@ -124,7 +127,10 @@
     }
 
     fn choose(&mut self, candidates: &[Candidate<'_>], _: &mut ChoosingContext<'_>) -> Option<Choice> {
-        least(candidates, |name| self.loads.expected_us(name))
+        let choice = least(candidates, |name| self.loads.expected_us(name))?;
+        let chosen = candidates.iter().find(|candidate| candidate.index == choice.index)?;
+        self.loads.note_chosen(&chosen.view.name);
+        Some(choice)
     }
 }
 
--- a/crates/laurelstall_balance/src/service_balancer.rs
+++ b/crates/laurelstall_balance/src/service_balancer.rs
@@ -25,6 +25,11 @@
 const EJECTION_LATENCY_FACTOR: f64 = 5.0;
 /// Latency below which none is ejected for being slow, in µs.
 const EJECTION_LATENCY_MIN_US: f64 = 5_000.0;
+/// How long a target must be slow before it is ejected for it, in µs.
+///
+/// Neighbours steal capacity for up to half a second; ejecting for that long costs the service
+/// more than the slow target does, since choices avoid it anyway (measured, `docs/CHOICE.md`).
+const EJECTION_SLOW_US: u64 = 1_500_000;
 /// Weight of a new sample in the service's usual service time and load.
 const USUAL_WEIGHT: f64 = 0.02;
 /// Assumed service time before anything is known, in µs.
@@ -239,7 +244,9 @@
         if view.ejection.is_out(now_us) || view.samples() < EJECTION_SAMPLES_MIN {
             return;
         }
-        if !self.is_failing(index) && !self.is_slow(index) {
+        let is_slow = self.is_slow(index);
+        let slow_us = self.targets[index].note_slow(is_slow, now_us);
+        if !self.is_failing(index) && slow_us < EJECTION_SLOW_US {
             self.note_recovery(index, now_us);
             return;
         }
--- a/crates/laurelstall_balance/src/target_view.rs
+++ b/crates/laurelstall_balance/src/target_view.rs
@@ -33,6 +33,7 @@
     error_rate: f64,
     latency_us: f64,
     samples: u32,
+    slow_since_us: Option<u64>,
 }
 
 impl TargetView {
@@ -51,6 +52,7 @@
             error_rate: 0.0,
             latency_us: 0.0,
             samples: 0,
+            slow_since_us: None,
         }
     }
 
@@ -91,11 +93,21 @@
 
     /// Forgets errors, for the time after an ejection.
     pub fn forget_errors(&mut self) {
+        self.slow_since_us = None;
         self.error_rate = 0.0;
         self.latency_us = 0.0;
         self.samples = 0;
     }
 
+    /// Notes whether the target is slow beside its service; since how long it is, in µs.
+    pub fn note_slow(&mut self, is_slow: bool, now_us: u64) -> u64 {
+        if !is_slow {
+            self.slow_since_us = None;
+            return 0;
+        }
+        now_us.saturating_sub(*self.slow_since_us.get_or_insert(now_us))
+    }
+
     /// Whether a new call may go here at all.
     pub fn is_eligible(&self, now_us: u64) -> bool {
         self.is_live && !self.is_draining() && !self.ejection.is_out(now_us)
--- a/crates/laurelstall_config/src/team.rs
+++ b/crates/laurelstall_config/src/team.rs
@@ -52,7 +52,7 @@
             queue_length: 64,
             queue_wait_max_ms: 1_000,
             hand_backs_max: 8,
-            slots_floor_percent: 34,
+            slots_floor_percent: 100,
             ejected_max_percent: 34,
             ejection_ms: 1_000,
             slow_start_ms: 2_000,
--- a/crates/laurelstall_standin/src/bin/laurelstall-load.rs
+++ b/crates/laurelstall_standin/src/bin/laurelstall-load.rs
@@ -1,6 +1,7 @@
 //! Runs a scenario under several balancers in turn and compares them.
 
 use gumdrop::Options;
+use laurelstall_config::team::ServiceLimits;
 use laurelstall_standin::{
     experiment::{Balancer, BalancerResult, Tuning, run},
     report,
@@ -35,10 +36,8 @@
     svg: Option<String>,
     #[options(help = "observing budget in percent of the default", no_short, default = "100", meta = "N")]
     observe_percent: u64,
-    #[options(help = "most hand-backs of a call", no_short, meta = "N")]
-    hand_backs: Option<u32>,
-    #[options(help = "floor of the adaptive limit in percent of the slots", no_short, meta = "N")]
-    slots_floor: Option<u32>,
+    #[options(help = "service limits as in a team's document, by comma", no_short, meta = "KEY=VALUE")]
+    limits: Option<String>,
     #[options(help = "hedge repeatable calls after so many ms", no_short, meta = "N")]
     hedge_after_ms: Option<u64>,
     #[options(help = "no decision log", no_short)]
@@ -97,10 +96,11 @@
 
 /// Runs all balancers; false when a promise was broken.
 fn measure(arguments: &Arguments, scenario: &Scenario, balancers: &[Balancer]) -> Result<bool, String> {
+    let limits = arguments.limits.as_deref().unwrap_or_default().replace(',', "\n");
+    let limits = toml::from_str::<ServiceLimits>(&limits).map_err(|error| format!("--limits: {error}"))?;
     let tuning = Tuning {
         observe_percent: arguments.observe_percent,
-        hand_backs_max: arguments.hand_backs,
-        slots_floor_percent: arguments.slots_floor,
+        limits,
         hedge_after_ms: arguments.hedge_after_ms,
         has_decision_log: !arguments.no_decision_log,
     };
@@ -144,6 +144,9 @@
         result.observe_bytes_per_s_max,
         result.cpu_us_per_call,
     );
+    for (reason, count) in &result.reasons {
+        println!("    {count:6} {reason}");
+    }
 }
 
 fn write_files(arguments: &Arguments, scenario: &Scenario, results: &[(String, BalancerResult)]) -> Result<(), String> {
--- a/crates/laurelstall_standin/src/callers.rs
+++ b/crates/laurelstall_standin/src/callers.rs
@@ -14,7 +14,7 @@
     client::legacy::{Client, connect::HttpConnector},
     rt::TokioExecutor,
 };
-use laurelstall_node::headers::OUTCOME;
+use laurelstall_node::headers::{OUTCOME, REASON};
 use rand::{RngExt, SeedableRng, rngs::SmallRng};
 use std::{
     net::SocketAddr,
@@ -90,6 +90,8 @@
     pub kind: CallKind,
     /// What its caller saw.
     pub seen: Seen,
+    /// The reason its caller was told, if any.
+    pub reason: String,
     /// Its planned instant, in µs from the start.
     pub planned_us: u64,
     /// From its planned instant to its end, in µs.
@@ -249,10 +251,10 @@
             let plan_start = plan.start;
             running.spawn(async move {
                 let planned = start + at;
-                let seen = this.call(&request).await;
+                let (seen, reason) = this.call_with_reason(&request).await;
                 let latency_us = planned.elapsed().as_micros() as u64;
                 let planned_us = (plan_start + at).as_micros() as u64;
-                this.finished().push(Finished { key, kind, seen, planned_us, latency_us });
+                this.finished().push(Finished { key, kind, seen, reason, planned_us, latency_us });
             });
             while running.try_join_next().is_some() {}
         }
@@ -295,6 +297,10 @@
 
     /// Makes one call and checks its answer.
     pub async fn call(&self, call: &CallRequest) -> Seen {
+        self.call_with_reason(call).await.0
+    }
+
+    async fn call_with_reason(&self, call: &CallRequest) -> (Seen, String) {
         let is_write = call.kind == CallKind::Write;
         let body = if is_write { Bytes::from(format!("body of {}", call.key)) } else { Bytes::new() };
         let mut request = Request::new(Full::new(body.clone()));
@@ -313,7 +319,7 @@
             headers.insert(CHAIN, HeaderValue::from_str(&call.chain).expect("names are plain"));
         }
         let called = timeout(CALL_TIMEOUT, self.read_answer(request, &call.key, &body, call.answer_bytes)).await;
-        called.unwrap_or(Seen::Lost)
+        called.unwrap_or((Seen::Lost, "no answer in time".to_owned()))
     }
 
     async fn read_answer(
@@ -322,21 +328,25 @@
         key: &str,
         body: &Bytes,
         bytes: Option<u64>,
-    ) -> Seen {
-        let Ok(response) = self.client.request(request).await else { return Seen::Lost };
+    ) -> (Seen, String) {
+        let response = match self.client.request(request).await {
+            Ok(response) => response,
+            Err(error) => return (Seen::Lost, error.to_string()),
+        };
         let (parts, answer) = response.into_parts();
+        let reason = parts.headers.get(REASON).and_then(|reason| reason.to_str().ok()).unwrap_or_default().to_owned();
         let outcome = parts.headers.get(OUTCOME).map(HeaderValue::as_bytes);
         match outcome {
-            Some(b"not-run") => return Seen::NotRun,
-            Some(b"unknown") => return Seen::Unknown,
+            Some(b"not-run") => return (Seen::NotRun, reason),
+            Some(b"unknown") => return (Seen::Unknown, reason),
             _ => {}
         }
         if parts.status != StatusCode::OK {
-            return Seen::Failed;
+            return (Seen::Failed, parts.status.to_string());
         }
         let is_own = parts.headers.get(KEY).is_some_and(|own| own.as_bytes() == key.as_bytes());
         // A body that breaks off is a clear error, not a wrong answer.
-        let Ok(answer) = answer.collect().await else { return Seen::Lost };
+        let Ok(answer) = answer.collect().await else { return (Seen::Lost, "broke off".to_owned()) };
         let answer = answer.to_bytes();
         let is_whole = match bytes {
             Some(bytes) => {
@@ -345,7 +355,7 @@
             }
             None => answer == *body,
         };
-        if is_own && is_whole { Seen::Answered } else { Seen::Wrong }
+        if is_own && is_whole { (Seen::Answered, reason) } else { (Seen::Wrong, reason) }
     }
 }
 
--- a/crates/laurelstall_standin/src/experiment.rs
+++ b/crates/laurelstall_standin/src/experiment.rs
@@ -12,11 +12,12 @@
     baseline::{LeastStale, Oracle, Random, RoundRobin, TrueLoads, TwoChoices},
     chooser::Chooser,
 };
-use laurelstall_config::settings::DecisionFormat;
+use laurelstall_config::{settings::DecisionFormat, team::ServiceLimits};
 use laurelstall_node::services::ChooserFactory;
 use rand::{RngExt, SeedableRng, rngs::SmallRng};
 use serde::Serialize;
 use std::{
+    collections::BTreeMap,
     fs,
     sync::Arc,
     time::Instant as StdInstant,
@@ -97,10 +98,8 @@
 pub struct Tuning {
     /// Observing budget in percent of the default.
     pub observe_percent: u64,
-    /// Most hand-backs; the default when absent.
-    pub hand_backs_max: Option<u32>,
-    /// Floor of the adaptive limit in percent; the default when absent.
-    pub slots_floor_percent: Option<u32>,
+    /// Limits of each service.
+    pub limits: ServiceLimits,
     /// Hedge after so many ms; not at all when absent.
     pub hedge_after_ms: Option<u64>,
     /// Whether decisions are logged.
@@ -111,8 +110,7 @@
     fn default() -> Self {
         Self {
             observe_percent: 100,
-            hand_backs_max: None,
-            slots_floor_percent: None,
+            limits: ServiceLimits::default(),
             hedge_after_ms: None,
             has_decision_log: true,
         }
@@ -172,6 +170,8 @@
     pub cpu_us_per_call: f64,
     /// Most attempts for each call at one level of a chain; 0 without a chain.
     pub attempts_per_call_max_level: f64,
+    /// Calls without an answer by outcome and reason.
+    pub reasons: BTreeMap<String, u64>,
     /// Windows of time.
     pub windows: Vec<Window>,
     /// The distribution, for the report.
@@ -262,12 +262,21 @@
         attempts_per_call: counted("attempts") as f64 / counted("calls").max(1) as f64,
         cpu_us_per_call: measured.cpu_spent_s * 1e6 / calls,
         attempts_per_call_max_level: measured.harness.attempts_per_call_max_level(measured.scenario.levels, totals.calls),
+        reasons: reasons(finished),
         windows: windows(finished, measured.scenario.seconds),
         cdf: latency.cdf(),
         totals,
     }
 }
 
+fn reasons(finished: &[Finished]) -> BTreeMap<String, u64> {
+    let mut reasons = BTreeMap::new();
+    for call in finished.iter().filter(|call| call.seen != Seen::Answered) {
+        *reasons.entry(format!("{:?}: {}", call.seen, call.reason)).or_default() += 1;
+    }
+    reasons
+}
+
 fn windows(finished: &[Finished], seconds: u64) -> Vec<Window> {
     let of = |index: u64| {
         let from_ms = index * WINDOW_MS;
@@ -294,9 +303,7 @@
         plan.services = (1..=scenario.levels).map(level).collect();
     }
     for service in &mut plan.services {
-        let limits = &mut service.limits;
-        limits.hand_backs_max = tuning.hand_backs_max.unwrap_or(limits.hand_backs_max);
-        limits.slots_floor_percent = tuning.slots_floor_percent.unwrap_or(limits.slots_floor_percent);
+        service.limits = tuning.limits;
     }
     if let Some(hedge_after_ms) = tuning.hedge_after_ms {
         plan.program = format!(
--- a/crates/laurelstall_standin/src/target.rs
+++ b/crates/laurelstall_standin/src/target.rs
@@ -90,6 +90,8 @@
     behaviour: watch::Sender<Behaviour>,
     slots: Semaphore,
     in_flight: AtomicU32,
+    /// Calls that were sent here by somebody who sees true loads, and did not arrive yet.
+    on_its_way: AtomicU32,
     served: AtomicU64,
     seen: AtomicU64,
     made: AtomicU64,
@@ -115,6 +117,7 @@
             records,
             behaviour,
             in_flight: AtomicU32::new(0),
+            on_its_way: AtomicU32::new(0),
             served: AtomicU64::new(0),
             seen: AtomicU64::new(0),
             made: AtomicU64::new(0),
@@ -168,7 +171,8 @@
     pub fn expected_us(&self) -> f64 {
         let behaviour = *self.behaviour.borrow();
         let speed = behaviour.speed.max(0.001);
-        let in_flight = f64::from(self.in_flight.load(Ordering::Relaxed));
+        let in_flight = self.in_flight.load(Ordering::Relaxed) + self.on_its_way.load(Ordering::Relaxed);
+        let in_flight = f64::from(in_flight);
         let slots = f64::from(self.plan.slots);
         let penalty = if behaviour.is_failing_fast || behaviour.is_shedding { 1e9 } else { 0.0 };
         let waves = (in_flight + 1.0 - slots).max(0.0) / slots;
@@ -212,6 +216,9 @@
             return self.control(&request);
         }
         self.seen.fetch_add(1, Ordering::Relaxed);
+        let arrive = |on_its_way: u32| on_its_way.checked_sub(1);
+        // Fails when nobody counts calls on their way.
+        let _ = self.on_its_way.fetch_update(Ordering::Relaxed, Ordering::Relaxed, arrive);
         let behaviour = *self.behaviour.borrow();
         if behaviour.is_shedding {
             let mut response = text(StatusCode::SERVICE_UNAVAILABLE, "shed");
@@ -417,6 +424,12 @@
     fn expected_us(&self, target: &str) -> f64 {
         self.get(target).map_or(f64::MAX, |target| target.expected_us())
     }
+
+    fn note_chosen(&self, target: &str) {
+        if let Some(target) = self.get(target) {
+            target.on_its_way.fetch_add(1, Ordering::Relaxed);
+        }
+    }
 }
 
 /// Listens on a free port of loopback.
