Recovery: error memory fades, silent connections are found out, queues by slots, seeds at restart

Cause: a failed target was never tried again; calls on a cut link waited whole budgets; a node restarted with the platform away knew nobody to ask; long queues kept p99 up 2.75 s after a surge.

--- a/crates/laurelstall_balance/src/least_wait.rs
+++ b/crates/laurelstall_balance/src/least_wait.rs
@@ -95,7 +95,7 @@
     // A share of the service time for a busy target below its limit spreads calls evenly.
     let wait_us = (busy + 1.0 - limit).max(0.0) / limit * service_us;
     let spread_us = 0.5 * busy / limit * service_us;
-    let error_us = view.error_rate() * ERROR_PENALTY_US;
+    let error_us = view.error_rate(context.now_us) * ERROR_PENALTY_US;
     let ramp = view.ejection.ramp(context.now_us, context.slow_start_us);
     view.trip_us as f64 + (service_us + wait_us + spread_us + error_us) / ramp
 }
--- a/crates/laurelstall_balance/src/service_balancer.rs
+++ b/crates/laurelstall_balance/src/service_balancer.rs
@@ -149,12 +149,12 @@
         view.note_ended();
         match result {
             AttemptResult::Good(latency_us) => {
-                view.note_result(false, latency_us);
+                view.note_result(false, latency_us, now_us);
                 self.usual_us += USUAL_WEIGHT * (latency_us as f64 - self.usual_us);
                 self.retries.earn();
                 self.hedges.earn();
             }
-            AttemptResult::Failed => view.note_result(true, 0),
+            AttemptResult::Failed => view.note_result(true, 0, now_us),
             AttemptResult::NotRun | AttemptResult::Cancelled => return,
         }
         self.eject_if_due(index, now_us);
@@ -246,7 +246,7 @@
         }
         let is_slow = self.is_slow(index);
         let slow_us = self.targets[index].note_slow(is_slow, now_us);
-        if !self.is_failing(index) && slow_us < EJECTION_SLOW_US {
+        if !self.is_failing(index, now_us) && slow_us < EJECTION_SLOW_US {
             self.note_recovery(index, now_us);
             return;
         }
@@ -269,10 +269,10 @@
         }
     }
 
-    fn is_failing(&self, index: usize) -> bool {
-        let rate = self.targets[index].error_rate();
+    fn is_failing(&self, index: usize, now_us: u64) -> bool {
+        let rate = self.targets[index].error_rate(now_us);
         let others = self.targets.len().saturating_sub(1).max(1) as f64;
-        let sum: f64 = self.targets.iter().map(TargetView::error_rate).sum();
+        let sum: f64 = self.targets.iter().map(|view| view.error_rate(now_us)).sum();
         let mean_of_others = (sum - rate) / others;
         rate >= EJECTION_ERROR_RATE && rate >= mean_of_others + EJECTION_ERROR_MARGIN
     }
--- a/crates/laurelstall_balance/src/target_view.rs
+++ b/crates/laurelstall_balance/src/target_view.rs
@@ -9,6 +9,8 @@
 const ERROR_WEIGHT: f64 = 0.15;
 /// Weight of a new sample in the average of latencies.
 const LATENCY_WEIGHT: f64 = 0.2;
+/// Time in which the memory of errors halves, in µs: a target that failed is tried again.
+const ERROR_HALF_LIFE_US: f64 = 1_000_000.0;
 /// Age at which a hint counts half, in µs.
 pub const HINT_HALF_AGE_US: f64 = 200_000.0;
 
@@ -31,6 +33,7 @@
     in_flight: u32,
     in_flight_at_hint: u32,
     error_rate: f64,
+    error_at_us: u64,
     latency_us: f64,
     samples: u32,
     slow_since_us: Option<u64>,
@@ -50,6 +53,7 @@
             in_flight: 0,
             in_flight_at_hint: 0,
             error_rate: 0.0,
+            error_at_us: 0,
             latency_us: 0.0,
             samples: 0,
             slow_since_us: None,
@@ -81,8 +85,10 @@
     }
 
     /// Notes how an attempt that reached the target went.
-    pub fn note_result(&mut self, is_error: bool, latency_us: u64) {
+    pub fn note_result(&mut self, is_error: bool, latency_us: u64, now_us: u64) {
         let error = if is_error { 1.0 } else { 0.0 };
+        self.error_rate = self.error_rate(now_us);
+        self.error_at_us = now_us;
         self.error_rate += ERROR_WEIGHT * (error - self.error_rate);
         if !is_error {
             let weight = if self.latency_us == 0.0 { 1.0 } else { LATENCY_WEIGHT };
@@ -133,9 +139,13 @@
         self.in_flight.saturating_sub(self.in_flight_at_hint)
     }
 
-    /// Share of recent attempts that failed, 0 to 1.
-    pub fn error_rate(&self) -> f64 {
-        self.error_rate
+    /// Share of recent attempts that failed, 0 to 1; it fades with time.
+    pub fn error_rate(&self, now_us: u64) -> f64 {
+        if self.error_rate == 0.0 {
+            return 0.0;
+        }
+        let passed_us = now_us.saturating_sub(self.error_at_us) as f64;
+        self.error_rate * (-passed_us / ERROR_HALF_LIFE_US).exp2()
     }
 
     /// Average latency of recent successes in µs; 0 when there was none.
--- a/crates/laurelstall_config/src/team.rs
+++ b/crates/laurelstall_config/src/team.rs
@@ -18,8 +18,8 @@
 #[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields, default)]
 pub struct ServiceLimits {
-    /// Calls that may wait at one guard.
-    pub queue_length: usize,
+    /// Calls that may wait at one guard, for each slot of its target.
+    pub queue_per_slot: u32,
     /// Longest wait at one guard in ms.
     pub queue_wait_max_ms: u64,
     /// Most times a call is handed back while it waits; 0 turns handing back off.
@@ -49,7 +49,7 @@
 impl Default for ServiceLimits {
     fn default() -> Self {
         Self {
-            queue_length: 64,
+            queue_per_slot: 4,
             queue_wait_max_ms: 1_000,
             hand_backs_max: 8,
             slots_floor_percent: 100,
@@ -68,7 +68,7 @@
 
 impl ServiceLimits {
     fn check(&self, check: &mut Checker<'_>) {
-        check.range("limits.queue_length", self.queue_length, 0..=10_000);
+        check.range("limits.queue_per_slot", self.queue_per_slot, 0..=1_000);
         check.range("limits.queue_wait_max_ms", self.queue_wait_max_ms, 0..=60_000);
         check.range("limits.hand_backs_max", self.hand_backs_max, 0..=32);
         check.range("limits.slots_floor_percent", self.slots_floor_percent, 1..=100);
--- a/crates/laurelstall_node/src/admin.rs
+++ b/crates/laurelstall_node/src/admin.rs
@@ -217,7 +217,7 @@
                     is_live: view.is_live,
                     is_eligible: view.is_eligible(now_us),
                     in_flight: view.in_flight(),
-                    error_rate: view.error_rate(),
+                    error_rate: view.error_rate(now_us),
                     latency_us: view.latency_us() as u64,
                     ejections: view.ejection.times(),
                     hint_age_ms: hint.map(|(_, age_us)| age_us / 1_000),
--- a/crates/laurelstall_node/src/call.rs
+++ b/crates/laurelstall_node/src/call.rs
@@ -402,7 +402,8 @@
             }
             AttemptOutcome::Answered { .. } => (AttemptResult::Good(took_us), "answered"),
             AttemptOutcome::NotRun(refusal) => match refusal.reason {
-                RefusalReason::NoConnection => (AttemptResult::Failed, refusal.reason.word()),
+                // A target that sheds or takes no connection is to be avoided like one that fails.
+                RefusalReason::NoConnection | RefusalReason::Shed => (AttemptResult::Failed, refusal.reason.word()),
                 reason => (AttemptResult::NotRun, reason.word()),
             },
             AttemptOutcome::Unknown(_) => (AttemptResult::Failed, "unknown"),
--- a/crates/laurelstall_node/src/target_guard.rs
+++ b/crates/laurelstall_node/src/target_guard.rs
@@ -144,7 +144,7 @@
             GuardLimits {
                 slots: target.slots,
                 slots_floor_percent: limits.slots_floor_percent,
-                queue_length: limits.queue_length,
+                queue_length: target.slots as usize * limits.queue_per_slot as usize,
                 queue_wait_max_ms: limits.queue_wait_max_ms,
             }
         });
--- a/crates/laurelstall_peer/src/client.rs
+++ b/crates/laurelstall_peer/src/client.rs
@@ -5,12 +5,13 @@
     body::{AnswerBody, BodyError, StreamBody, send_body, send_data},
     frame::{DOCUMENTS_BYTES_MAX, FrameError, FrameReader, HEAD_BYTES_MAX, encode},
     message::{BodyKind, PeerAnswer, PeerRequest},
-    pool::{ConnectError, Pool},
+    meter::InFlight,
+    pool::{ConnectError, PeerSender, Pool},
 };
 use bytes::Bytes;
 use h2::{
     Reason, RecvStream, SendStream,
-    client::{ResponseFuture, SendRequest},
+    client::ResponseFuture,
 };
 use http::{HeaderMap, HeaderName, HeaderValue, Method, Request, StatusCode, Uri};
 use http_body::{Body, Frame};
@@ -106,6 +107,7 @@
                 return not_sent(body);
             }
         };
+        let in_flight = sender.watch_over();
         let (mut response, mut stream) = match open(sender) {
             Ok(opened) => opened,
             Err(_) => return not_sent(body),
@@ -119,13 +121,24 @@
             Ok(response) => FrameReader::new(response.into_body()),
             Err(error) => return broken(&error, unsent),
         };
-        match (unsent, kind) {
-            (Some(body), BodyKind::AfterAdmission) => read_admitted(reader, stream, body, call_id).await,
-            _ => {
-                let answer = reader.read(HEAD_BYTES_MAX).await;
-                read_answer(answer, reader, call_id, None)
-            }
-        }
+        let mut held = Held { sending: None, _in_flight: in_flight };
+        let answer = match (unsent, kind) {
+            (Some(body), BodyKind::AfterAdmission) => match read_admission(&mut reader, body).await {
+                Ok(body) => {
+                    held.sending = Some(SendingTask::start(body, stream));
+                    reader.read(HEAD_BYTES_MAX).await
+                }
+                Err((answer, body)) => {
+                    let mut answer = read_answer(answer, reader, call_id, held);
+                    if matches!(answer.outcome, AttemptOutcome::NotRun(_)) {
+                        answer.unread = Some(body);
+                    }
+                    return answer;
+                }
+            },
+            _ => reader.read(HEAD_BYTES_MAX).await,
+        };
+        read_answer(answer, reader, call_id, held)
     }
 
     async fn ask_unbounded(
@@ -150,11 +163,11 @@
     encode(answer).len()
 }
 
-fn open(mut sender: SendRequest<Bytes>) -> Result<(ResponseFuture, SendStream<Bytes>), h2::Error> {
+fn open(mut sender: PeerSender) -> Result<(ResponseFuture, SendStream<Bytes>), h2::Error> {
     let mut request = Request::new(());
     *request.method_mut() = Method::POST;
     *request.uri_mut() = Uri::from_static("http://n/");
-    sender.send_request(request, false)
+    sender.stream.send_request(request, false)
 }
 
 fn not_sent(body: AttemptBody) -> AttemptAnswer {
@@ -205,36 +218,22 @@
     answer
 }
 
-async fn read_admitted(
-    mut reader: FrameReader,
-    mut stream: SendStream<Bytes>,
+/// Waits for the word that the call has its slot; gives the body back with any other word.
+async fn read_admission(
+    reader: &mut FrameReader,
     body: AnswerBody,
-    call_id: u64,
-) -> AttemptAnswer {
+) -> Result<AnswerBody, (Result<PeerAnswer, FrameError>, AnswerBody)> {
     match reader.read(HEAD_BYTES_MAX).await {
-        Ok(PeerAnswer::Admitted) => {}
-        other => {
-            let mut answer = read_answer(other, reader, call_id, None);
-            if matches!(answer.outcome, AttemptOutcome::NotRun(_)) {
-                answer.unread = Some(body);
-            }
-            return answer;
-        }
+        Ok(PeerAnswer::Admitted) => Ok(body),
+        other => Err((other, body)),
     }
-    let sending = SendingTask(tokio::spawn(async move {
-        if let Err(error) = send_body(body, &mut stream).await {
-            log::debug!("request body broke off: {error}");
-        }
-    }));
-    let answer = reader.read(HEAD_BYTES_MAX).await;
-    read_answer(answer, reader, call_id, Some(sending))
 }
 
 fn read_answer(
     answer: Result<PeerAnswer, FrameError>,
     reader: FrameReader,
     call_id: u64,
-    sending: Option<SendingTask>,
+    held: Held,
 ) -> AttemptAnswer {
     let answer = match answer {
         Ok(answer) => answer,
@@ -244,7 +243,7 @@
     let (outcome, hint) = match answer {
         PeerAnswer::Answered { call_id: answered, status, headers, hint } => {
             assert_eq!(answered, call_id, "an answer came back on another call's stream");
-            (read_http(status, headers, reader, sending), hint)
+            (read_http(status, headers, reader, held), hint)
         }
         PeerAnswer::NotRun { call_id: answered, refusal, hint } => {
             assert_eq!(answered, call_id, "an answer came back on another call's stream");
@@ -261,13 +260,13 @@
     status: u16,
     headers: Vec<(String, Vec<u8>)>,
     reader: FrameReader,
-    sending: Option<SendingTask>,
+    held: Held,
 ) -> AttemptOutcome {
     let (Ok(status), Some(headers)) = (StatusCode::from_u16(status), headers_from_wire(&headers)) else {
         return AttemptOutcome::Unknown("unreadable answer");
     };
     let (first, stream): (Bytes, RecvStream) = reader.into_rest();
-    let body = GuardedBody { inner: StreamBody::new(first, stream), _sending: sending };
+    let body = GuardedBody { inner: StreamBody::new(first, stream), _held: held };
     AttemptOutcome::Answered { status, headers, body: body.boxed_unsync() }
 }
 
@@ -291,6 +290,22 @@
 /// The task that sends a request's body; it ends with whoever waits for the answer.
 struct SendingTask(JoinHandle<()>);
 
+impl SendingTask {
+    fn start(body: AnswerBody, mut stream: SendStream<Bytes>) -> Self {
+        Self(tokio::spawn(async move {
+            if let Err(error) = send_body(body, &mut stream).await {
+                log::debug!("request body broke off: {error}");
+            }
+        }))
+    }
+}
+
+/// What lives as long as somebody waits for the answer.
+struct Held {
+    sending: Option<SendingTask>,
+    _in_flight: InFlight,
+}
+
 impl Drop for SendingTask {
     fn drop(&mut self) {
         self.0.abort();
@@ -299,7 +314,7 @@
 
 struct GuardedBody {
     inner: StreamBody,
-    _sending: Option<SendingTask>,
+    _held: Held,
 }
 
 impl Body for GuardedBody {
--- a/crates/laurelstall_peer/src/meter.rs
+++ b/crates/laurelstall_peer/src/meter.rs
@@ -49,6 +49,33 @@
     }
 }
 
+/// What goes on on one connection, for whoever watches over it.
+#[derive(Debug, Default)]
+pub struct Activity {
+    /// Bytes received on it.
+    pub received_bytes: AtomicU64,
+    /// Attempts that wait for something on it.
+    pub in_flight: AtomicU64,
+}
+
+/// One attempt that waits for something on a connection.
+#[derive(Debug)]
+pub struct InFlight(Arc<Activity>);
+
+impl InFlight {
+    /// Counts one more until it is dropped.
+    pub fn new(activity: Arc<Activity>) -> Self {
+        activity.in_flight.fetch_add(1, Ordering::Relaxed);
+        Self(activity)
+    }
+}
+
+impl Drop for InFlight {
+    fn drop(&mut self) {
+        self.0.in_flight.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
 /// Pause between two looks whether a cut link is back.
 const CUT_LOOK_INTERVAL: Duration = Duration::from_millis(20);
 
@@ -57,6 +84,7 @@
 pub struct MeteredStream {
     inner: TcpStream,
     meter: Arc<Meter>,
+    activity: Arc<Activity>,
     link: Option<(Arc<dyn Link>, SocketAddr)>,
     was_cut: bool,
     look: Option<Pin<Box<Sleep>>>,
@@ -66,7 +94,7 @@
     /// Counts the bytes of `inner` in `meter`.
     pub fn new(inner: TcpStream, meter: Arc<Meter>) -> Self {
         meter.open.fetch_add(1, Ordering::Relaxed);
-        Self { inner, meter, link: None, was_cut: false, look: None }
+        Self { inner, meter, activity: Arc::default(), link: None, was_cut: false, look: None }
     }
 
     /// Lets the connection fail as `link` to `other` does.
@@ -75,6 +103,11 @@
         self
     }
 
+    /// What goes on on it.
+    pub fn activity(&self) -> Arc<Activity> {
+        self.activity.clone()
+    }
+
     fn is_cut(&mut self) -> io::Result<bool> {
         let is_cut = self.link.as_ref().is_some_and(|(link, other)| link.is_cut(*other));
         if self.was_cut && !is_cut {
@@ -115,6 +148,7 @@
         let polled = Pin::new(&mut self.inner).poll_read(cx, buf);
         let read = buf.filled().len() - before;
         self.meter.received_bytes.fetch_add(read as u64, Ordering::Relaxed);
+        self.activity.received_bytes.fetch_add(read as u64, Ordering::Relaxed);
         polled
     }
 }
--- a/crates/laurelstall_peer/src/pool.rs
+++ b/crates/laurelstall_peer/src/pool.rs
@@ -2,10 +2,13 @@
 
 use crate::{
     link::Link,
-    meter::{Meter, MeteredStream},
+    meter::{Activity, InFlight, Meter, MeteredStream},
 };
 use bytes::Bytes;
-use h2::client::{self, SendRequest};
+use h2::{
+    Ping, PingPong,
+    client::{self, SendRequest},
+};
 use laurelstall_guard::clock::Clock;
 use quick_error::quick_error;
 use rand::RngExt;
@@ -66,9 +69,24 @@
     }
 }
 
+/// A connection that can take one more stream.
+#[derive(Debug, Clone)]
+pub struct PeerSender {
+    /// Opens the stream.
+    pub stream: SendRequest<Bytes>,
+    activity: Arc<Activity>,
+}
+
+impl PeerSender {
+    /// Lets the connection be watched over until the result is dropped.
+    pub fn watch_over(&self) -> InFlight {
+        InFlight::new(self.activity.clone())
+    }
+}
+
 #[derive(Debug, Default)]
 struct Slot {
-    sender: Option<SendRequest<Bytes>>,
+    sender: Option<PeerSender>,
     failures: u32,
     retry_at_us: u64,
 }
@@ -104,14 +122,15 @@
     /// # Errors
     ///
     /// [`ConnectError`]; nothing was sent then.
-    pub async fn sender(&self, address: SocketAddr) -> Result<SendRequest<Bytes>, ConnectError> {
+    pub async fn sender(&self, address: SocketAddr) -> Result<PeerSender, ConnectError> {
         let entry = self.entry(address)?;
         let now_us = self.clock.now_us();
         entry.last_used_us.store(now_us, Ordering::Relaxed);
         let mut slot = entry.slot.lock().await;
         if let Some(sender) = slot.sender.clone() {
-            match timeout(CONNECT_TIMEOUT, sender.ready()).await {
-                Ok(Ok(ready)) => return Ok(ready),
+            let PeerSender { stream, activity } = sender;
+            match timeout(CONNECT_TIMEOUT, stream.ready()).await {
+                Ok(Ok(stream)) => return Ok(PeerSender { stream, activity }),
                 Ok(Err(_)) => slot.sender = None,
                 Err(_) => return Err(ConnectError::TimedOut),
             }
@@ -168,7 +187,7 @@
         Ok(entries.entry(address).or_default().clone())
     }
 
-    async fn connect(&self, address: SocketAddr) -> Result<SendRequest<Bytes>, ConnectError> {
+    async fn connect(&self, address: SocketAddr) -> Result<PeerSender, ConnectError> {
         if self.link.is_cut(address) {
             sleep(CONNECT_TIMEOUT).await;
             return Err(ConnectError::TimedOut);
@@ -182,18 +201,53 @@
         builder.initial_window_size(STREAM_WINDOW_BYTES);
         builder.initial_connection_window_size(CONNECTION_WINDOW_BYTES);
         builder.enable_push(false);
-        let (sender, connection) = timeout(CONNECT_TIMEOUT, builder.handshake(stream))
+        let activity = stream.activity();
+        let (sender, mut connection) = timeout(CONNECT_TIMEOUT, builder.handshake(stream))
             .await
             .map_err(|_| ConnectError::TimedOut)??;
+        let pings = connection.ping_pong();
+        let watched = activity.clone();
         tokio::spawn(async move {
-            if let Err(error) = connection.await {
-                log::debug!("connection to {address} ended: {error}");
+            tokio::select! {
+                ended = connection => {
+                    if let Err(error) = ended {
+                        log::debug!("connection to {address} ended: {error}");
+                    }
+                }
+                () = watch_over(pings, watched) => log::debug!("node at {address} answers no ping"),
             }
         });
-        Ok(sender.ready().await?)
+        let stream = sender.ready().await?;
+        Ok(PeerSender { stream, activity })
     }
 
     fn lock(&self) -> std::sync::MutexGuard<'_, HashMap<SocketAddr, Arc<Entry>>> {
         self.entries.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
+
+/// A connection on which attempts wait and nothing came for so long is pinged.
+const SILENCE_MAX: Duration = Duration::from_millis(300);
+/// Longest wait for the answer to a ping; without one, the connection is given up.
+const PONG_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// Returns when the other side, with attempts waiting for it, answers no ping.
+///
+/// A host that is cut off or paused is found out within 0.8 s instead of after whole time
+/// budgets; a connection that is idle or busy costs no ping.
+async fn watch_over(pings: Option<PingPong>, activity: Arc<Activity>) {
+    let Some(mut pings) = pings else { return std::future::pending().await };
+    loop {
+        let before = activity.received_bytes.load(Ordering::Relaxed);
+        sleep(SILENCE_MAX).await;
+        let is_waited_for = activity.in_flight.load(Ordering::Relaxed) > 0;
+        if !is_waited_for || activity.received_bytes.load(Ordering::Relaxed) != before {
+            continue;
+        }
+        match timeout(PONG_TIMEOUT, pings.ping(Ping::opaque())).await {
+            Ok(Ok(_)) => {}
+            Ok(Err(_)) => return std::future::pending().await,
+            Err(_) => return,
+        }
+    }
+}
--- a/crates/laurelstall_standin/src/harness.rs
+++ b/crates/laurelstall_standin/src/harness.rs
@@ -219,9 +219,12 @@
     /// What is cut.
     pub cuts: Arc<Cuts>,
     hosts: Mutex<Vec<HarnessHost>>,
+    peer_addresses: RwLock<Vec<SocketAddr>>,
     _target_threads: Vec<RuntimeThread>,
 }
 
+/// Other nodes that a node asks before it knows the fleet.
+const SEEDS: usize = 2;
 /// Threads on which targets run.
 const TARGET_THREADS: usize = 2;
 
@@ -277,6 +280,7 @@
             records,
             cuts,
             hosts: Mutex::new(hosts),
+            peer_addresses: RwLock::new(sockets.iter().map(|sockets| sockets.peer.1).collect()),
             _target_threads: threads,
         };
         this.publish_all(&sockets);
@@ -449,8 +453,15 @@
         Ok(())
     }
 
+    /// Peer addresses of the next hosts in the list.
+    fn seeds(&self, index: usize) -> Vec<SocketAddr> {
+        let addresses = self.peer_addresses.read().unwrap_or_else(PoisonError::into_inner);
+        (1..=SEEDS).map(|step| addresses[(index + step) % addresses.len()]).collect()
+    }
+
     fn node_options(&self, host: &HarnessHost, index: usize, sockets: Sockets) -> NodeOptions {
-        let settings = node_settings(host, &sockets, self.plan.decisions);
+        let mut settings = node_settings(host, &sockets, self.plan.decisions);
+        settings.seeds = self.seeds(index);
         let listeners = Listeners { entry: sockets.entry.0, peer: sockets.peer.0, admin: sockets.admin.0 };
         let mut options = NodeOptions::new(settings, listeners);
         options.seed = self.plan.seed.wrapping_mul(7_919) + index as u64;
