laurelstall-load: three caller threads, so that callers keep to their instants

Cause: one caller thread fell behind in a surge and its lag counted as latency (refused p99 139 ms).

--- a/crates/laurelstall_standin/src/experiment.rs
+++ b/crates/laurelstall_standin/src/experiment.rs
@@ -7,6 +7,7 @@
     latency::Latency,
     scenario::{Noise, Scenario},
     target::Targets,
+    threads::RuntimeThread,
 };
 use laurelstall_balance::{
     baseline::{LeastStale, Oracle, Random, RoundRobin, TrueLoads, TwoChoices},
@@ -31,6 +32,8 @@
 pub const WINDOW_MS: u64 = 250;
 /// Pause between two looks at what was spent on observing, in ms.
 const SAMPLE_MS: u64 = 100;
+/// Threads that make calls.
+const CALLER_THREADS: usize = 3;
 /// Clock ticks a second of the kernel's process times.
 const TICKS_PER_S: f64 = 100.0;
 
@@ -194,7 +197,8 @@
     let nodes = harness.nodes();
     let entries = Entries::new(nodes.iter().map(|(_, node)| node.entry_address).collect());
     let context = FaultContext { harness: harness.clone(), entries: entries.clone() };
-    let callers = Callers::new(entries);
+    let threads = (0..CALLER_THREADS).map(|n| RuntimeThread::start(&format!("callers-{n}"))).collect::<Vec<_>>();
+    let callers = threads.iter().map(|_| Callers::new(entries.clone())).collect::<Vec<_>>();
     let cpu_before_s = cpu_s();
     let started = StdInstant::now();
     let mut disturbing = JoinSet::new();
@@ -203,13 +207,13 @@
         start_noise(&mut disturbing, noise, &harness, seed);
     }
     let sampler = tokio::spawn(sample_observing(harness.clone(), scenario.seconds));
-    call(scenario, &callers, &services, capacity_per_s, seed).await;
+    call(scenario, &threads, &callers, &services, capacity_per_s, seed).await;
     let length_s = scenario.seconds as f64;
     log::debug!("{} took {:?}", scenario.name, started.elapsed());
     let cpu_spent_s = cpu_s() - cpu_before_s;
     let (observe_max, observe_mean) = sampler.await.unwrap_or((0, 0.0));
     disturbing.shutdown().await;
-    let finished = callers.finished().clone();
+    let finished = callers.iter().flat_map(|callers| callers.finished().clone()).collect::<Vec<_>>();
     Ok(summarise(Measured {
         scenario,
         harness: &harness,
@@ -320,26 +324,35 @@
     Ok(plan)
 }
 
-async fn call(scenario: &Scenario, callers: &Arc<Callers>, services: &[String], capacity_per_s: f64, seed: u64) {
+async fn call(
+    scenario: &Scenario,
+    threads: &[RuntimeThread],
+    callers: &[Arc<Callers>],
+    services: &[String],
+    capacity_per_s: f64,
+    seed: u64,
+) {
     let first_level = if scenario.levels > 1 { &services[..1] } else { services };
-    let mut running = JoinSet::new();
+    let mut running = Vec::new();
     for (start_ms, length_ms, load_percent) in scenario.stretches() {
-        let plan = CallPlan {
-            services: first_level.to_vec(),
-            rate_per_s: capacity_per_s * load_percent as f64 / 100.0,
-            start: std::time::Duration::from_millis(start_ms),
-            length: std::time::Duration::from_millis(length_ms),
-            write_share: scenario.write_percent as f64 / 100.0,
-            seed: seed * 1_000 + start_ms,
-            chain: services.iter().skip(1).take(scenario.levels - 1).cloned().collect(),
-        };
-        let callers = callers.clone();
-        running.spawn(async move {
-            sleep(Duration::from_millis(start_ms)).await;
-            callers.run(&plan).await;
-        });
+        for (number, (thread, callers)) in threads.iter().zip(callers).enumerate() {
+            let plan = CallPlan {
+                services: first_level.to_vec(),
+                rate_per_s: capacity_per_s * load_percent as f64 / 100.0 / threads.len() as f64,
+                start: std::time::Duration::from_millis(start_ms),
+                length: std::time::Duration::from_millis(length_ms),
+                write_share: scenario.write_percent as f64 / 100.0,
+                seed: (seed * 1_000 + start_ms) * 10 + number as u64,
+                chain: services.iter().skip(1).take(scenario.levels - 1).cloned().collect(),
+            };
+            let callers = callers.clone();
+            running.push(thread.handle().spawn(async move {
+                sleep(Duration::from_millis(start_ms)).await;
+                callers.run(&plan).await;
+            }));
+        }
     }
-    while running.join_next().await.is_some() {}
+    futures_util::future::join_all(running).await;
 }
 
 fn start_faults(running: &mut JoinSet<()>, scenario: &Scenario, context: &FaultContext) {
