Choice: hints count half after 20 ms, own calls in flight fill the gap; refusals teach without bytes

Cause: a hint of 50 ms is already wrong under noise, yet it counted almost in full; each side of a hint paid on its own, so under load one hint in 150 came through; a refused call waited before it was refused. Ruled out: hand-back (no difference at p99 with fresh hints), queue length 4 against 6 a slot. Change: HINT_HALF_AGE_US 200 ms -> 20 ms; own calls in flight scale the usual load; asking and answering have halves of the budget; hints are asked for only when the last is older than 15 ms; QueueFull and HandedBack set what is known of the queue.

--- a/crates/laurelstall_balance/src/chooser.rs
+++ b/crates/laurelstall_balance/src/chooser.rs
@@ -65,6 +65,8 @@
     pub usual_us: f64,
     /// The service's usual share of slots in use, for the same.
     pub usual_load: f64,
+    /// Own calls in flight at each target of the service, on average.
+    pub own_mean: f64,
     /// Randomness.
     pub rng: &'a mut SmallRng,
 }
--- a/crates/laurelstall_balance/src/hint.rs
+++ b/crates/laurelstall_balance/src/hint.rs
@@ -1,7 +1,7 @@
 //! What a guard says of its target, carried on answers and probes.
 
 /// Bytes that a hint takes on the wire at most, as counted against the observing budget.
-pub const HINT_BYTES: u64 = 28;
+pub const HINT_BYTES: u64 = 21;
 
 /// Whether a target takes new requests.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -15,8 +15,8 @@
 /// A guard's word on its own target, true at the instant it was made.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Hint {
-    /// The guard's start: a new one means a replaced or restarted process.
-    pub incarnation: u64,
+    /// Low half of the guard's start: a new one means a replaced or restarted process.
+    pub incarnation: u32,
     /// Requests running at the target.
     pub in_flight: u32,
     /// Requests waiting at the guard.
--- a/crates/laurelstall_balance/src/least_wait.rs
+++ b/crates/laurelstall_balance/src/least_wait.rs
@@ -76,7 +76,9 @@
 /// since then count in full.
 pub fn expected_us(view: &TargetView, context: &ChoosingContext<'_>) -> f64 {
     let slots = f64::from(view.slots.max(1));
-    let usual_in_flight = context.usual_load * slots;
+    // Own calls in flight tell of a target what no hint is fresh enough for.
+    let own = (f64::from(view.in_flight()) + 1.0) / (context.own_mean + 1.0);
+    let usual_in_flight = context.usual_load * slots * own;
     let (busy, limit, service_us) = match view.hint(context.now_us) {
         Some((hint, age_us)) => {
             let trust = 1.0 / (1.0 + age_us as f64 / HINT_HALF_AGE_US);
--- a/crates/laurelstall_balance/src/service_balancer.rs
+++ b/crates/laurelstall_balance/src/service_balancer.rs
@@ -34,6 +34,8 @@
 const USUAL_WEIGHT: f64 = 0.02;
 /// Assumed service time before anything is known, in µs.
 const USUAL_START_US: f64 = 5_000.0;
+/// A call that was handed back says that about one call for so many slots waits there.
+const HANDED_BACK_SLOTS: u32 = 2;
 /// Age up to which a hint tells whether its target queues, in µs.
 const QUEUEING_HINT_AGE_US: u64 = 1_000_000;
 
@@ -123,11 +125,14 @@
         };
         let listed = self.targets.iter().enumerate().filter(is_wanted);
         let candidates = listed.map(|(index, view)| Candidate { index, view }).collect::<Vec<_>>();
+        let own: u32 = self.targets.iter().map(TargetView::in_flight).sum();
+        let own_mean = f64::from(own) / self.targets.len().max(1) as f64;
         let mut context = ChoosingContext {
             now_us,
             slow_start_us: self.limits.slow_start_ms * 1_000,
             usual_us: self.usual_us,
             usual_load: self.usual_load,
+            own_mean,
             rng: &mut self.rng,
         };
         let choice = self.chooser.choose(&candidates, &mut context);
@@ -169,6 +174,19 @@
         self.targets[index].take_hint(hint, now_us);
     }
 
+    /// Age of the last word from a target in µs.
+    pub fn hint_age_us(&self, index: usize, now_us: u64) -> Option<u64> {
+        self.targets.get(index)?.hint(now_us).map(|(_, age_us)| age_us)
+    }
+
+    /// Learns from a refusal that calls wait at a target, or that no more of them may.
+    pub fn note_queueing(&mut self, index: usize, name: &str, is_full: bool, now_us: u64) {
+        let Some(index) = self.place_of(index, name) else { return };
+        let slots = self.targets[index].slots;
+        let queued = if is_full { slots * self.limits.queue_per_slot } else { slots / HANDED_BACK_SLOTS };
+        self.targets[index].note_queueing(queued.max(1), self.usual_us, now_us);
+    }
+
     /// Whether a further attempt may be made after a proved *not run* or a repeatable failure.
     pub fn may_retry(&mut self) -> bool {
         self.retries.try_spend()
@@ -179,13 +197,13 @@
         !self.is_queueing(now_us) && self.hedges.try_spend()
     }
 
-    /// Whether most targets that spoke lately have calls waiting.
+    /// Whether most targets that spoke lately have half a wave of calls waiting.
     pub fn is_queueing(&self, now_us: u64) -> bool {
         let fresh = self.targets.iter().filter_map(|view| view.hint(now_us));
         let (mut spoke, mut queueing) = (0, 0);
         for (hint, _) in fresh.filter(|(_, age_us)| *age_us < QUEUEING_HINT_AGE_US) {
             spoke += 1;
-            queueing += u32::from(hint.queued > 0);
+            queueing += u32::from(hint.queued * 2 >= hint.limit);
         }
         queueing * 3 > spoke * 2
     }
--- a/crates/laurelstall_balance/src/target_view.rs
+++ b/crates/laurelstall_balance/src/target_view.rs
@@ -11,8 +11,8 @@
 const LATENCY_WEIGHT: f64 = 0.2;
 /// Time in which the memory of errors halves, in µs: a target that failed is tried again.
 const ERROR_HALF_LIFE_US: f64 = 1_000_000.0;
-/// Age at which a hint counts half, in µs.
-pub const HINT_HALF_AGE_US: f64 = 200_000.0;
+/// Age at which a hint counts half, in µs: about two service times (measured, `docs/CHOICE.md`).
+pub const HINT_HALF_AGE_US: f64 = 20_000.0;
 
 /// One entry's view of one target.
 #[derive(Debug, Clone)]
@@ -62,7 +62,8 @@
 
     /// Takes a guard's word; a new incarnation starts the view afresh.
     pub fn take_hint(&mut self, hint: Hint, now_us: u64) {
-        let is_restarted = self.hint.is_some_and(|(old, _)| old.incarnation != hint.incarnation);
+        let is_other = |old: &Hint| old.incarnation != 0 && old.incarnation != hint.incarnation;
+        let is_restarted = self.hint.is_some_and(|(old, _)| is_other(&old));
         if is_restarted {
             self.error_rate = 0.0;
             self.latency_us = 0.0;
@@ -73,6 +74,22 @@
         self.in_flight_at_hint = self.in_flight;
     }
 
+    /// Learns from a refusal that all slots are taken and so many calls wait.
+    pub fn note_queueing(&mut self, queued: u32, usual_us: f64, now_us: u64) {
+        let known = self.hint.map(|(hint, _)| hint);
+        let hint = known.unwrap_or(Hint {
+            incarnation: 0,
+            in_flight: 0,
+            queued: 0,
+            limit: self.slots,
+            service_us: usual_us as u32,
+            state: TargetState::Serving,
+        });
+        let hint = Hint { in_flight: hint.limit, queued, ..hint };
+        self.hint = Some((hint, now_us));
+        self.in_flight_at_hint = self.in_flight;
+    }
+
     /// Notes that an attempt was sent.
     pub fn note_sent(&mut self) {
         self.in_flight += 1;
--- a/crates/laurelstall_node/src/admin.rs
+++ b/crates/laurelstall_node/src/admin.rs
@@ -179,7 +179,7 @@
 
     fn status(&self) -> Value {
         let load = self.guard.guard().load();
-        let budget = self.entry.context.observer.budget();
+        let observed = self.entry.context.observer.spent();
         let meter = self.entry.context.client.pool().meter();
         let counters = self.counters.all().into_iter().map(|(name, count)| (name.to_owned(), count.into()));
         value!({
@@ -192,9 +192,9 @@
             "queued": load.queued,
             "limit": load.limit,
             "open_tickets": self.guard.open_tickets(),
-            "observe_bytes": budget.spent_bytes(),
-            "observe_messages": budget.spent_messages(),
-            "observe_refused": budget.refused(),
+            "observe_bytes": observed.bytes,
+            "observe_messages": observed.messages,
+            "observe_refused": observed.refused,
             "control_bytes": meter.control_bytes.load(Ordering::Relaxed),
             "peer_connections": meter.open.load(Ordering::Relaxed),
             "counters": serde_json::Map::from_iter(counters),
--- a/crates/laurelstall_node/src/call.rs
+++ b/crates/laurelstall_node/src/call.rs
@@ -30,6 +30,9 @@
 use std::sync::Arc;
 use tokio::time::{sleep_until, timeout_at};
 
+/// A hint younger than this is not asked for anew, in µs.
+const HINT_FRESH_US: u64 = 15_000;
+
 /// What all calls of an entry share.
 #[derive(Debug)]
 pub struct CallContext {
@@ -297,7 +300,7 @@
                 AttemptBody::Whole(_) => BodyKind::AtOnce,
                 AttemptBody::Stream(_) => BodyKind::AfterAdmission,
             },
-            wants_hint: context.observer.may_carry_hint(observe_percent),
+            wants_hint: self.wants_hint(destination, observe_percent, now_us),
         };
         let attempt = Attempt { head, body };
         let deadline = context.clock.instant_of(self.request.deadline_us);
@@ -319,6 +322,13 @@
         .boxed()
     }
 
+    /// Whether to pay for a hint: only for a target whose last one is not fresh.
+    fn wants_hint(&self, destination: &Destination, observe_percent: u8, now_us: u64) -> bool {
+        let age_us = self.service.balancer().hint_age_us(destination.choice.index, now_us);
+        let is_due = age_us.is_none_or(|age_us| age_us >= HINT_FRESH_US);
+        is_due && self.context.observer.may_ask_hint(observe_percent)
+    }
+
     fn judge(&mut self, destination: &Destination, mut answer: AttemptAnswer) -> Next {
         self.note_outcome(destination, &answer);
         match answer.outcome {
@@ -396,6 +406,9 @@
             let index = destination.choice.index;
             self.service.balancer().take_hint(index, &destination.name, hint, now_us);
         }
+        if let AttemptOutcome::NotRun(refusal) = &answer.outcome {
+            self.note_refusal(destination, refusal.reason, now_us);
+        }
         let (result, word) = match &answer.outcome {
             AttemptOutcome::Answered { status, .. } if status.is_server_error() => {
                 (AttemptResult::Failed, "error")
@@ -403,7 +416,9 @@
             AttemptOutcome::Answered { .. } => (AttemptResult::Good(took_us), "answered"),
             AttemptOutcome::NotRun(refusal) => match refusal.reason {
                 // A target that sheds or takes no connection is to be avoided like one that fails.
-                RefusalReason::NoConnection | RefusalReason::Shed => (AttemptResult::Failed, refusal.reason.word()),
+                RefusalReason::NoConnection | RefusalReason::Shed => {
+                    (AttemptResult::Failed, refusal.reason.word())
+                }
                 reason => (AttemptResult::NotRun, reason.word()),
             },
             AttemptOutcome::Unknown(_) => (AttemptResult::Failed, "unknown"),
@@ -412,6 +427,17 @@
         self.write_decision(destination, word, took_us);
     }
 
+    /// A refusal tells of the target's queue, without any byte of the budget for observing.
+    fn note_refusal(&self, destination: &Destination, reason: RefusalReason, now_us: u64) {
+        let is_full = match reason {
+            RefusalReason::QueueFull => true,
+            RefusalReason::HandedBack => false,
+            _ => return,
+        };
+        let mut balancer = self.service.balancer();
+        balancer.note_queueing(destination.choice.index, &destination.name, is_full, now_us);
+    }
+
     fn note(&self, destination: &Destination, result: AttemptResult) {
         let now_us = self.context.clock.now_us();
         let mut balancer = self.service.balancer();
--- a/crates/laurelstall_node/src/observer.rs
+++ b/crates/laurelstall_node/src/observer.rs
@@ -30,7 +30,7 @@
 /// Pause between two looks for a target to probe.
 const PROBE_INTERVAL: Duration = Duration::from_millis(25);
 /// Hints younger than this need no probe, in µs.
-const PROBE_AGE_US: u64 = 100_000;
+const PROBE_AGE_US: u64 = 400_000;
 /// Services without a call for so long are not probed, in µs.
 pub const SERVICE_IDLE_US: u64 = 5_000_000;
 
@@ -38,7 +38,11 @@
 #[derive(Debug)]
 pub struct Observer {
     clock: Clock,
-    budget: Mutex<ObserveBudget>,
+    /// For asking others: hints on answers, and probes.
+    asking: Mutex<ObserveBudget>,
+    /// For answering others. Halves of their own keep a hint that is asked for, and paid by its
+    /// asker, from being refused for what this node asked itself.
+    answering: Mutex<ObserveBudget>,
     counters: Arc<Counters>,
 }
 
@@ -46,31 +50,41 @@
     /// A budget as the defaults say, until a configuration is in force.
     pub fn new(clock: Clock, counters: Arc<Counters>) -> Self {
         let limits = ObserveLimits::default();
-        let budget = ObserveBudget::new(limits.bytes_per_s, limits.probes_per_s);
-        Self { clock, budget: Mutex::new(budget), counters }
+        let half = || Mutex::new(ObserveBudget::new(limits.bytes_per_s / 2, limits.probes_per_s / 2));
+        Self { clock, asking: half(), answering: half(), counters }
     }
 
     /// Puts new limits in force.
     pub fn set_limits(&self, limits: ObserveLimits) {
-        // A probe and its answer are two messages; the limit counts them as one probe.
-        self.budget().set_rates(limits.bytes_per_s, limits.probes_per_s);
+        for half in [&self.asking, &self.answering] {
+            lock(half).set_rates(limits.bytes_per_s / 2, limits.probes_per_s / 2);
+        }
     }
 
-    /// The budget, for operators and measurements.
-    pub fn budget(&self) -> MutexGuard<'_, ObserveBudget> {
-        self.budget.lock().unwrap_or_else(PoisonError::into_inner)
+    /// What was spent so far.
+    pub fn spent(&self) -> ObserveSpent {
+        let (asking, answering) = (lock(&self.asking), lock(&self.answering));
+        ObserveSpent {
+            bytes: asking.spent_bytes() + answering.spent_bytes(),
+            messages: asking.spent_messages() + answering.spent_messages(),
+            refused: asking.refused() + answering.refused(),
+        }
     }
 
-    /// Takes the cost of one hint on an answer.
-    pub fn may_carry_hint(&self, share_percent: u8) -> bool {
-        let cost = ObserveCost { bytes: HINT_BYTES, messages: 0 };
-        share_percent > 0 && self.budget().try_take(self.clock.now_us(), cost, share_percent)
+    /// Takes the cost of asking for a hint on an answer.
+    pub fn may_ask_hint(&self, share_percent: u8) -> bool {
+        share_percent > 0 && lock(&self.asking).try_take(self.clock.now_us(), HINT_COST, share_percent)
+    }
+
+    /// Takes the cost of a hint on an answer of the own guard.
+    pub fn may_carry_hint(&self) -> bool {
+        lock(&self.answering).try_take(self.clock.now_us(), HINT_COST, 100)
     }
 
     /// Takes the cost of answering one probe.
     pub fn may_answer_probe(&self) -> bool {
         let cost = ObserveCost { bytes: PROBE_BYTES, messages: 1 };
-        self.budget().try_take(self.clock.now_us(), cost, 100)
+        lock(&self.answering).try_take(self.clock.now_us(), cost, 100)
     }
 
     /// Probes the targets of which least is known, as far as the budget goes, until dropped.
@@ -94,10 +108,27 @@
     fn take_probe(&self, client: &PeerClient, address: SocketAddr) -> bool {
         let open_bytes = if client.pool().has(address) { 0 } else { OPEN_BYTES };
         let cost = ObserveCost { bytes: PROBE_BYTES + open_bytes, messages: 1 };
-        self.budget().try_take(self.clock.now_us(), cost, 100)
+        lock(&self.asking).try_take(self.clock.now_us(), cost, 100)
     }
 }
 
+/// What was spent on observing since the start.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct ObserveSpent {
+    /// Bytes, both directions.
+    pub bytes: u64,
+    /// Probes sent and answered.
+    pub messages: u64,
+    /// Wishes to spend that were refused.
+    pub refused: u64,
+}
+
+const HINT_COST: ObserveCost = ObserveCost { bytes: HINT_BYTES, messages: 0 };
+
+fn lock(budget: &Mutex<ObserveBudget>) -> MutexGuard<'_, ObserveBudget> {
+    budget.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
 async fn probe(client: &PeerClient, address: SocketAddr) -> Option<Hint> {
     match client.ask(address, &PeerRequest::Probe).await {
         Ok(PeerAnswer::Probed(hint)) => hint.map(Hint::from),
--- a/crates/laurelstall_node/src/target_guard.rs
+++ b/crates/laurelstall_node/src/target_guard.rs
@@ -222,7 +222,7 @@
                 AttemptOutcome::Unknown(_) => count(&inner.counters.guard_unknown),
                 AttemptOutcome::Answered { .. } => {}
             }
-            if wants_hint && inner.observer.may_carry_hint(100) {
+            if wants_hint && inner.observer.may_carry_hint() {
                 answer.hint = Some(inner.hint());
             }
             answer
@@ -259,7 +259,7 @@
     fn hint(&self) -> Hint {
         let load = self.guard.load();
         Hint {
-            incarnation: self.incarnation,
+            incarnation: self.incarnation as u32,
             in_flight: load.in_flight,
             queued: load.queued,
             limit: load.limit,
--- a/crates/laurelstall_peer/src/client.rs
+++ b/crates/laurelstall_peer/src/client.rs
@@ -9,10 +9,7 @@
     pool::{ConnectError, PeerSender, Pool},
 };
 use bytes::Bytes;
-use h2::{
-    Reason, RecvStream, SendStream,
-    client::ResponseFuture,
-};
+use h2::{Reason, RecvStream, SendStream, client::ResponseFuture};
 use http::{HeaderMap, HeaderName, HeaderValue, Method, Request, StatusCode, Uri};
 use http_body::{Body, Frame};
 use http_body_util::BodyExt;
--- a/crates/laurelstall_peer/src/message.rs
+++ b/crates/laurelstall_peer/src/message.rs
@@ -52,10 +52,10 @@
 /// A guard's word on its target, as it travels.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct WireHint {
-    incarnation: u64,
-    in_flight: u32,
-    queued: u32,
-    limit: u32,
+    incarnation: u32,
+    in_flight: u16,
+    queued: u16,
+    limit: u16,
     service_us: u32,
     is_draining: bool,
 }
@@ -64,9 +64,9 @@
     fn from(hint: Hint) -> Self {
         Self {
             incarnation: hint.incarnation,
-            in_flight: hint.in_flight,
-            queued: hint.queued,
-            limit: hint.limit,
+            in_flight: saturated(hint.in_flight),
+            queued: saturated(hint.queued),
+            limit: saturated(hint.limit),
             service_us: hint.service_us,
             is_draining: hint.state == TargetState::Draining,
         }
@@ -78,15 +78,19 @@
         let state = if wire.is_draining { TargetState::Draining } else { TargetState::Serving };
         Self {
             incarnation: wire.incarnation,
-            in_flight: wire.in_flight,
-            queued: wire.queued,
-            limit: wire.limit,
+            in_flight: wire.in_flight.into(),
+            queued: wire.queued.into(),
+            limit: wire.limit.into(),
             service_us: wire.service_us,
             state,
         }
     }
 }
 
+fn saturated(count: u32) -> u16 {
+    u16::try_from(count).unwrap_or(u16::MAX)
+}
+
 /// A refusal, as it travels.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct WireRefusal {
--- a/crates/laurelstall_standin/src/bin/laurelstall-load.rs
+++ b/crates/laurelstall_standin/src/bin/laurelstall-load.rs
@@ -84,12 +84,14 @@
 }
 
 fn read(arguments: &Arguments) -> Result<(Scenario, Vec<Balancer>), String> {
-    let file = arguments.scenario.as_ref().ok_or("laurelstall-load: --scenario FILE is needed; see --help")?;
+    let file =
+        arguments.scenario.as_ref().ok_or("laurelstall-load: --scenario FILE is needed; see --help")?;
     let text = std::fs::read_to_string(file).map_err(|error| format!("{file}: {error}"))?;
     let mut scenario = Scenario::from_text(file, &text).map_err(|error| error.to_string())?;
     scenario.seconds = arguments.seconds.unwrap_or(scenario.seconds);
     let Some(names) = &arguments.balancer else { return Ok((scenario, Balancer::ALL.to_vec())) };
-    let by_name = |name: &str| Balancer::from_name(name).ok_or(format!("laurelstall-load: no balancer '{name}'"));
+    let by_name =
+        |name: &str| Balancer::from_name(name).ok_or(format!("laurelstall-load: no balancer '{name}'"));
     let balancers = names.split(',').map(by_name).collect::<Result<Vec<_>, _>>()?;
     Ok((scenario, balancers))
 }
@@ -108,8 +110,19 @@
     println!("{} at seed {}", scenario.name, arguments.seed);
     println!(
         "{:12} {:>8} {:>8} {:>8} {:>9} {:>8} {:>7} {:>7} {:>6} {:>6} {:>8} {:>8} {:>7}",
-        "balancer", "p50 ms", "p99 ms", "p99.9", "good/s", "not run", "unknown", "failed", "lost", "wrong", "handback",
-        "obs B/s", "cpu us"
+        "balancer",
+        "p50 ms",
+        "p99 ms",
+        "p99.9",
+        "good/s",
+        "not run",
+        "unknown",
+        "failed",
+        "lost",
+        "wrong",
+        "handback",
+        "obs B/s",
+        "cpu us"
     );
     for balancer in balancers {
         let thread = RuntimeThread::start("callers");
@@ -149,7 +162,11 @@
     }
 }
 
-fn write_files(arguments: &Arguments, scenario: &Scenario, results: &[(String, BalancerResult)]) -> Result<(), String> {
+fn write_files(
+    arguments: &Arguments,
+    scenario: &Scenario,
+    results: &[(String, BalancerResult)],
+) -> Result<(), String> {
     let own = results.iter().find(|(name, _)| name == "laurelstall").map(|(_, result)| result);
     let ratio = |other: &BalancerResult| {
         own.map(|own| Ratios {
--- a/crates/laurelstall_standin/src/bin/laurelstall-try.rs
+++ b/crates/laurelstall_standin/src/bin/laurelstall-try.rs
@@ -122,8 +122,7 @@
     let latency = latency_of(&finished);
     let added = |percent: f64| through.percentile_ms(percent) - direct.percentile_ms(percent);
     let per_node = seconds as f64 * nodes.len() as f64;
-    let observed: u64 =
-        nodes.iter().map(|(_, node)| node.entry.context.observer.budget().spent_bytes()).sum();
+    let observed: u64 = nodes.iter().map(|(_, node)| node.entry.context.observer.spent().bytes).sum();
     Ok(TryResult {
         totals,
         p50_ms: latency.percentile_ms(50.0),
--- a/crates/laurelstall_standin/src/callers.rs
+++ b/crates/laurelstall_standin/src/callers.rs
@@ -246,7 +246,8 @@
             let kind = if rng.random_bool(plan.write_share) { CallKind::Write } else { CallKind::Read };
             let key = format!("{}-{number}", plan.seed);
             number += 1;
-            let request = CallRequest { chain: chain.clone(), ..CallRequest::new(uri(entry, service), kind, &key) };
+            let request =
+                CallRequest { chain: chain.clone(), ..CallRequest::new(uri(entry, service), kind, &key) };
             let this = self.clone();
             let plan_start = plan.start;
             running.spawn(async move {
@@ -318,7 +319,8 @@
         if !call.chain.is_empty() {
             headers.insert(CHAIN, HeaderValue::from_str(&call.chain).expect("names are plain"));
         }
-        let called = timeout(CALL_TIMEOUT, self.read_answer(request, &call.key, &body, call.answer_bytes)).await;
+        let called =
+            timeout(CALL_TIMEOUT, self.read_answer(request, &call.key, &body, call.answer_bytes)).await;
         called.unwrap_or((Seen::Lost, "no answer in time".to_owned()))
     }
 
@@ -334,7 +336,8 @@
             Err(error) => return (Seen::Lost, error.to_string()),
         };
         let (parts, answer) = response.into_parts();
-        let reason = parts.headers.get(REASON).and_then(|reason| reason.to_str().ok()).unwrap_or_default().to_owned();
+        let reason =
+            parts.headers.get(REASON).and_then(|reason| reason.to_str().ok()).unwrap_or_default().to_owned();
         let outcome = parts.headers.get(OUTCOME).map(HeaderValue::as_bytes);
         match outcome {
             Some(b"not-run") => return (Seen::NotRun, reason),
--- a/crates/laurelstall_standin/src/experiment.rs
+++ b/crates/laurelstall_standin/src/experiment.rs
@@ -17,12 +17,7 @@
 use laurelstall_node::services::ChooserFactory;
 use rand::{RngExt, SeedableRng, rngs::SmallRng};
 use serde::Serialize;
-use std::{
-    collections::BTreeMap,
-    fs,
-    sync::Arc,
-    time::Instant as StdInstant,
-};
+use std::{collections::BTreeMap, fs, sync::Arc, time::Instant as StdInstant};
 use tokio::{
     task::JoinSet,
     time::{Duration, sleep},
@@ -187,7 +182,12 @@
 /// # Errors
 ///
 /// What kept the deployment from starting.
-pub async fn run(scenario: &Scenario, balancer: Balancer, tuning: Tuning, seed: u64) -> Result<BalancerResult, String> {
+pub async fn run(
+    scenario: &Scenario,
+    balancer: Balancer,
+    tuning: Tuning,
+    seed: u64,
+) -> Result<BalancerResult, String> {
     let plan = harness_plan(scenario, balancer, tuning, seed)?;
     let budget = plan.observe.bytes_per_s;
     let services = plan.services.iter().map(|service| service.name.clone()).collect::<Vec<_>>();
@@ -197,7 +197,8 @@
     let nodes = harness.nodes();
     let entries = Entries::new(nodes.iter().map(|(_, node)| node.entry_address).collect());
     let context = FaultContext { harness: harness.clone(), entries: entries.clone() };
-    let threads = (0..CALLER_THREADS).map(|n| RuntimeThread::start(&format!("callers-{n}"))).collect::<Vec<_>>();
+    let threads =
+        (0..CALLER_THREADS).map(|n| RuntimeThread::start(&format!("callers-{n}"))).collect::<Vec<_>>();
     let callers = threads.iter().map(|_| Callers::new(entries.clone())).collect::<Vec<_>>();
     let cpu_before_s = cpu_s();
     let started = StdInstant::now();
@@ -265,7 +266,9 @@
         hedges: counted("hedges"),
         attempts_per_call: counted("attempts") as f64 / counted("calls").max(1) as f64,
         cpu_us_per_call: measured.cpu_spent_s * 1e6 / calls,
-        attempts_per_call_max_level: measured.harness.attempts_per_call_max_level(measured.scenario.levels, totals.calls),
+        attempts_per_call_max_level: measured
+            .harness
+            .attempts_per_call_max_level(measured.scenario.levels, totals.calls),
         reasons: reasons(finished),
         windows: windows(finished, measured.scenario.seconds),
         cdf: latency.cdf(),
@@ -298,7 +301,12 @@
     (0..seconds * 1_000 / WINDOW_MS).map(of).collect()
 }
 
-fn harness_plan(scenario: &Scenario, balancer: Balancer, tuning: Tuning, seed: u64) -> Result<HarnessPlan, String> {
+fn harness_plan(
+    scenario: &Scenario,
+    balancer: Balancer,
+    tuning: Tuning,
+    seed: u64,
+) -> Result<HarnessPlan, String> {
     let plan = HarnessPlan::deployment(&scenario.deployment, scenario.services, scenario.service_mean_ms);
     let mut plan = plan.ok_or("no such deployment")?;
     if scenario.levels > 1 {
@@ -396,12 +404,13 @@
     for _ in 0..seconds * samples_per_s as u64 {
         sleep(Duration::from_millis(SAMPLE_MS)).await;
         let nodes = harness.nodes();
-        let now = nodes.iter().map(|(_, node)| node.entry.context.observer.budget().spent_bytes());
+        let now = nodes.iter().map(|(_, node)| node.entry.context.observer.spent().bytes);
         spent.push(now.collect());
     }
     let is_whole = |pair: &[Vec<u64>]| pair[0].len() == pair[pair.len() - 1].len();
     let windows = spent.windows(samples_per_s + 1).filter(|window| is_whole(window));
-    let grown = windows.flat_map(|w| w[0].iter().zip(&w[w.len() - 1]).map(|(from, to)| to.saturating_sub(*from)));
+    let grown =
+        windows.flat_map(|w| w[0].iter().zip(&w[w.len() - 1]).map(|(from, to)| to.saturating_sub(*from)));
     let grown = grown.collect::<Vec<_>>();
     let mean = grown.iter().sum::<u64>() as f64 / grown.len().max(1) as f64;
     (grown.iter().max().copied().unwrap_or(0), mean)
--- a/crates/laurelstall_standin/src/fault.rs
+++ b/crates/laurelstall_standin/src/fault.rs
@@ -1,6 +1,8 @@
 //! Faults of a scenario, each behind the same trait.
 
-use crate::{callers::Entries, harness::Harness, node_thread::NodeThread, scenario::FaultPlan, target::StandinTarget};
+use crate::{
+    callers::Entries, harness::Harness, node_thread::NodeThread, scenario::FaultPlan, target::StandinTarget,
+};
 use futures_util::future::{BoxFuture, FutureExt};
 use laurelstall_config::fleet::HostState;
 use serde::Deserialize;
@@ -71,8 +73,12 @@
                 Box::new(ColdStart { target: plan.target, factor: plan.factor, for_ms: plan.for_ms })
             }
             Self::NodePause => Box::new(NodePause { target: plan.target, for_ms: plan.for_ms }),
-            Self::NodeKill => Box::new(NodeStop { target: plan.target, is_planned: false, old: Mutex::default() }),
-            Self::NodeDrain => Box::new(NodeStop { target: plan.target, is_planned: true, old: Mutex::default() }),
+            Self::NodeKill => {
+                Box::new(NodeStop { target: plan.target, is_planned: false, old: Mutex::default() })
+            }
+            Self::NodeDrain => {
+                Box::new(NodeStop { target: plan.target, is_planned: true, old: Mutex::default() })
+            }
             Self::HostLeaving => Box::new(HostLeaving { target: plan.target }),
             Self::CutDataCentre => Box::new(CutDataCentre { number: plan.data_centre }),
             Self::PlatformAway => Box::new(PlatformFault { is_stale: false }),
--- a/crates/laurelstall_standin/src/harness.rs
+++ b/crates/laurelstall_standin/src/harness.rs
@@ -317,11 +317,8 @@
         admin: SocketAddr,
     ) -> Result<(), NodeError> {
         let bind = |address| StdListener::bind(address).map_err(|error| NodeError::Listen(address, error));
-        let sockets = Sockets {
-            entry: (bind(entry)?, entry),
-            peer: (bind(peer)?, peer),
-            admin: (bind(admin)?, admin),
-        };
+        let sockets =
+            Sockets { entry: (bind(entry)?, entry), peer: (bind(peer)?, peer), admin: (bind(admin)?, admin) };
         let options = {
             let hosts = self.hosts();
             let index = hosts.iter().position(|other| other.name == host).unwrap_or(0);
--- a/crates/laurelstall_standin/src/report.rs
+++ b/crates/laurelstall_standin/src/report.rs
@@ -31,7 +31,11 @@
 
 type Area<'a> = DrawingArea<SVGBackend<'a>, plotters::coord::Shift>;
 
-fn draw_time(area: &Area<'_>, title: &str, results: &[(String, BalancerResult)]) -> Result<(), Box<dyn Error>> {
+fn draw_time(
+    area: &Area<'_>,
+    title: &str,
+    results: &[(String, BalancerResult)],
+) -> Result<(), Box<dyn Error>> {
     let windows = || results.iter().flat_map(|(_, result)| &result.windows);
     let end_ms = windows().map(|window| window.from_ms).max().unwrap_or(1_000) as f64;
     let most_ms = windows().map(|window| window.p99_ms).fold(10.0, f64::max);
@@ -43,7 +47,8 @@
         .build_cartesian_2d(0.0..end_ms / 1_000.0, (1.0..most_ms * 1.2).log_scale())?;
     chart.configure_mesh().draw()?;
     for ((name, result), colour) in results.iter().zip(COLOURS) {
-        let points = result.windows.iter().map(|window| (window.from_ms as f64 / 1_000.0, window.p99_ms.max(1.0)));
+        let points =
+            result.windows.iter().map(|window| (window.from_ms as f64 / 1_000.0, window.p99_ms.max(1.0)));
         let series = chart.draw_series(LineSeries::new(points, colour.stroke_width(2)))?;
         series.label(name).legend(move |(x, y)| PathElement::new([(x, y), (x + 20, y)], colour));
     }
--- a/crates/laurelstall_standin/src/scenario.rs
+++ b/crates/laurelstall_standin/src/scenario.rs
@@ -145,9 +145,11 @@
     pub fn stretches(&self) -> Vec<(u64, u64, u64)> {
         let end_ms = self.seconds * 1_000;
         let mut starts = vec![0];
-        starts.extend(self.phases.iter().map(|phase| phase.from_ms).filter(|from| *from > 0 && *from < end_ms));
+        starts
+            .extend(self.phases.iter().map(|phase| phase.from_ms).filter(|from| *from > 0 && *from < end_ms));
         let next = |index: usize| starts.get(index + 1).copied().unwrap_or(end_ms);
-        let stretch = |(index, start): (usize, &u64)| (*start, next(index) - start, self.load_percent_at(*start));
+        let stretch =
+            |(index, start): (usize, &u64)| (*start, next(index) - start, self.load_percent_at(*start));
         starts.iter().enumerate().map(stretch).collect()
     }
 
--- a/crates/laurelstall_standin/src/target.rs
+++ b/crates/laurelstall_standin/src/target.rs
@@ -264,7 +264,9 @@
         }
         self.made.fetch_add(1, Ordering::Relaxed);
         match self.client.request(call).await {
-            Ok(response) if response.status() == StatusCode::OK => response.into_body().collect().await.is_ok(),
+            Ok(response) if response.status() == StatusCode::OK => {
+                response.into_body().collect().await.is_ok()
+            }
             _ => false,
         }
     }
