--- a/crates/laurelstall_balance/src/service_balancer.rs
+++ b/crates/laurelstall_balance/src/service_balancer.rs
@@ -197,15 +197,15 @@
         !self.is_queueing(now_us) && self.hedges.try_spend()
     }
 
-    /// Whether most targets that spoke lately have half a wave of calls waiting.
+    /// Whether two thirds of the live targets said lately that half a wave of calls waits.
     pub fn is_queueing(&self, now_us: u64) -> bool {
-        let fresh = self.targets.iter().filter_map(|view| view.hint(now_us));
-        let (mut spoke, mut queueing) = (0, 0);
-        for (hint, _) in fresh.filter(|(_, age_us)| *age_us < QUEUEING_HINT_AGE_US) {
-            spoke += 1;
-            queueing += u32::from(hint.queued * 2 >= hint.limit);
-        }
-        queueing * 3 > spoke * 2
+        let live = self.targets.iter().filter(|view| view.is_live);
+        let is_queueing = |view: &&TargetView| {
+            let hint = view.hint(now_us).filter(|(_, age_us)| *age_us < QUEUEING_HINT_AGE_US);
+            hint.is_some_and(|(hint, _)| hint.queued * 2 >= hint.limit)
+        };
+        let queueing = live.clone().filter(is_queueing).count();
+        queueing * 3 > live.count() * 2
     }
 
     /// The target that a probe would tell most of: an eligible one with the oldest hint.
--- a/crates/laurelstall_balance/src/target_view.rs
+++ b/crates/laurelstall_balance/src/target_view.rs
@@ -11,6 +11,8 @@
 const LATENCY_WEIGHT: f64 = 0.2;
 /// Time in which the memory of errors halves, in µs: a target that failed is tried again.
 const ERROR_HALF_LIFE_US: f64 = 1_000_000.0;
+/// Share of errors below which they are forgotten; else a tie would be lost for ever.
+const ERROR_RATE_MIN: f64 = 0.001;
 /// Age at which a hint counts half, in µs: about two service times (measured, `docs/CHOICE.md`).
 pub const HINT_HALF_AGE_US: f64 = 20_000.0;
 
@@ -158,11 +160,9 @@
 
     /// Share of recent attempts that failed, 0 to 1; it fades with time.
     pub fn error_rate(&self, now_us: u64) -> f64 {
-        if self.error_rate == 0.0 {
-            return 0.0;
-        }
         let passed_us = now_us.saturating_sub(self.error_at_us) as f64;
-        self.error_rate * (-passed_us / ERROR_HALF_LIFE_US).exp2()
+        let rate = self.error_rate * (-passed_us / ERROR_HALF_LIFE_US).exp2();
+        if rate < ERROR_RATE_MIN { 0.0 } else { rate }
     }
 
     /// Average latency of recent successes in µs; 0 when there was none.
--- /dev/null
+++ b/crates/laurelstall_cli/src/bin/laurelstall-check.rs
@@ -0,0 +1,92 @@
+//! Checks node settings, published documents and programs as a node would, all faults at once.
+
+use gumdrop::Options;
+use http::{HeaderMap, HeaderName, HeaderValue};
+use laurelstall_cli::{FAILED, FINE, WRONG_USE, check};
+use laurelstall_config::team::Team;
+use std::process::ExitCode;
+
+#[derive(Debug, Options)]
+struct Arguments {
+    #[options(help = "print this help")]
+    help: bool,
+    #[options(help = "print the version")]
+    version: bool,
+    #[options(help = "run the team's program on 'METHOD PATH' and print its decision", meta = "REQUEST")]
+    request: Option<String>,
+    #[options(help = "header of that request, may be given again", no_short, meta = "NAME:VALUE")]
+    header: Vec<String>,
+    #[options(free, help = "files to check")]
+    files: Vec<String>,
+}
+
+fn main() -> ExitCode {
+    let arguments = Arguments::parse_args_default_or_exit();
+    if arguments.version {
+        println!("laurelstall-check {}", env!("CARGO_PKG_VERSION"));
+        return ExitCode::from(FINE);
+    }
+    if arguments.files.is_empty() {
+        eprintln!("laurelstall-check: FILE... is needed; see --help");
+        return ExitCode::from(WRONG_USE);
+    }
+    let mut code = FINE;
+    for file in &arguments.files {
+        code = code.max(check_file(file, &arguments));
+    }
+    ExitCode::from(code)
+}
+
+fn check_file(file: &str, arguments: &Arguments) -> u8 {
+    let text = match std::fs::read_to_string(file) {
+        Ok(text) => text,
+        Err(error) => {
+            eprintln!("{file}: {error}");
+            return WRONG_USE;
+        }
+    };
+    let problems = check::check_text(file, &text);
+    for problem in &problems {
+        eprintln!("{problem}");
+    }
+    if !problems.is_empty() {
+        return WRONG_USE;
+    }
+    println!("{file}: right");
+    match &arguments.request {
+        Some(described) => run_program(file, &text, described, &arguments.header),
+        None => FINE,
+    }
+}
+
+fn run_program(file: &str, text: &str, described: &str, headers: &[String]) -> u8 {
+    let Ok(team) = Team::from_text(file, text) else { return FINE };
+    let headers = match read_headers(headers) {
+        Ok(headers) => headers,
+        Err(message) => {
+            eprintln!("laurelstall-check: {message}");
+            return WRONG_USE;
+        }
+    };
+    match check::decide(&team, described, &headers) {
+        Ok(plan) => {
+            println!("{described}: {plan:?}");
+            FINE
+        }
+        Err(message) => {
+            eprintln!("{file}: program: {message}");
+            FAILED
+        }
+    }
+}
+
+fn read_headers(pairs: &[String]) -> Result<HeaderMap, String> {
+    let mut headers = HeaderMap::new();
+    for pair in pairs {
+        let (name, value) = pair.split_once(':').ok_or(format!("'{pair}' is not NAME:VALUE"))?;
+        let name = HeaderName::from_bytes(name.trim().as_bytes()).map_err(|error| error.to_string())?;
+        let value = HeaderValue::from_str(value.trim()).map_err(|error| error.to_string())?;
+        headers.append(name, value);
+    }
+    Ok(headers)
+}
--- /dev/null
+++ b/crates/laurelstall_cli/tests/check.rs
@@ -0,0 +1,67 @@
+//! The examples are right, and wrong files are said to be wrong.
+
+use http::HeaderMap;
+use laurelstall_cli::check::{FileKind, check_text, decide, kind_of};
+use laurelstall_config::{
+    configuration::{Checked, Configuration},
+    document::{Document, DocumentName},
+    team::Team,
+};
+use laurelstall_policy::plan::Plan;
+use std::{fs, path::PathBuf};
+
+fn example(name: &str) -> Vec<(String, String)> {
+    let folder = PathBuf::from(env!("CARGO_MANIFEST_DIR")).join("../../examples").join(name);
+    let files = fs::read_dir(folder).expect("the folder is there").flatten();
+    let read =
+        |path: PathBuf| (path.display().to_string(), fs::read_to_string(&path).expect("a readable file"));
+    files.map(|entry| read(entry.path())).collect()
+}
+
+#[test]
+fn the_deployments_of_both_users_are_right_and_complete() {
+    for name in ["faltgard", "kuantan"] {
+        let files = example(name);
+        assert_eq!(files.len(), 4, "{name}");
+        let mut configuration = Configuration::default();
+        for (file, text) in &files {
+            assert_eq!(check_text(file, text), Vec::new(), "{file}");
+            let Some(FileKind::Document(name)) = kind_of(text) else { continue };
+            let document = Document { name: name.clone(), version: 1, text: text.clone() };
+            let checked = Checked::from_document(&document).expect("it was checked");
+            configuration = configuration.with_document(&name, 1, checked);
+        }
+        assert_eq!(configuration.services().count(), 4, "{name}");
+        for (service, plan) in configuration.services() {
+            for target in &plan.targets {
+                assert!(configuration.fleet.host(&target.host).is_some(), "{service}: {}", target.host);
+            }
+        }
+    }
+}
+
+#[test]
+fn a_program_is_run_on_a_described_request() {
+    let files = example("faltgard");
+    let (file, text) = files.iter().find(|(file, _)| file.contains("team-")).expect("a team's document");
+    let team = Team::from_text(file, text).expect("right");
+    let Ok(Plan::Route(route)) = decide(&team, "POST /sell/wheat", &HeaderMap::new()) else {
+        panic!("no route")
+    };
+    assert_eq!((route.service.as_str(), route.may_repeat), ("crop-trading", false));
+    assert!(matches!(decide(&team, "GET /nowhere", &HeaderMap::new()), Ok(Plan::Refuse(_))));
+    assert!(decide(&team, "GET", &HeaderMap::new()).is_err());
+}
+
+#[test]
+fn wrong_files_are_said_to_be_wrong_with_their_place() {
+    let text = "team = \"a\"\ncaller_hosts = [\"h\"]\nprogram = \"\"\"\n#{ service: }\n\"\"\"\n[[service]]\nname = \"s\"\n";
+    let problems = check_text("team-a.toml", text);
+    assert_eq!(
+        (problems.len(), problems[0].file.as_str(), problems[0].line),
+        (1, "team-a.toml", 4),
+        "{problems:?}"
+    );
+    assert!(!check_text("x.toml", "nonsense").is_empty());
+    assert_eq!(kind_of("[observe]\n"), Some(FileKind::Document(DocumentName::System)));
+}
--- /dev/null
+++ b/crates/laurelstall_config/tests/documents.rs
@@ -0,0 +1,118 @@
+//! What is accepted, what is refused, and how it is said.
+
+use laurelstall_config::{
+    configuration::{Checked, Configuration},
+    document::{Document, DocumentName},
+    settings::Settings,
+    system::SystemLimits,
+    team::Team,
+};
+
+const SETTINGS: &str = r#"
+[node]
+host = "a-1"
+data_centre = "sv-1"
+entry_address = "127.0.0.1:8080"
+peer_address = "127.0.0.1:7070"
+admin_address = "127.0.0.1:7071"
+
+[platform]
+address = "127.0.0.1:6000"
+"#;
+
+fn team_text(team: &str, host: &str) -> String {
+    format!("team = \"{team}\"\ncaller_hosts = [\"{host}\"]\nprogram = \"1\"\n[[service]]\nname = \"s\"\n")
+}
+
+fn team_document(team: &str, host: &str) -> Document {
+    Document { name: DocumentName::Team(team.to_owned()), version: 1, text: team_text(team, host) }
+}
+
+#[test]
+fn settings_have_defaults() {
+    let settings = Settings::from_text("node.toml", SETTINGS).expect("the settings are right");
+    assert_eq!(settings.callers.depth_max, 16);
+    assert!(settings.target.is_none());
+}
+
+#[test]
+fn all_faults_are_said_at_once_with_file_line_and_field() {
+    let text = format!("{SETTINGS}watch_wait_ms = 1\n[callers]\nconnections = 0\nstreams = 99999\n");
+    let error = Settings::from_text("node.toml", &text).expect_err("three fields are out of range");
+    let said = error.problems().iter().map(ToString::to_string).collect::<Vec<_>>();
+    assert_eq!(said.len(), 3, "{said:?}");
+    assert!(said[0].starts_with("node.toml:11: platform.watch_wait_ms: 1 is not in"), "{said:?}");
+    assert!(said[1].starts_with("node.toml:13: callers.connections"), "{said:?}");
+}
+
+#[test]
+fn unknown_fields_are_refused() {
+    let error =
+        Settings::from_text("node.toml", &SETTINGS.replace("host =", "hostt =")).expect_err("no such field");
+    assert!(error.to_string().contains("hostt"), "{error}");
+    let error = SystemLimits::from_text("system", "[observe]\nbytes = 1\n").expect_err("the unit is missing");
+    assert!(error.to_string().contains("system:2"), "{error}");
+}
+
+#[test]
+fn names_cannot_collide() {
+    for name in ["a/b", "A", "", "a b", "ä"] {
+        let text = team_text("t", "h").replace("name = \"s\"", &format!("name = \"{name}\""));
+        assert!(Team::from_text("team", &text).is_err(), "'{name}' was accepted");
+    }
+}
+
+#[test]
+fn a_document_must_be_of_the_team_it_is_published_for() {
+    let document = Document { name: DocumentName::Team("b".to_owned()), ..team_document("a", "h") };
+    assert!(Checked::from_document(&document).is_err());
+}
+
+#[test]
+fn a_claimed_host_goes_to_the_same_team_whatever_came_first() {
+    let (a, b) = (team_document("a", "shop.example"), team_document("b", "shop.example"));
+    let build = |documents: [&Document; 2]| {
+        let mut configuration = Configuration::default();
+        for document in documents {
+            let checked = Checked::from_document(document).expect("each alone is right");
+            configuration = configuration.with_document(&document.name, 1, checked);
+        }
+        configuration
+    };
+    for configuration in [build([&a, &b]), build([&b, &a])] {
+        let team = configuration.team_of_caller_host("shop.example").expect("one of them holds it");
+        assert_eq!(team.team, "a");
+        assert_eq!(configuration.caller_host_conflicts().len(), 1);
+    }
+}
+
+#[test]
+fn distances_count_both_ways() {
+    let text = "[[distance]]\nfrom = \"a\"\nto = \"b\"\none_way_us = 7\n";
+    let limits = SystemLimits::from_text("system", text).expect("right");
+    assert_eq!(
+        (limits.distance_us("a", "b"), limits.distance_us("b", "a"), limits.distance_us("a", "a")),
+        (7, 7, 0)
+    );
+}
+
+#[test]
+fn any_text_is_read_without_a_panic() {
+    bolero::check!().with_type::<String>().with_iterations(2_000).for_each(|text| {
+        let _ = Settings::from_text("any", text);
+        let _ = Team::from_text("any", text);
+        let _ = SystemLimits::from_text("any", text);
+        let _ = DocumentName::from_key(text);
+    });
+}
+
+#[test]
+fn a_right_text_with_any_byte_changed_is_read_without_a_panic() {
+    let text = team_text("a", "shop.example");
+    bolero::check!().with_type::<(usize, char)>().with_iterations(4_000).for_each(|(at, character)| {
+        let mut changed = text.clone();
+        let at = at % text.len();
+        changed.replace_range(at..=at, &character.to_string());
+        let _ = Team::from_text("any", &changed);
+    });
+}
--- /dev/null
+++ b/crates/laurelstall_node/benches/decisions.rs
@@ -0,0 +1,105 @@
+//! What each decision costs: `cargo bench -p laurelstall_node`.
+
+use criterion::{Criterion, criterion_group, criterion_main};
+use http::HeaderMap;
+use laurelstall_balance::{
+    hint::{Hint, TargetState},
+    least_wait::LeastWait,
+    service_balancer::{Choosing, ServiceBalancer},
+    target_view::TargetView,
+};
+use laurelstall_config::{settings::DecisionFormat, team::ServiceLimits};
+use laurelstall_guard::ledger::{Begin, Ledger};
+use laurelstall_node::{
+    counters::Counters,
+    decision_log::{Decision, DecisionLog},
+};
+use laurelstall_policy::program::{Program, RequestView};
+use std::{hint::black_box, sync::Arc};
+
+const PROGRAM: &str = r#"
+if path.starts_with("/sell") { return #{ service: "trade", importance: 8 }; }
+if path.starts_with("/plant") { return #{ service: "fields", importance: 8 }; }
+#{ service: "market", repeat: method == "GET", tries: 3, budget_ms: 2000 }
+"#;
+
+fn policy(criterion: &mut Criterion) {
+    let program = Program::compile(PROGRAM).expect("it compiles");
+    let headers = HeaderMap::new();
+    let request = RequestView { method: "GET", host: "a", path: "/market/1", headers: &headers };
+    criterion.bench_function("policy of three rules", |b| b.iter(|| program.decide(black_box(&request))));
+}
+
+fn balancer(targets: usize) -> ServiceBalancer {
+    let limits = ServiceLimits::default();
+    let mut balancer = ServiceBalancer::new(limits, Box::new(LeastWait::default()), 1);
+    let view = |n: usize| TargetView::new(&format!("target-{n}"), &format!("host-{n}"), 12, 100, 0);
+    balancer.set_targets(limits, (0..targets).map(view).collect());
+    balancer
+}
+
+fn hint(load: u32) -> Hint {
+    Hint {
+        incarnation: 1,
+        in_flight: load,
+        queued: 0,
+        limit: 12,
+        service_us: 10_000,
+        state: TargetState::Serving,
+    }
+}
+
+fn choice(criterion: &mut Criterion) {
+    for targets in [4, 18, 550] {
+        let mut balancer = balancer(targets);
+        for index in 0..targets {
+            balancer.take_hint(index, &format!("target-{index}"), hint(index as u32 % 12), 1_000_000);
+        }
+        let choosing = Choosing { excluded: &[], only: None, now_us: 1_001_000 };
+        criterion.bench_function(&format!("choice among {targets}"), |b| {
+            b.iter(|| balancer.choose(black_box(&choosing)))
+        });
+    }
+}
+
+fn hint_update(criterion: &mut Criterion) {
+    let mut balancer = balancer(550);
+    criterion.bench_function("hint update", |b| {
+        b.iter(|| balancer.take_hint(77, "target-77", black_box(hint(3)), 1_000_000))
+    });
+}
+
+fn ledger(criterion: &mut Criterion) {
+    let mut ledger = Ledger::new(1, 1_000_000);
+    let mut now_us = 0;
+    criterion.bench_function("ticket given, begun and ended", |b| {
+        b.iter(|| {
+            now_us += 10;
+            let (first, _) = ledger.give(1, 1_000, now_us);
+            if let Begin::Run(token) = ledger.begin(1, first, now_us) {
+                ledger.end_unknown(token);
+            }
+        });
+    });
+}
+
+fn decision_log(criterion: &mut Criterion) {
+    let log = DecisionLog::new(DecisionFormat::Human, 4_096, Arc::new(Counters::default()));
+    let decision = Decision {
+        call: 1,
+        attempt: 1,
+        service: "team/service".to_owned(),
+        version: 1,
+        target: "target-1".to_owned(),
+        why: "least expected time".to_owned(),
+        expected_us: 100,
+        runner_up: Some(("target-2".to_owned(), 200)),
+        targets: 18,
+        outcome: "answered".to_owned(),
+        took_us: 300,
+    };
+    criterion.bench_function("decision handed to the log", |b| b.iter(|| log.write(decision.clone())));
+}
+
+criterion_group!(benches, policy, choice, hint_update, ledger, decision_log);
+criterion_main!(benches);
--- a/crates/laurelstall_node/src/active.rs
+++ b/crates/laurelstall_node/src/active.rs
@@ -69,12 +69,14 @@
         Ok(program) => return Ok(program),
         Err(error) => error,
     };
-    let start = document.text.lines().position(|line| line.trim_start().starts_with("program"));
+    // A text that starts on the line after its quotes counts its own lines from there.
+    let start = document.text.lines().enumerate().find(|(_, line)| line.trim_start().starts_with("program"));
+    let start = start.map_or(0, |(index, line)| index + usize::from(line.trim_end().ends_with("\"\"\"")));
     let offset = match &error {
         ProgramError::Compile(line, _) => *line,
         _ => 0,
     };
-    check.push(start.unwrap_or(0) + offset.max(1), "program", &error.to_string());
+    check.push(start + offset.max(1), "program", &error.to_string());
     check.finish()?;
     unreachable!("a problem was noted")
 }
--- a/crates/laurelstall_node/src/entry.rs
+++ b/crates/laurelstall_node/src/entry.rs
@@ -136,10 +136,6 @@
                 "too many header fields",
             ));
         }
-        let has = |name: http::HeaderName| parts.headers.contains_key(name);
-        if has(http::header::TRANSFER_ENCODING) && has(http::header::CONTENT_LENGTH) {
-            return Err(Rejection::new(StatusCode::BAD_REQUEST, "both content-length and transfer-encoding"));
-        }
         let depth = read_number(&parts.headers, &DEPTH).map_err(bad_number)?.unwrap_or(0);
         if depth >= u64::from(self.limits.depth_max) {
             return Err(Rejection::new(StatusCode::LOOP_DETECTED, "calls too deep"));
--- a/crates/laurelstall_node/src/listener.rs
+++ b/crates/laurelstall_node/src/listener.rs
@@ -21,6 +21,7 @@
 use tokio::{
     net::{TcpListener, TcpStream},
     sync::{Semaphore, watch},
+    task::JoinSet,
     time::{Duration, timeout},
 };
 
@@ -62,12 +63,16 @@
     }
 
     /// Takes connections until it is time to stop; returns when the last one has ended.
+    ///
+    /// Dropping it breaks all connections, as a crash would.
     pub async fn serve(mut self, listener: TcpListener) {
         let builder = self.builder();
         let graceful = GracefulShutdown::new();
         let places = Arc::new(Semaphore::new(self.limits.connections));
         let refused_places = Arc::new(Semaphore::new(REFUSED_CONNECTIONS_MAX));
+        let mut serving = JoinSet::new();
         loop {
+            while serving.try_join_next().is_some() {}
             let accepted = tokio::select! {
                 accepted = listener.accept() => accepted,
                 _ = self.stopping.wait_for(|is_stopping| *is_stopping) => break,
@@ -80,7 +85,7 @@
             let Ok(place) = places.clone().try_acquire_owned() else {
                 count(&self.counters.connections_refused);
                 if let Ok(place) = refused_places.clone().try_acquire_owned() {
-                    tokio::spawn(async move {
+                    serving.spawn(async move {
                         let _place = place;
                         refuse_connection(stream).await;
                     });
@@ -101,7 +106,7 @@
             let io = TokioIo::new(IdleStream::new(stream, idle));
             let connection = builder.serve_connection(io, service).into_owned();
             let connection = graceful.watch(connection);
-            tokio::spawn(async move {
+            serving.spawn(async move {
                 let _place = place;
                 if let Err(error) = connection.await {
                     log::debug!("caller's connection ended: {error}");
--- a/crates/laurelstall_peer/src/client.rs
+++ b/crates/laurelstall_peer/src/client.rs
@@ -203,7 +203,7 @@
     }
 }
 
-/// What a broken stream proves: only the library's word REFUSED_STREAM means *not run*.
+/// What a broken stream proves: only the library's word `REFUSED_STREAM` means *not run*.
 fn broken(error: &h2::Error, unread: Option<AnswerBody>) -> AttemptAnswer {
     let is_refused = error.is_remote() && error.reason() == Some(Reason::REFUSED_STREAM);
     if !is_refused {
--- a/crates/laurelstall_peer/src/server.rs
+++ b/crates/laurelstall_peer/src/server.rs
@@ -27,6 +27,7 @@
 use tokio::{
     net::{TcpListener, TcpStream},
     sync::{Semaphore, oneshot, watch},
+    task::JoinSet,
     time::{Duration, timeout},
 };
 
@@ -65,13 +66,17 @@
         Arc::new(Self { handler, meter, connections: Arc::new(Semaphore::new(CONNECTIONS_MAX)), stopping })
     }
 
-    /// Takes connections until it is dropped or [`stop`](Self::stop) is called.
+    /// Takes connections until [`stop`](Self::stop) is called, and returns when the last has ended.
+    ///
+    /// Dropping it breaks all connections, as a crash would.
     pub async fn serve(self: Arc<Self>, listener: TcpListener) {
         let mut stopping = self.stopping.subscribe();
+        let mut serving = JoinSet::new();
         loop {
+            while serving.try_join_next().is_some() {}
             let accepted = tokio::select! {
                 accepted = listener.accept() => accepted,
-                _ = stopping.wait_for(|is_stopping| *is_stopping) => return,
+                _ = stopping.wait_for(|is_stopping| *is_stopping) => break,
             };
             let Ok((stream, from)) = accepted else {
                 // Out of descriptors, or a connection that was gone at once.
@@ -83,13 +88,15 @@
             }
             let Ok(permit) = self.connections.clone().try_acquire_owned() else { continue };
             let this = self.clone();
-            tokio::spawn(async move {
+            serving.spawn(async move {
                 let _permit = permit;
                 if let Err(error) = this.serve_connection(stream, from).await {
                     log::debug!("connection from {from} ended: {error}");
                 }
             });
         }
+        drop(listener);
+        while serving.join_next().await.is_some() {}
     }
 
     /// Takes no new connections or streams; those that run go on.
@@ -109,7 +116,9 @@
         let mut connection = connection?;
         let mut stopping = self.stopping.subscribe();
         let mut is_stopping = false;
+        let mut streams = JoinSet::new();
         loop {
+            while streams.try_join_next().is_some() {}
             let accepted = tokio::select! {
                 accepted = connection.accept() => accepted,
                 _ = stopping.wait_for(|is_stopping| *is_stopping), if !is_stopping => {
@@ -121,7 +130,7 @@
             let Some(accepted) = accepted else { return Ok(()) };
             let (request, respond) = accepted?;
             let this = self.clone();
-            tokio::spawn(async move {
+            streams.spawn(async move {
                 if let Err(error) = this.serve_stream(request, respond, from).await {
                     log::debug!("stream from {from} ended: {error}");
                 }
--- /dev/null
+++ b/crates/laurelstall_peer/tests/messages.rs
@@ -0,0 +1,107 @@
+//! Messages: what they cost, and that nothing from outside is misread.
+
+use laurelstall_balance::hint::{HINT_BYTES, Hint, TargetState};
+use laurelstall_config::document::DocumentName;
+use laurelstall_guard::refusal::{Refusal, RefusalReason};
+use laurelstall_peer::{
+    frame::{MESSAGE_VERSION, decode, encode},
+    message::{AttemptHead, BodyKind, PeerAnswer, PeerRequest, PullItem, WireRefusal},
+};
+
+/// Version and length before each message.
+const PREFIX_BYTES: usize = 5;
+
+fn head() -> AttemptHead {
+    AttemptHead {
+        call_id: 1,
+        service: "t/s".to_owned(),
+        target: "a".to_owned(),
+        method: "GET".to_owned(),
+        uri: "/x".to_owned(),
+        headers: vec![("host".to_owned(), b"a".to_vec())],
+        budget_us: 1,
+        importance: 5,
+        may_hand_back: true,
+        hand_backs: 0,
+        ticket: Some((1, 2)),
+        body: BodyKind::Empty,
+        wants_hint: true,
+    }
+}
+
+#[test]
+fn a_message_is_read_as_it_was_written() {
+    let request = PeerRequest::Attempt(head());
+    let frame = encode(&request);
+    assert_eq!(frame[0], MESSAGE_VERSION);
+    assert_eq!(decode::<PeerRequest>(&frame[PREFIX_BYTES..]).expect("it is whole"), request);
+}
+
+#[test]
+fn what_this_version_does_not_know_is_refused() {
+    let mut longer = encode(&PeerRequest::Probe).to_vec();
+    longer.push(0);
+    assert!(decode::<PeerRequest>(&longer[PREFIX_BYTES..]).is_err());
+    assert!(decode::<PeerRequest>(&[250]).is_err());
+}
+
+#[test]
+fn every_reason_travels() {
+    use RefusalReason as R;
+    let reasons = [
+        R::Draining,
+        R::QueueFull,
+        R::Deadline,
+        R::HandedBack,
+        R::OtherTarget,
+        R::Unreadable,
+        R::NoConnection,
+        R::Shed,
+        R::Stranger,
+        R::NoTarget,
+        R::TicketVoid,
+    ];
+    for reason in reasons {
+        let refusal = Refusal { reason, retry_after_ms: 9 };
+        assert_eq!(Refusal::from(WireRefusal::from(refusal)), refusal);
+    }
+}
+
+#[test]
+fn a_hint_costs_no_more_than_the_budget_is_charged() {
+    let largest = Hint {
+        incarnation: u32::MAX,
+        in_flight: u32::MAX,
+        queued: u32::MAX,
+        limit: u32::MAX,
+        service_us: u32::MAX,
+        state: TargetState::Draining,
+    };
+    let answer = |hint: Option<Hint>| {
+        let refusal = Refusal::new(RefusalReason::QueueFull).into();
+        encode(&PeerAnswer::NotRun { call_id: 1, refusal, hint: hint.map(Into::into) }).len() as u64
+    };
+    assert!(answer(Some(largest)) - answer(None) <= HINT_BYTES);
+}
+
+#[test]
+fn any_bytes_are_read_without_a_panic_or_much_memory() {
+    bolero::check!().with_type::<Vec<u8>>().with_iterations(20_000).for_each(|bytes| {
+        let _ = decode::<PeerRequest>(bytes);
+        let _ = decode::<PeerAnswer>(bytes);
+    });
+}
+
+#[test]
+fn a_right_message_with_any_byte_changed_is_read_without_a_panic() {
+    let item = PullItem { name: DocumentName::Team("a".to_owned()), known_version: 3, known_checksum: 4 };
+    let messages = [PeerRequest::Attempt(head()), PeerRequest::Pull(vec![item])];
+    bolero::check!().with_type::<(usize, usize, u8)>().with_iterations(20_000).for_each(
+        |(which, at, byte)| {
+            let mut bytes = encode(&messages[which % 2])[PREFIX_BYTES..].to_vec();
+            let at = at % bytes.len();
+            bytes[at] = *byte;
+            let _ = decode::<PeerRequest>(&bytes);
+        },
+    );
+}
--- /dev/null
+++ b/crates/laurelstall_peer/tests/store.rs
@@ -0,0 +1,129 @@
+//! Documents: only newer ones are taken, whole or not at all, whatever comes in whatever order.
+
+use laurelstall_config::{
+    document::{Document, DocumentName},
+    problem::{Checker, ConfigError},
+};
+use laurelstall_peer::{
+    message::{PullItem, TransferText},
+    store::{Acceptor, Offer, Store},
+};
+use rand::{RngExt, SeedableRng, rngs::SmallRng};
+use std::sync::Mutex;
+
+/// Takes any text but "bad".
+#[derive(Debug, Default)]
+struct Accepting {
+    taken: Mutex<Vec<u64>>,
+}
+
+impl Acceptor for Accepting {
+    fn accept(&self, document: &Document) -> Result<(), ConfigError> {
+        let mut check = Checker::new("test", &document.text);
+        check.ensure(document.text != "bad", "text", "is bad");
+        check.finish()?;
+        self.taken.lock().expect("no panic").push(document.version);
+        Ok(())
+    }
+}
+
+fn document(version: u64, text: &str) -> Document {
+    Document { name: DocumentName::System, version, text: text.to_owned() }
+}
+
+#[test]
+fn an_older_version_never_comes_back() {
+    let (mut store, acceptor) = (Store::default(), Accepting::default());
+    assert!(matches!(store.offer(document(5, "five"), &acceptor), Offer::Taken));
+    assert!(matches!(store.offer(document(4, "four"), &acceptor), Offer::NotNewer));
+    assert!(matches!(store.offer(document(5, "five"), &acceptor), Offer::NotNewer));
+    assert!(matches!(store.offer(document(0, "none"), &acceptor), Offer::NotNewer));
+    assert_eq!(store.document(&DocumentName::System).map(|d| d.text.as_str()), Some("five"));
+}
+
+#[test]
+fn a_bad_document_leaves_the_good_one_and_is_not_fetched_again() {
+    let (mut store, acceptor) = (Store::default(), Accepting::default());
+    store.offer(document(1, "one"), &acceptor);
+    assert!(matches!(store.offer(document(2, "bad"), &acceptor), Offer::Refused(_)));
+    assert_eq!(store.version(&DocumentName::System), 1);
+    assert!(!store.wants(&DocumentName::System, 2));
+    assert!(store.wants(&DocumentName::System, 3));
+    assert_eq!(store.refused().count(), 1);
+    store.offer(document(3, "three"), &acceptor);
+    assert_eq!(store.refused().count(), 0);
+}
+
+#[test]
+fn the_same_version_with_another_text_is_a_conflict_and_changes_nothing() {
+    let (mut store, acceptor) = (Store::default(), Accepting::default());
+    store.offer(document(1, "one"), &acceptor);
+    assert!(matches!(store.offer(document(1, "other"), &acceptor), Offer::Conflict));
+    assert_eq!(store.document(&DocumentName::System).map(|d| d.text.as_str()), Some("one"));
+    assert_eq!(store.conflicts(), 1);
+}
+
+#[test]
+fn a_delta_rebuilds_the_text_and_a_wrong_base_is_found_out() {
+    let acceptor = Accepting::default();
+    let (mut ahead, mut behind) = (Store::default(), Store::default());
+    let long = (0..200).map(|n| format!("line {n} of a document\n")).collect::<String>();
+    ahead.offer(document(1, &long), &acceptor);
+    behind.offer(document(1, &long), &acceptor);
+    ahead.offer(document(2, &long.replace("line 7 ", "line seven ")), &acceptor);
+    let items = behind.behind(&ahead.versions());
+    let transfer = ahead.pack(&items[0]).expect("it is newer");
+    let TransferText::Delta(packed) = &transfer.text else { panic!("the base is known") };
+    assert!(packed.len() * 20 < long.len(), "{} bytes", packed.len());
+    assert_eq!(behind.unpack(&transfer).expect("the base fits").version, 2);
+    // Another node whose version 1 has another text: the checksum does not match.
+    let mut other = Store::default();
+    other.offer(document(1, &long.replace("document", "paragraph")), &acceptor);
+    assert!(other.unpack(&transfer).is_err());
+    let item = PullItem { known_checksum: 1, ..items[0].clone() };
+    let whole = ahead.pack(&item).expect("it is newer");
+    assert!(matches!(whole.text, TransferText::Whole(_)));
+    assert!(other.unpack(&whole).is_ok());
+}
+
+#[test]
+fn a_transfer_that_was_tampered_with_is_refused() {
+    let acceptor = Accepting::default();
+    let mut store = Store::default();
+    store.offer(document(1, "some text that is long enough to be packed"), &acceptor);
+    let item = PullItem { name: DocumentName::System, known_version: 0, known_checksum: 0 };
+    let whole = store.pack(&item).expect("it is newer");
+    let empty = Store::default();
+    bolero::check!().with_type::<(usize, u8, u32)>().with_iterations(3_000).for_each(|(at, byte, bytes)| {
+        let mut changed = whole.clone();
+        changed.text_bytes = *bytes;
+        if let TransferText::Whole(packed) = &mut changed.text {
+            let at = at % packed.len();
+            packed[at] = *byte;
+        }
+        if let Ok(document) = empty.unpack(&changed) {
+            assert_eq!(document.checksum(), whole.checksum);
+        }
+    });
+}
+
+#[test]
+fn offers_in_any_order_end_with_the_newest_and_only_grow() {
+    for seed in 0..50 {
+        let mut rng = SmallRng::seed_from_u64(seed);
+        let (mut store, acceptor) = (Store::default(), Accepting::default());
+        let mut newest = 0;
+        for _ in 0..500 {
+            let version = rng.random_range(0..100);
+            let text = if rng.random_bool(0.2) { "bad".to_owned() } else { format!("text {version}") };
+            let is_good = text != "bad";
+            store.offer(document(version, &text), &acceptor);
+            if is_good {
+                newest = newest.max(version);
+            }
+            assert_eq!(store.version(&DocumentName::System), newest);
+        }
+        let taken = acceptor.taken.lock().expect("no panic");
+        assert!(taken.windows(2).all(|pair| pair[0] < pair[1]));
+    }
+}
--- a/crates/laurelstall_standin/src/bin/laurelstall-load.rs
+++ b/crates/laurelstall_standin/src/bin/laurelstall-load.rs
@@ -122,7 +122,7 @@
         "wrong",
         "handback",
         "obs B/s",
-        "cpu us"
+        "node us"
     );
     for balancer in balancers {
         let thread = RuntimeThread::start("callers");
@@ -155,7 +155,7 @@
         totals.wrong + totals.not_run_but_ran + totals.ran_twice,
         result.hand_backs,
         result.observe_bytes_per_s_max,
-        result.cpu_us_per_call,
+        result.node_cpu_us_per_call,
     );
     for (reason, count) in &result.reasons {
         println!("    {count:6} {reason}");
--- a/crates/laurelstall_standin/src/harness.rs
+++ b/crates/laurelstall_standin/src/harness.rs
@@ -12,7 +12,7 @@
     fleet::{Fleet, Host, HostState},
     settings::{
         CallerLimits, DecisionFormat, LogSettings, NodeSettings, PlatformSettings, Settings, TargetHttp,
-        TargetSettings,
+        TargetSettings, TokenSettings,
     },
     system::{Distance, ObserveLimits, SystemLimits},
     team::{Service, ServiceLimits, Target, Team},
@@ -71,6 +71,8 @@
     pub observe: ObserveLimits,
     /// Decision log.
     pub decisions: DecisionFormat,
+    /// Tokens of the administration API.
+    pub tokens: Vec<TokenSettings>,
     /// Way to choose, given the true loads; the product's own when absent.
     pub chooser: Option<ChooserMaker>,
     /// Whether guards act as behind a plain balancer.
@@ -121,6 +123,7 @@
             program: PROGRAM.to_owned(),
             observe: ObserveLimits::default(),
             decisions: DecisionFormat::Human,
+            tokens: Vec::new(),
             chooser: None,
             is_plain: false,
             seed: 1,
@@ -459,6 +462,7 @@
     fn node_options(&self, host: &HarnessHost, index: usize, sockets: Sockets) -> NodeOptions {
         let mut settings = node_settings(host, &sockets, self.plan.decisions);
         settings.seeds = self.seeds(index);
+        settings.tokens = self.plan.tokens.clone();
         let listeners = Listeners { entry: sockets.entry.0, peer: sockets.peer.0, admin: sockets.admin.0 };
         let mut options = NodeOptions::new(settings, listeners);
         options.seed = self.plan.seed.wrapping_mul(7_919) + index as u64;
--- a/crates/laurelstall_standin/src/lib.rs
+++ b/crates/laurelstall_standin/src/lib.rs
@@ -6,10 +6,12 @@
 pub mod callers;
 pub mod experiment;
 pub mod fault;
+pub mod fleet_bench;
 pub mod harness;
 pub mod latency;
 pub mod node_thread;
 pub mod platform;
+pub mod process;
 pub mod records;
 pub mod report;
 pub mod scenario;
--- a/crates/laurelstall_standin/src/platform.rs
+++ b/crates/laurelstall_standin/src/platform.rs
@@ -36,6 +36,10 @@
     documents: BTreeMap<String, Document>,
 }
 
+/// What the platform had at some instant.
+#[derive(Debug, Clone)]
+pub struct Snapshot(Values);
+
 /// The platform: values with growing versions, which the system can only read.
 #[derive(Debug)]
 pub struct StandinPlatform {
@@ -88,6 +92,16 @@
         *self.stale.lock().unwrap_or_else(PoisonError::into_inner) = shown;
     }
 
+    /// What the platform has now, to be [shown](Self::show) again later.
+    pub fn snapshot(&self) -> Snapshot {
+        Snapshot(self.values().clone())
+    }
+
+    /// Lets the platform show what it had when `snapshot` was taken.
+    pub fn show(&self, snapshot: Snapshot) {
+        *self.stale.lock().unwrap_or_else(PoisonError::into_inner) = Some(snapshot.0);
+    }
+
     /// Takes the platform away, or brings it back.
     pub fn set_away(&self, is_away: bool) {
         self.is_away.store(is_away, Ordering::Relaxed);
--- /dev/null
+++ b/crates/laurelstall_standin/tests/administration.rs
@@ -0,0 +1,97 @@
+//! The administration API.
+
+mod support;
+
+use bytes::Bytes;
+use http::{Method, StatusCode};
+use laurelstall_config::settings::{Role, TokenSettings};
+use serde_json::Value;
+use support::{Answer, ask, entry, plan, start};
+
+const READ: &str = "Bearer read-secret-0123456789";
+const OPERATE: &str = "Bearer operate-secret-0123456789";
+const STRANGE: &str = "Bearer other-team-secret-0123456789";
+
+fn tokens() -> Vec<TokenSettings> {
+    let token = |team: &str, role, bearer: &str| TokenSettings {
+        team: team.to_owned(),
+        role,
+        secret: bearer.trim_start_matches("Bearer ").to_owned(),
+    };
+    vec![
+        token("", Role::Read, READ),
+        token("standin", Role::Operate, OPERATE),
+        token("other", Role::Operate, STRANGE),
+    ]
+}
+
+fn json(answer: &Answer) -> Value {
+    serde_json::from_slice(&answer.body).expect("JSON")
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn everything_can_be_seen_and_nothing_switched_without_a_token_on_loopback() {
+    let harness = start(plan(2)).await;
+    let answer = ask(entry(&harness, 0), Method::GET, "/market-board/x", &[], Bytes::new()).await;
+    assert_eq!(answer.expect("an answer").status, StatusCode::OK);
+    let admin = harness.nodes()[0].1.admin_address;
+    for path in ["health", "ready", "status", "targets", "members", "config", "decisions"] {
+        let answer =
+            ask(admin, Method::GET, &format!("/v1/{path}"), &[], Bytes::new()).await.expect("an answer");
+        assert_eq!(answer.status, StatusCode::OK, "{path}");
+        json(&answer);
+    }
+    let targets = json(&ask(admin, Method::GET, "/v1/targets", &[], Bytes::new()).await.expect("an answer"));
+    assert_eq!(targets.as_array().map(Vec::len), Some(2));
+    let status = json(&ask(admin, Method::GET, "/v1/status", &[], Bytes::new()).await.expect("an answer"));
+    assert_eq!(status["counters"]["calls"], 1);
+    let drained = ask(admin, Method::POST, "/v1/drain", &[], Bytes::new()).await.expect("an answer");
+    assert_eq!(drained.status, StatusCode::FORBIDDEN);
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn tokens_decide_who_sees_and_switches_what() {
+    let mut plan = plan(2);
+    plan.tokens = tokens();
+    let harness = start(plan).await;
+    let admin = harness.nodes()[0].1.admin_address;
+    let status = async |method: Method, path: &str, token: &str| {
+        let headers = [("authorization", token)];
+        let headers = if token.is_empty() { &headers[..0] } else { &headers[..] };
+        ask(admin, method, path, headers, Bytes::new()).await.expect("an answer").status
+    };
+    assert_eq!(status(Method::GET, "/v1/ready", "").await, StatusCode::OK);
+    assert_eq!(status(Method::GET, "/v1/status", "").await, StatusCode::UNAUTHORIZED);
+    assert_eq!(status(Method::GET, "/v1/status", "Bearer wrong").await, StatusCode::UNAUTHORIZED);
+    assert_eq!(status(Method::GET, "/v1/status", READ).await, StatusCode::OK);
+    assert_eq!(status(Method::POST, "/v1/drain", READ).await, StatusCode::FORBIDDEN);
+    assert_eq!(status(Method::POST, "/v1/drain", STRANGE).await, StatusCode::FORBIDDEN);
+    assert_eq!(status(Method::POST, "/v1/drain", OPERATE).await, StatusCode::OK);
+    assert!(harness.nodes()[0].1.guard.guard().is_draining());
+    for number in 0..2 {
+        let answer = ask(entry(&harness, number), Method::GET, "/market-board/x", &[], Bytes::new()).await;
+        assert_eq!(answer.expect("an answer").status, StatusCode::OK);
+    }
+    assert_eq!(harness.targets.get("market-board-1").expect("it runs").seen(), 0);
+    assert_eq!(status(Method::POST, "/v1/undrain", OPERATE).await, StatusCode::OK);
+    assert!(!harness.nodes()[0].1.guard.guard().is_draining());
+    let headers = [("authorization", STRANGE)];
+    let targets = ask(admin, Method::GET, "/v1/targets", &headers, Bytes::new()).await.expect("an answer");
+    assert_eq!(json(&targets).as_array().map(Vec::len), Some(0));
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_document_is_checked_without_being_published() {
+    let harness = start(plan(1)).await;
+    let admin = harness.nodes()[0].1.admin_address;
+    let check = async |text: &str| {
+        let body = serde_json::json!({ "key": "system", "text": text }).to_string();
+        json(&ask(admin, Method::POST, "/v1/check", &[], body.into()).await.expect("an answer"))
+    };
+    assert_eq!(check("").await["is_right"], true);
+    let wrong = check("[spread]\npartners = 99\nexchange_interval_ms = 1\n").await;
+    assert_eq!(wrong["problems"].as_array().map(Vec::len), Some(2));
+    let answer =
+        ask(admin, Method::POST, "/v1/check", &[], Bytes::from_static(b"{")).await.expect("an answer");
+    assert_eq!(answer.status, StatusCode::BAD_REQUEST);
+}
--- /dev/null
+++ b/crates/laurelstall_standin/tests/whole_path.rs
@@ -0,0 +1,301 @@
+//! Calls through real nodes to stand-in targets over loopback.
+
+mod support;
+
+use bytes::Bytes;
+use http::{Method, StatusCode};
+use laurelstall_config::{document::DocumentName, fleet::HostState};
+use laurelstall_standin::harness::{Harness, TEAM};
+use support::{ask, entry, plan, start};
+use tokio::time::{Duration, sleep, timeout};
+
+/// Longest wait for something that must come.
+const PATIENCE: Duration = Duration::from_secs(20);
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn bodies_of_all_small_sizes_come_back_intact() {
+    let harness = start(plan(3)).await;
+    for bytes in [0, 1, 65_536, 65_537, 300_000] {
+        let body = Bytes::from((0..bytes).map(|n| (n % 249) as u8).collect::<Vec<_>>());
+        for number in 0..3 {
+            let path = "/market-board/x";
+            let answer =
+                ask(entry(&harness, number), Method::POST, path, &[("standin-key", "k")], body.clone()).await;
+            let answer = answer.expect("an answer");
+            assert_eq!((answer.status, answer.header("laurelstall-outcome")), (StatusCode::OK, "answered"));
+            assert_eq!(answer.body, body);
+            assert_eq!(answer.header("laurelstall-call").len(), 16);
+        }
+    }
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn an_answer_that_is_cut_short_never_looks_whole() {
+    let harness = start(plan(2)).await;
+    for target in harness.targets.all() {
+        target.change(|behaviour| behaviour.is_cutting_answers = true);
+    }
+    for number in 0..2 {
+        let headers = [("standin-answer-bytes", "200000"), ("standin-key", "k")];
+        let answer =
+            ask(entry(&harness, number), Method::GET, "/market-board/x", &headers, Bytes::new()).await;
+        // Broken off, or found out before its head went on: then it is *unknown*.
+        assert!(answer.is_none_or(|answer| answer.header("laurelstall-outcome") == "unknown"));
+    }
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_shed_call_goes_elsewhere_and_runs_once() {
+    let harness = start(plan(2)).await;
+    harness.targets.get("market-board-1").expect("it runs").change(|behaviour| behaviour.is_shedding = true);
+    for call in 0..20 {
+        let key = format!("k-{call}");
+        let headers = [("standin-key", key.as_str())];
+        let answer =
+            ask(entry(&harness, call % 2), Method::POST, "/market-board/x", &headers, Bytes::new()).await;
+        assert_eq!(answer.expect("an answer").status, StatusCode::OK);
+        assert_eq!(harness.records.runs(&key), 1);
+    }
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn told_not_run_when_no_target_takes_it_with_when_to_come_back() {
+    let harness = start(plan(2)).await;
+    for target in harness.targets.all() {
+        target.change(|behaviour| behaviour.is_shedding = true);
+    }
+    let headers = [("standin-key", "k")];
+    let answer = ask(entry(&harness, 0), Method::POST, "/market-board/x", &headers, Bytes::new()).await;
+    let answer = answer.expect("an answer");
+    assert_eq!(answer.status, StatusCode::SERVICE_UNAVAILABLE);
+    assert_eq!(answer.header("laurelstall-outcome"), "not-run");
+    assert!(!answer.header("retry-after").is_empty());
+    assert_eq!(harness.records.runs("k"), 0);
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_paused_target_makes_a_call_unknown_and_it_is_not_tried_elsewhere() {
+    let harness = start(plan(2)).await;
+    for target in harness.targets.all() {
+        target.change(|behaviour| behaviour.speed = 0.0);
+    }
+    let headers = [("standin-key", "k"), ("laurelstall-budget-ms", "300")];
+    let answer = ask(entry(&harness, 0), Method::POST, "/market-board/x", &headers, Bytes::new()).await;
+    let answer = answer.expect("an answer");
+    assert_eq!(answer.status, StatusCode::GATEWAY_TIMEOUT);
+    assert_eq!(answer.header("laurelstall-outcome"), "unknown");
+    assert_eq!(harness.records.runs("k"), 1);
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn requests_without_a_place_get_a_clear_error() {
+    let harness = start(plan(1)).await;
+    let at = entry(&harness, 0);
+    let status = async |path: &str, headers: &[(&str, &str)]| {
+        let answer = ask(at, Method::GET, path, headers, Bytes::new()).await.expect("an answer");
+        assert_eq!(answer.header("laurelstall-outcome"), "not-run");
+        answer.status
+    };
+    assert_eq!(status("/no-such-service/x", &[]).await, StatusCode::SERVICE_UNAVAILABLE);
+    assert_eq!(status("/market-board/x", &[("laurelstall-depth", "16")]).await, StatusCode::LOOP_DETECTED);
+    assert_eq!(
+        status("/market-board/x", &[("laurelstall-budget-ms", "soon")]).await,
+        StatusCode::BAD_REQUEST
+    );
+    assert_eq!(
+        status("/market-board/x", &[("laurelstall-ticket", "nonsense")]).await,
+        StatusCode::BAD_REQUEST
+    );
+    assert_eq!(status("/", &[]).await, StatusCode::SERVICE_UNAVAILABLE);
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_repeated_ticket_runs_once_and_gets_the_kept_answer() {
+    let harness = start(plan(3)).await;
+    let path = "/laurelstall/tickets?service=market-board&count=3";
+    let answer = ask(entry(&harness, 0), Method::POST, path, &[], Bytes::new()).await.expect("an answer");
+    assert_eq!(answer.status, StatusCode::OK);
+    let tickets: serde_json::Value = serde_json::from_slice(&answer.body).expect("JSON");
+    let ticket = tickets["tickets"][0].as_str().expect("a ticket").to_owned();
+    assert_eq!(tickets["tickets"].as_array().map(Vec::len), Some(3));
+    let body = Bytes::from_static(b"sell the wheat");
+    for call in 0..6 {
+        let headers = [("standin-key", "sale"), ("laurelstall-ticket", ticket.as_str())];
+        let answer =
+            ask(entry(&harness, call % 3), Method::POST, "/market-board/x", &headers, body.clone()).await;
+        let answer = answer.expect("an answer");
+        assert_eq!((answer.status, &answer.body), (StatusCode::OK, &body));
+    }
+    assert_eq!(harness.records.runs("sale"), 1);
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn repeats_of_a_ticket_at_the_same_instant_run_once() {
+    let harness = start(plan(2)).await;
+    let path = "/laurelstall/tickets?service=market-board&count=1";
+    let answer = ask(entry(&harness, 0), Method::POST, path, &[], Bytes::new()).await.expect("an answer");
+    let tickets: serde_json::Value = serde_json::from_slice(&answer.body).expect("JSON");
+    let ticket = tickets["tickets"][0].as_str().expect("a ticket").to_owned();
+    let headers = [("standin-key", "sale"), ("laurelstall-ticket", ticket.as_str())];
+    let calls = (0..8).map(|call| {
+        ask(entry(&harness, call % 2), Method::POST, "/market-board/x", &headers, Bytes::from_static(b"b"))
+    });
+    let answers = futures_util::future::join_all(calls).await;
+    assert!(
+        answers.iter().all(|answer| answer.as_ref().is_some_and(|answer| answer.status == StatusCode::OK))
+    );
+    assert_eq!(harness.records.runs("sale"), 1);
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_ticket_of_an_earlier_start_is_unknown_and_never_runs() {
+    let harness = start(plan(1)).await;
+    let at = entry(&harness, 0);
+    let path = "/laurelstall/tickets?service=market-board&count=1";
+    let answer = ask(at, Method::POST, path, &[], Bytes::new()).await.expect("an answer");
+    let tickets: serde_json::Value = serde_json::from_slice(&answer.body).expect("JSON");
+    let ticket = tickets["tickets"][0].as_str().expect("a ticket").to_owned();
+    let other = ticket.rsplitn(3, '~').collect::<Vec<_>>();
+    let other = format!("{}~1~{}", other[2], other[0]);
+    let headers = [("standin-key", "sale"), ("laurelstall-ticket", other.as_str())];
+    let answer = ask(at, Method::POST, "/market-board/x", &headers, Bytes::new()).await.expect("an answer");
+    assert_eq!(answer.header("laurelstall-outcome"), "unknown");
+    assert_eq!(harness.records.runs("sale"), 0);
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_planned_stop_cuts_off_nothing_and_its_target_gets_nothing_new() {
+    let mut plan = plan(2);
+    plan.services[0].service_mean_ms = 200.0;
+    let harness = start(plan).await;
+    let (stopping, staying) = (harness.nodes()[0].1.clone(), entry(&harness, 1));
+    let at = stopping.entry_address;
+    let mut calls = tokio::task::JoinSet::new();
+    for call in 0..20 {
+        let target = if call % 2 == 0 { at } else { staying };
+        calls.spawn(async move {
+            let key = format!("k-{call}");
+            ask(target, Method::POST, "/market-board/x", &[("standin-key", &key)], Bytes::new()).await
+        });
+    }
+    let is_busy = async {
+        while stopping.guard.guard().load().in_flight == 0 {
+            sleep(Duration::from_millis(1)).await;
+        }
+    };
+    timeout(PATIENCE, is_busy).await.expect("calls reach the guard");
+    let stopped = tokio::spawn(async move { stopping.stop().await });
+    while let Some(answer) = calls.join_next().await {
+        assert_eq!(answer.expect("no panic").expect("an answer").status, StatusCode::OK);
+    }
+    assert!(timeout(PATIENCE, stopped).await.expect("it stops").expect("no panic"));
+    let target = harness.targets.get("market-board-1").expect("it runs");
+    let seen = target.seen();
+    for _ in 0..5 {
+        let answer =
+            ask(staying, Method::GET, "/market-board/x", &[("standin-key", "late")], Bytes::new()).await;
+        assert_eq!(answer.expect("an answer").status, StatusCode::OK);
+    }
+    assert_eq!(target.seen(), seen);
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_host_listed_as_leaving_gets_nothing_new() {
+    let harness = start(plan(2)).await;
+    harness.set_host_state("market-board-1-host", HostState::Leaving);
+    let nodes = harness.nodes();
+    let is_known = async {
+        while !nodes
+            .iter()
+            .all(|(_, node)| node.active.load().configuration.version(&DocumentName::Fleet) == 2)
+        {
+            sleep(Duration::from_millis(5)).await;
+        }
+        while !nodes[0].1.guard.guard().is_draining() {
+            sleep(Duration::from_millis(1)).await;
+        }
+    };
+    timeout(PATIENCE, is_known).await.expect("the list reaches all nodes");
+    for call in 0..10 {
+        let answer = ask(entry(&harness, call % 2), Method::GET, "/market-board/x", &[], Bytes::new()).await;
+        assert_eq!(answer.expect("an answer").status, StatusCode::OK);
+    }
+    assert_eq!(harness.targets.get("market-board-1").expect("it runs").seen(), 0);
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_bad_document_is_refused_and_the_last_good_one_stays() {
+    let harness = start(plan(2)).await;
+    let name = DocumentName::Team(TEAM.to_owned());
+    let good = harness.platform.text(&name).expect("it was published");
+    harness.platform.publish(&name, "team = \"standin\"\nprogram = 1\n");
+    let newest = harness.platform.publish(&name, &good.replace("tries: 3", "tries: 2"));
+    let nodes = harness.nodes();
+    let is_in_force = async {
+        while !nodes.iter().all(|(_, node)| node.active.load().configuration.version(&name) == newest) {
+            sleep(Duration::from_millis(5)).await;
+        }
+    };
+    timeout(PATIENCE, is_in_force).await.expect("the good one follows");
+    let answer = ask(entry(&harness, 0), Method::GET, "/market-board/x", &[], Bytes::new()).await;
+    assert_eq!(answer.expect("an answer").status, StatusCode::OK);
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_stale_platform_brings_nothing_back_even_to_a_restarted_node() {
+    let harness = start(plan(3)).await;
+    let name = DocumentName::Team(TEAM.to_owned());
+    let text = harness.platform.text(&name).expect("it was published");
+    // The platform will show version 1 again after all nodes have version 2.
+    let old = harness.platform.snapshot();
+    let newest = harness.platform.publish(&name, &text.replace("tries: 3", "tries: 2"));
+    let all_have = async |harness: &Harness| {
+        let nodes = harness.nodes();
+        let have = async {
+            while !nodes.iter().all(|(_, node)| node.active.load().configuration.version(&name) == newest) {
+                sleep(Duration::from_millis(5)).await;
+            }
+        };
+        timeout(PATIENCE, have).await.expect("the newest reaches all nodes");
+    };
+    all_have(&harness).await;
+    harness.platform.show(old);
+    let host = harness.host_name(1).expect("there is one");
+    let node = harness.take_node(&host).expect("it runs");
+    let addresses = (node.entry_address, node.peer_address, node.admin_address);
+    drop(node);
+    sleep(Duration::from_millis(50)).await;
+    let started = async {
+        while harness.restart_node(&host, addresses.0, addresses.1, addresses.2).await.is_err() {
+            sleep(Duration::from_millis(20)).await;
+        }
+    };
+    timeout(PATIENCE, started).await.expect("its addresses are free again");
+    let node = harness.node(&host).expect("it runs again");
+    assert_eq!(node.active.load().configuration.version(&name), newest);
+    all_have(&harness).await;
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_node_starts_while_the_platform_is_away() {
+    let harness = start(plan(3)).await;
+    harness.platform.set_away(true);
+    let host = harness.host_name(2).expect("there is one");
+    let node = harness.take_node(&host).expect("it runs");
+    let addresses = (node.entry_address, node.peer_address, node.admin_address);
+    drop(node);
+    let started = async {
+        while harness.restart_node(&host, addresses.0, addresses.1, addresses.2).await.is_err() {
+            sleep(Duration::from_millis(20)).await;
+        }
+    };
+    timeout(PATIENCE, started).await.expect("its addresses are free again");
+    let is_ready = async {
+        while harness.node(&host).expect("it runs").active.load().configuration.teams.is_empty() {
+            sleep(Duration::from_millis(5)).await;
+        }
+    };
+    timeout(PATIENCE, is_ready).await.expect("peers told it");
+    let answer = ask(addresses.0, Method::GET, "/market-board/x", &[], Bytes::new()).await;
+    assert_eq!(answer.expect("an answer").status, StatusCode::OK);
+}
