Policy: programs cannot sleep

Cause: rhai's own sleep() stopped the node's only thread; found because the hostile-program tests took 10 s. Change: sleep is forbidden; the test asks that each forbidden word ends the run, not only that the result is wrong, which a sleep followed by nothing passed.

--- a/crates/laurelstall_policy/src/program.rs
+++ b/crates/laurelstall_policy/src/program.rs
@@ -4,7 +4,7 @@
 use http::HeaderMap;
 use quick_error::quick_error;
 use rhai::{
-    AST, Engine, ImmutableString, Scope,
+    AST, Engine, EvalAltResult, ImmutableString, Scope,
     packages::{Package, StandardPackage},
 };
 use std::sync::Arc;
@@ -124,6 +124,10 @@
     }
 }
 
+fn forbidden(name: &str) -> Result<(), Box<EvalAltResult>> {
+    Err(format!("{name} is not there for programs").into())
+}
+
 fn limited_engine() -> Engine {
     let mut engine = Engine::new_raw();
     engine.register_global_module(StandardPackage::new().as_shared_module());
@@ -139,6 +143,9 @@
     for word in ["eval", "import", "export", "print", "debug"] {
         engine.disable_symbol(word);
     }
+    // The library's own would stop the whole node.
+    engine.register_fn("sleep", |_: i64| forbidden("sleep"));
+    engine.register_fn("sleep", |_: f64| forbidden("sleep"));
     engine.on_print(|_| {});
     engine.register_type_with_name::<Headers>("Headers");
     engine.register_fn("header", Headers::get);
--- a/crates/laurelstall_policy/tests/programs.rs
+++ b/crates/laurelstall_policy/tests/programs.rs
@@ -64,8 +64,10 @@
 
 #[test]
 fn programs_reach_nothing_outside() {
-    for program in ["eval(\"1\")", "import \"a\" as b; 1", "print(1)", "sleep(10)"] {
-        assert!(decide(program, "/").is_err(), "{program}");
+    for word in ["eval(\"1\")", "import \"a\" as b", "print(1)", "sleep(0)", "sleep(0.0)"] {
+        let program = format!("{word}; #{{ service: \"a\" }}");
+        let ended = decide(&program, "/");
+        assert!(matches!(ended, Err(ProgramError::Compile(..) | ProgramError::Run(_))), "{word}: {ended:?}");
     }
 }
 
