Spreading: a platform whose watches do not wait is not called without pause; joins ask peers first

Cause: with 550 nodes and a stale platform, which answers each watch at once, readers called it 21749 times a second; a node that joins read each document from the platform though its peers have them. Change: a watch that ends at once without news is followed by a pause of 0.5 to 1.5 s; joins exchange with seeds before they ask the platform; random pauses come from the node's seed. Tests: an hour without platform and peers, platform calls against fleet size, all on a stopped clock.

--- a/crates/laurelstall_peer/src/spread.rs
+++ b/crates/laurelstall_peer/src/spread.rs
@@ -18,7 +18,7 @@
     system::SpreadLimits,
 };
 use laurelstall_guard::clock::Clock;
-use rand::RngExt;
+use rand::{RngExt, SeedableRng, rngs::SmallRng};
 use std::{
     collections::HashMap,
     net::{IpAddr, SocketAddr},
@@ -39,10 +39,12 @@
 /// First and longest pause after a failed platform read in ms.
 const READ_BACKOFF_FIRST_MS: u64 = 200;
 const READ_BACKOFF_MAX_MS: u64 = 10_000;
+/// A watch that ends sooner without news did not wait, in µs.
+const WATCH_SHORT_US: u64 = 500_000;
 /// Pause between two looks at who reads, in ms.
 const ROLE_CHECK_MS: u64 = 1_000;
-/// Nodes of the whole fleet that may read in one fallback round, on average.
-const FALLBACK_READS: f64 = 4.0;
+/// Reads of the whole fleet together, on average, in each `fallback_read_after_ms`.
+const FALLBACK_READS: f64 = 16.0;
 /// Longest pause of a partner that does not answer, in exchanges.
 const PARTNER_PAUSE_MAX: u32 = 32;
 /// How long a joining node waits for peers and platform before it takes what it has.
@@ -118,6 +120,7 @@
     pulling: AsyncMutex<()>,
     is_joined: AtomicBool,
     partner_seed: AtomicU64,
+    rng: Mutex<SmallRng>,
     partner_states: Mutex<HashMap<SocketAddr, PartnerState>>,
     /// Counts.
     pub counts: SpreadCounts,
@@ -134,6 +137,7 @@
         view: Arc<dyn SpreadView>,
     ) -> Arc<Self> {
         let partner_seed = AtomicU64::new(options.seed);
+        let rng = Mutex::new(SmallRng::seed_from_u64(options.seed));
         Arc::new(Self {
             options,
             clock,
@@ -148,6 +152,7 @@
             pulling: AsyncMutex::new(()),
             is_joined: AtomicBool::new(false),
             partner_seed,
+            rng,
             partner_states: Mutex::default(),
             counts: SpreadCounts::default(),
         })
@@ -190,8 +195,10 @@
     /// goes on asking in [`run`](Self::run).
     pub async fn join(&self) {
         let asked = async {
-            // Either may be away; what both know is taken.
-            let _ = tokio::join!(self.read_platform(None), self.ask_seeds());
+            // Peers first: the platform is then asked only for what they do not have. Either may
+            // be away; what both know is taken.
+            self.ask_seeds().await;
+            let _ = self.read_platform(None).await;
             self.ask_some_peers().await;
         };
         // A part that did not answer in time is caught up with by the exchanges.
@@ -266,6 +273,16 @@
         false
     }
 
+    fn rng(&self) -> MutexGuard<'_, SmallRng> {
+        self.rng.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Half to one and a half of a pause, so that nodes do not act in step.
+    fn jittered(&self, pause_ms: u64) -> Duration {
+        let pause_us = pause_ms * 1_000;
+        Duration::from_micros(self.rng().random_range(pause_us / 2..=pause_us + pause_us / 2))
+    }
+
     fn exchange(&self) -> Exchange {
         Exchange {
             versions_hash: self.store().versions_hash(),
@@ -287,10 +304,18 @@
                 self.read_if_cut_off().await;
                 continue;
             }
+            let started_us = self.clock.now_us();
+            let taken = self.counts.taken.load(Ordering::Relaxed);
             match self.read_platform(after).await {
                 Ok(sequence) => {
                     after = Some(sequence);
                     failures = 0;
+                    let has_news = self.counts.taken.load(Ordering::Relaxed) > taken;
+                    let is_short = self.clock.now_us() - started_us < WATCH_SHORT_US;
+                    if is_short && !has_news {
+                        // A stale platform may answer each watch at once with what is known.
+                        sleep(self.jittered(ROLE_CHECK_MS)).await;
+                    }
                 }
                 Err(error) => {
                     if failures == 0 {
@@ -298,7 +323,7 @@
                     }
                     failures += 1;
                     after = None;
-                    sleep(jittered(backoff_ms(failures))).await;
+                    sleep(self.jittered(backoff_ms(failures))).await;
                 }
             }
         }
@@ -311,15 +336,15 @@
     /// Reads once, if nobody seems to have read for long, with a chance that keeps the whole
     /// fleet's reads about constant.
     async fn read_if_cut_off(&self) {
-        sleep(jittered(ROLE_CHECK_MS)).await;
+        sleep(self.jittered(ROLE_CHECK_MS)).await;
         let after_ms = self.view.spread().fallback_read_after_ms;
         if self.platform_read_age_ms() < after_ms {
             return;
         }
         let hosts = self.view.fleet().hosts.len().max(1) as f64;
         let round = after_ms as f64 / ROLE_CHECK_MS as f64;
-        let chance = (FALLBACK_READS / hosts / round.max(1.0) * 4.0).min(1.0);
-        if rand::rng().random_bool(chance) {
+        let chance = (FALLBACK_READS / hosts / round.max(1.0)).min(1.0);
+        if self.rng().random_bool(chance) {
             // A failure is what made this node read; the next round tries again.
             let _ = self.read_platform(None).await;
         }
@@ -345,7 +370,7 @@
     async fn offer_loop(&self) {
         loop {
             self.has_changed.notified().await;
-            sleep(jittered(OFFER_JITTER_MS)).await;
+            sleep(self.jittered(OFFER_JITTER_MS)).await;
             let changed = std::mem::take(&mut *self.changed.lock().unwrap_or_else(PoisonError::into_inner));
             let versions = changed.into_iter().collect::<Vec<_>>();
             if versions.is_empty() {
@@ -369,7 +394,7 @@
         let mut pauses: HashMap<SocketAddr, (u32, u32)> = HashMap::new();
         loop {
             let interval_ms = self.view.spread().exchange_interval_ms;
-            sleep(jittered(interval_ms)).await;
+            sleep(self.jittered(interval_ms)).await;
             let partners = self.partners();
             if partners.is_empty() {
                 self.ask_seeds().await;
@@ -474,12 +499,9 @@
     }
 
     async fn ask_seeds(&self) {
-        for address in &self.options.seeds {
-            if *address != self.options.peer_address {
-                // A seed that is gone is one of several ways to the news.
-                let _ = self.exchange_with(*address).await;
-            }
-        }
+        let seeds = self.options.seeds.iter().filter(|address| **address != self.options.peer_address);
+        // A seed that is gone is one of several ways to the news.
+        futures_util::future::join_all(seeds.map(|address| self.exchange_with(*address))).await;
     }
 
     async fn ask_some_peers(&self) {
@@ -500,9 +522,3 @@
 fn backoff_ms(failures: u32) -> u64 {
     (READ_BACKOFF_FIRST_MS << failures.min(10)).min(READ_BACKOFF_MAX_MS)
 }
-
-/// Half to one and a half of a pause, so that nodes do not act in step.
-fn jittered(pause_ms: u64) -> Duration {
-    let pause_us = pause_ms * 1_000;
-    Duration::from_micros(rand::rng().random_range(pause_us / 2..=pause_us + pause_us / 2))
-}
--- /dev/null
+++ b/crates/laurelstall_peer/tests/spreading.rs
@@ -0,0 +1,190 @@
+//! A node's part in spreading over hours of a platform that is away, with time standing still.
+
+use futures_util::future::{BoxFuture, FutureExt};
+use laurelstall_config::{
+    document::{Document, DocumentName},
+    fleet::{Fleet, Host, HostState},
+    problem::ConfigError,
+    system::SpreadLimits,
+};
+use laurelstall_guard::clock::Clock;
+use laurelstall_peer::{
+    client::PeerClient,
+    link::Link,
+    message::{Exchange, PeerAnswer},
+    meter::Meter,
+    platform::{Listing, PlatformError, PlatformSource},
+    pool::Pool,
+    spread::{Spread, SpreadOptions, SpreadView},
+    store::Acceptor,
+};
+use std::{
+    net::SocketAddr,
+    sync::{
+        Arc,
+        atomic::{AtomicBool, Ordering},
+    },
+};
+use tokio::time::{Duration, sleep};
+
+const HOUR: Duration = Duration::from_secs(3_600);
+
+#[derive(Debug)]
+struct AllCut;
+
+impl Link for AllCut {
+    fn is_cut(&self, _: SocketAddr) -> bool {
+        true
+    }
+}
+
+#[derive(Debug)]
+struct AcceptAll;
+
+impl Acceptor for AcceptAll {
+    fn accept(&self, _: &Document) -> Result<(), ConfigError> {
+        Ok(())
+    }
+}
+
+#[derive(Debug)]
+struct View(Arc<Fleet>);
+
+impl SpreadView for View {
+    fn fleet(&self) -> Arc<Fleet> {
+        self.0.clone()
+    }
+
+    fn spread(&self) -> SpreadLimits {
+        SpreadLimits::default()
+    }
+}
+
+/// A platform with one document, which can be away.
+#[derive(Debug, Default)]
+struct OneDocument {
+    is_away: AtomicBool,
+    answers_at_once: AtomicBool,
+}
+
+impl OneDocument {
+    fn check(&self) -> Result<(), PlatformError> {
+        match self.is_away.load(Ordering::Relaxed) {
+            true => Err(PlatformError::Unreachable("away".to_owned())),
+            false => Ok(()),
+        }
+    }
+}
+
+impl PlatformSource for OneDocument {
+    fn watch(&self, after: Option<u64>) -> BoxFuture<'_, Result<Listing, PlatformError>> {
+        async move {
+            self.check()?;
+            if after.is_some() && !self.answers_at_once.load(Ordering::Relaxed) {
+                sleep(Duration::from_secs(30)).await;
+                self.check()?;
+            }
+            Ok(Listing { sequence: 1, versions: vec![(DocumentName::System, 1)] })
+        }
+        .boxed()
+    }
+
+    fn read(&self, name: DocumentName) -> BoxFuture<'_, Result<Document, PlatformError>> {
+        async move {
+            self.check()?;
+            Ok(Document { name, version: 1, text: "text".to_owned() })
+        }
+        .boxed()
+    }
+}
+
+fn fleet(hosts: usize) -> Arc<Fleet> {
+    let host = |n: usize| Host {
+        name: format!("h-{n}"),
+        node_address: ([127, 0, 0, 1], 1_000 + n as u16).into(),
+        data_centre: "dc".to_owned(),
+        state: HostState::Live,
+    };
+    Arc::new(Fleet { hosts: (0..hosts).map(host).collect() })
+}
+
+fn node(fleet: &Arc<Fleet>, number: usize, platform: &Arc<OneDocument>) -> Arc<Spread> {
+    let options = SpreadOptions {
+        host: format!("h-{number}"),
+        data_centre: "dc".to_owned(),
+        peer_address: ([127, 0, 0, 1], 1_000 + number as u16).into(),
+        seeds: Vec::new(),
+        seed: number as u64,
+    };
+    let clock = Clock::new();
+    let client = PeerClient::new(Arc::new(Pool::new(clock, Arc::new(Meter::default()), Arc::new(AllCut))));
+    let view = Arc::new(View(fleet.clone()));
+    Spread::new(options, clock, client, platform.clone(), Arc::new(AcceptAll), view)
+}
+
+fn calls(node: &Spread) -> u64 {
+    node.counts.platform_calls.load(Ordering::Relaxed)
+}
+
+#[tokio::test(start_paused = true)]
+async fn through_an_hour_without_platform_and_peers_the_configuration_stays_and_reads_are_few() {
+    let (fleet, platform) = (fleet(100), Arc::new(OneDocument::default()));
+    let nodes = (0..100).map(|number| node(&fleet, number, &platform)).collect::<Vec<_>>();
+    for node in &nodes {
+        node.join().await;
+        tokio::spawn(node.clone().run());
+    }
+    sleep(Duration::from_secs(60)).await;
+    platform.is_away.store(true, Ordering::Relaxed);
+    let before = nodes.iter().map(|node| calls(node)).sum::<u64>();
+    sleep(HOUR).await;
+    let spent = nodes.iter().map(|node| calls(node)).sum::<u64>() - before;
+    assert!(nodes.iter().all(|node| node.store().version(&DocumentName::System) == 1));
+    // Two readers that try each 10 s or so, and 16 fallback reads a minute in the whole fleet.
+    assert!(spent < 3_000, "{spent} calls in an hour");
+    assert!(spent > 500, "{spent} calls: nobody looks for the platform any more");
+    platform.is_away.store(false, Ordering::Relaxed);
+    sleep(Duration::from_secs(120)).await;
+    let is_fresh = nodes.iter().filter(|node| node.platform_read_age_ms() < 60_000).count();
+    assert!(is_fresh >= 2, "the readers are back");
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_platform_whose_watches_do_not_wait_is_not_called_without_pause() {
+    let (fleet, platform) = (fleet(2), Arc::new(OneDocument::default()));
+    platform.answers_at_once.store(true, Ordering::Relaxed);
+    let node = node(&fleet, 0, &platform);
+    node.join().await;
+    tokio::spawn(node.clone().run());
+    sleep(Duration::from_secs(100)).await;
+    assert!((50..220).contains(&calls(&node)), "{} calls in 100 s", calls(&node));
+}
+
+#[tokio::test(start_paused = true)]
+async fn calls_to_the_platform_do_not_grow_with_the_fleet() {
+    let mut spent = Vec::new();
+    for hosts in [50, 200] {
+        let (fleet, platform) = (fleet(hosts), Arc::new(OneDocument::default()));
+        let nodes = (0..hosts).map(|number| node(&fleet, number, &platform)).collect::<Vec<_>>();
+        for node in &nodes {
+            node.join().await;
+            tokio::spawn(node.clone().run());
+        }
+        let before = nodes.iter().map(|node| calls(node)).sum::<u64>();
+        sleep(HOUR).await;
+        spent.push(nodes.iter().map(|node| calls(node)).sum::<u64>() - before);
+    }
+    // Cut off from each other, all but the readers fall back; four times the hosts, same calls.
+    let ratio = spent[1] as f64 / spent[0] as f64;
+    assert!((0.7..1.3).contains(&ratio), "{spent:?}");
+}
+
+#[tokio::test(start_paused = true)]
+async fn news_of_a_platform_read_travels_with_exchanges() {
+    let (fleet, platform) = (fleet(2), Arc::new(OneDocument::default()));
+    let node = node(&fleet, 0, &platform);
+    assert!(node.platform_read_age_ms() > 1_000_000);
+    let theirs = Exchange { versions_hash: 1, platform_read_age_ms: 700 };
+    assert!(matches!(node.answer_exchange(&theirs), PeerAnswer::Versions(..)));
+    assert!((700..800).contains(&node.platform_read_age_ms()), "{}", node.platform_read_age_ms());
+}
