Observing budget is used at any size; large modules split; one form of a refusal

Change: a burst is at most half the budget; probes go over open connections only. Cuts, partner pauses, the way to the target and call types have modules of their own; refusals travel as they are. Tests: budgets of 10 to 1000 bytes a second are used to a third at least.

--- a/crates/laurelstall_balance/src/observe_budget.rs
+++ b/crates/laurelstall_balance/src/observe_budget.rs
@@ -74,8 +74,8 @@
     }
 }
 
-/// Least burst in bytes: room for a new connection and one probe over it.
-const BYTES_BURST_MIN: u64 = 1_000;
+/// Least burst in bytes: room for one probe and its answer.
+const BYTES_BURST_MIN: u64 = 320;
 /// Share of a second's budget that is granted as burst.
 const BURST_DIVISOR: u64 = 10;
 
@@ -98,7 +98,9 @@
     }
 
     fn set_rate(&mut self, rate_per_s: u64, burst_min: u64) {
-        self.burst = (rate_per_s / BURST_DIVISOR).max(burst_min).min(rate_per_s);
+        // Never the whole budget: what is not refilled is spent once and never again.
+        let most = rate_per_s.div_ceil(2);
+        self.burst = (rate_per_s / BURST_DIVISOR).max(burst_min).min(most);
         self.refill_per_s = rate_per_s - self.burst;
         self.tokens = self.tokens.min(self.burst);
     }
--- a/crates/laurelstall_balance/src/service_balancer.rs
+++ b/crates/laurelstall_balance/src/service_balancer.rs
@@ -208,10 +208,16 @@
         queueing * 3 > live.count() * 2
     }
 
-    /// The target that a probe would tell most of: an eligible one with the oldest hint.
-    pub fn stalest(&mut self, now_us: u64, age_min_us: u64) -> Option<usize> {
+    /// The target that a probe would tell most of: of those that `is_reached`, the one with the
+    /// oldest hint.
+    pub fn stalest(
+        &mut self,
+        now_us: u64,
+        age_min_us: u64,
+        is_reached: impl Fn(&str) -> bool,
+    ) -> Option<usize> {
         let age = |view: &TargetView| view.hint(now_us).map_or(u64::MAX, |(_, age_us)| age_us);
-        let live = self.targets.iter().enumerate().filter(|(_, view)| view.is_live);
+        let live = self.targets.iter().enumerate().filter(|(_, view)| view.is_live && is_reached(&view.host));
         let due = live.map(|(index, view)| (index, age(view))).filter(|(_, age)| *age >= age_min_us);
         let due = due.collect::<Vec<_>>();
         let oldest = due.iter().map(|(_, age)| *age).max()?;
--- a/crates/laurelstall_balance/tests/decisions.rs
+++ b/crates/laurelstall_balance/tests/decisions.rs
@@ -196,6 +196,13 @@
         spent += u64::from(budget.try_take(START_US + step * 1_000, cost, 100)) * 21;
     }
     assert!(spent >= 27_000, "{spent} of 40000");
+    for rate in [10, 100, 500, 1_000] {
+        let mut small = ObserveBudget::new(rate, rate);
+        let cost = ObserveCost { bytes: 5, messages: 1 };
+        let taken =
+            (0..100_000).filter(|step| small.try_take(START_US + step * 1_000, cost, 100)).count() as u64;
+        assert!(taken * 5 >= rate * 100 / 3, "{taken} of {rate} a second in 100 s");
+    }
     let mut none = ObserveBudget::new(0, 0);
     assert!(!none.try_take(START_US, ObserveCost { bytes: 1, messages: 0 }, 100));
 }
--- a/crates/laurelstall_guard/src/refusal.rs
+++ b/crates/laurelstall_guard/src/refusal.rs
@@ -1,9 +1,12 @@
 //! Why a guard did not run a call.
 
+use serde::{Deserialize, Serialize};
 use std::fmt;
 
 /// The reason of a refusal. Each is proof that this attempt did not run.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+///
+/// It travels between nodes by its place in this list: new ones go to the end.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub enum RefusalReason {
     /// The target or its node is leaving.
     Draining,
@@ -65,7 +68,7 @@
 }
 
 /// A refusal with what helps the entry decide what is next.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Refusal {
     /// Why.
     pub reason: RefusalReason,
--- a/crates/laurelstall_node/src/call.rs
+++ b/crates/laurelstall_node/src/call.rs
@@ -2,6 +2,7 @@
 
 use crate::{
     active::InForce,
+    call_request::{CallOutcome, CallRequest},
     counters::{Counters, count},
     decision_log::{Decision, DecisionLog},
     observer::Observer,
@@ -18,7 +19,6 @@
 use laurelstall_guard::{
     clock::Clock,
     refusal::{Refusal, RefusalReason},
-    ticket::Ticket,
 };
 use laurelstall_peer::{
     attempt::{Admission, Attempt, AttemptAnswer, AttemptBody, AttemptHandler, AttemptOutcome},
@@ -26,7 +26,6 @@
     client::PeerClient,
     message::{AttemptHead, BodyKind},
 };
-use laurelstall_policy::plan::Route;
 use std::sync::Arc;
 use tokio::time::{sleep_until, timeout_at};
 
@@ -52,45 +51,6 @@
     pub counters: Arc<Counters>,
 }
 
-/// A call as it was taken from its caller.
-#[derive(Debug)]
-pub struct CallRequest {
-    /// The call's number.
-    pub id: u64,
-    /// HTTP method.
-    pub method: String,
-    /// Path and query.
-    pub uri: String,
-    /// End-to-end headers.
-    pub headers: Vec<(String, Vec<u8>)>,
-    /// The body, or the start and the rest of it.
-    pub body: AttemptBody,
-    /// What the program decided.
-    pub route: Route,
-    /// When the call must be done, in µs of the node's clock.
-    pub deadline_us: u64,
-    /// The ticket it brings.
-    pub ticket: Option<Ticket>,
-}
-
-/// What the caller is told.
-#[derive(Debug)]
-pub enum CallOutcome {
-    /// A target's answer.
-    Answered {
-        /// Its status.
-        status: StatusCode,
-        /// Its end-to-end headers.
-        headers: HeaderMap,
-        /// Its body.
-        body: AnswerBody,
-    },
-    /// Proved: the call ran on no target.
-    NotRun(Refusal),
-    /// The call may have run.
-    Unknown(&'static str),
-}
-
 /// A target's answer that is kept while a repeatable call is tried once more.
 struct Spare {
     status: StatusCode,
--- /dev/null
+++ b/crates/laurelstall_node/src/call_request.rs
@@ -0,0 +1,45 @@
+//! A call as its caller made it, and what its caller is told.
+
+use http::{HeaderMap, StatusCode};
+use laurelstall_guard::{refusal::Refusal, ticket::Ticket};
+use laurelstall_peer::{attempt::AttemptBody, body::AnswerBody};
+use laurelstall_policy::plan::Route;
+
+/// A call as it was taken from its caller.
+#[derive(Debug)]
+pub struct CallRequest {
+    /// The call's number.
+    pub id: u64,
+    /// HTTP method.
+    pub method: String,
+    /// Path and query.
+    pub uri: String,
+    /// End-to-end headers.
+    pub headers: Vec<(String, Vec<u8>)>,
+    /// The body, or the start and the rest of it.
+    pub body: AttemptBody,
+    /// What the program decided.
+    pub route: Route,
+    /// When the call must be done, in µs of the node's clock.
+    pub deadline_us: u64,
+    /// The ticket it brings.
+    pub ticket: Option<Ticket>,
+}
+
+/// What the caller is told.
+#[derive(Debug)]
+pub enum CallOutcome {
+    /// A target's answer.
+    Answered {
+        /// Its status.
+        status: StatusCode,
+        /// Its end-to-end headers.
+        headers: HeaderMap,
+        /// Its body.
+        body: AnswerBody,
+    },
+    /// Proved: the call ran on no target.
+    NotRun(Refusal),
+    /// The call may have run.
+    Unknown(&'static str),
+}
--- a/crates/laurelstall_node/src/entry.rs
+++ b/crates/laurelstall_node/src/entry.rs
@@ -3,7 +3,8 @@
 use crate::{
     active::{Active, InForce},
     body::{Collected, collect, idle_body, whole},
-    call::{Call, CallContext, CallOutcome, CallRequest},
+    call::{Call, CallContext},
+    call_request::{CallOutcome, CallRequest},
     counters::count,
     decision_log::Decision,
     headers::{
--- a/crates/laurelstall_node/src/lib.rs
+++ b/crates/laurelstall_node/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod admin;
 pub mod body;
 pub mod call;
+pub mod call_request;
 pub mod counters;
 pub mod decision_log;
 pub mod entry;
@@ -17,6 +18,7 @@
 pub mod platform_http;
 pub mod services;
 pub mod target_guard;
+pub mod target_http;
 
 /// The types most callers need.
 pub mod prelude {
--- a/crates/laurelstall_node/src/node.rs
+++ b/crates/laurelstall_node/src/node.rs
@@ -191,9 +191,7 @@
                     self.spread.note_offer(from, address, versions);
                     PeerAnswer::Noted
                 }
-                PeerRequest::Attempt(_) => {
-                    PeerAnswer::Refused(Refusal::new(RefusalReason::Unreadable).into())
-                }
+                PeerRequest::Attempt(_) => PeerAnswer::Refused(Refusal::new(RefusalReason::Unreadable)),
             }
         }
         .boxed()
--- a/crates/laurelstall_node/src/observer.rs
+++ b/crates/laurelstall_node/src/observer.rs
@@ -25,8 +25,6 @@
 const PROBE_PAYLOAD_BYTES: u64 = 12 + HINT_BYTES;
 /// A probe and its answer.
 pub const PROBE_BYTES: u64 = 2 * (PROBE_PAYLOAD_BYTES + MESSAGE_OVERHEAD_BYTES);
-/// Opening a connection for it: TCP and `h2` handshakes, both directions.
-pub const OPEN_BYTES: u64 = 650;
 /// Pause between two looks for a target to probe.
 const PROBE_INTERVAL: Duration = Duration::from_millis(25);
 /// Hints younger than this need no probe, in µs.
@@ -93,8 +91,11 @@
             sleep(PROBE_INTERVAL).await;
             for service in services.used_since(self.clock.now_us().saturating_sub(SERVICE_IDLE_US)) {
                 let now_us = self.clock.now_us();
-                let Some((index, name, address)) = service.stalest(now_us, PROBE_AGE_US) else { continue };
-                if !self.take_probe(client, address) {
+                // No connection is opened for a probe: that would cost more than it tells.
+                let has_connection = |address| client.pool().has(address);
+                let stalest = service.stalest(now_us, PROBE_AGE_US, has_connection);
+                let Some((index, name, address)) = stalest else { continue };
+                if !self.take_probe() {
                     continue;
                 }
                 count(&self.counters.probes);
@@ -105,9 +106,8 @@
         }
     }
 
-    fn take_probe(&self, client: &PeerClient, address: SocketAddr) -> bool {
-        let open_bytes = if client.pool().has(address) { 0 } else { OPEN_BYTES };
-        let cost = ObserveCost { bytes: PROBE_BYTES + open_bytes, messages: 1 };
+    fn take_probe(&self) -> bool {
+        let cost = ObserveCost { bytes: PROBE_BYTES, messages: 1 };
         lock(&self.asking).try_take(self.clock.now_us(), cost, 100)
     }
 }
--- a/crates/laurelstall_node/src/services.rs
+++ b/crates/laurelstall_node/src/services.rs
@@ -39,11 +39,18 @@
         self.addresses.lock().unwrap_or_else(PoisonError::into_inner).get(host).copied()
     }
 
-    /// The target that a probe would tell most of: place, name, address.
-    pub fn stalest(&self, now_us: u64, age_min_us: u64) -> Option<(usize, String, SocketAddr)> {
+    /// The target that a probe would tell most of, of those whose address `is_reached`: place, name,
+    /// address.
+    pub fn stalest(
+        &self,
+        now_us: u64,
+        age_min_us: u64,
+        is_reached: impl Fn(SocketAddr) -> bool,
+    ) -> Option<(usize, String, SocketAddr)> {
         let (index, name, host) = {
             let mut balancer = self.balancer();
-            let index = balancer.stalest(now_us, age_min_us)?;
+            let is_reached = |host: &str| self.address(host).is_some_and(&is_reached);
+            let index = balancer.stalest(now_us, age_min_us, is_reached)?;
             let view = &balancer.targets()[index];
             (index, view.name.clone(), view.host.clone())
         };
--- a/crates/laurelstall_node/src/target_guard.rs
+++ b/crates/laurelstall_node/src/target_guard.rs
@@ -2,23 +2,21 @@
 
 use crate::{
     active::{Active, InForce},
-    body::{Collected, WatchedBody, collect, empty, whole},
+    body::{Collected, WatchedBody, collect, whole},
     counters::{Counters, count},
-    headers::{BUDGET, number_value, strip_hop_by_hop},
+    headers::strip_hop_by_hop,
     observer::Observer,
+    target_http::{target_client, target_request},
 };
 use futures_util::future::{BoxFuture, FutureExt};
-use http::{HeaderMap, HeaderName, HeaderValue, Method, Request, Response, StatusCode, Uri, Version};
+use http::{HeaderMap, HeaderName, HeaderValue, Response, StatusCode};
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
-use hyper_util::{
-    client::legacy::{Client, connect::HttpConnector},
-    rt::{TokioExecutor, TokioTimer},
-};
+use hyper_util::client::legacy::{Client, connect::HttpConnector};
 use laurelstall_balance::hint::{Hint, TargetState};
 use laurelstall_config::{
     fleet::HostState,
-    settings::{TargetHttp, TargetSettings},
+    settings::TargetSettings,
     team::{SHED_HEADER, Service, ServiceLimits, Target},
 };
 use laurelstall_guard::{
@@ -30,7 +28,6 @@
 use laurelstall_peer::{
     attempt::{Admission, Attempt, AttemptAnswer, AttemptBody, AttemptHandler, AttemptOutcome},
     body::{AnswerBody, BodyError},
-    client::headers_from_wire,
     message::{AttemptHead, PeerAnswer, TicketsRequest},
 };
 use std::sync::{
@@ -42,10 +39,6 @@
     time::{Duration, timeout, timeout_at},
 };
 
-/// Idle connections to the target that are kept.
-const TARGET_IDLE_MAX: usize = 64;
-/// An idle connection to the target is closed after so long.
-const TARGET_IDLE_TIMEOUT: Duration = Duration::from_secs(20);
 /// Queue of a guard that stands in for none at all, behind a plain balancer.
 const PLAIN_QUEUE_LENGTH: usize = 100_000;
 
@@ -187,10 +180,10 @@
         let in_force = self.inner.active.load();
         let own = self.inner.own_target(&in_force);
         let Some((service, _)) = own.filter(|(_, target)| self.inner.is_named(target, request)) else {
-            return PeerAnswer::Refused(Refusal::new(RefusalReason::OtherTarget).into());
+            return PeerAnswer::Refused(Refusal::new(RefusalReason::OtherTarget));
         };
         if self.inner.guard.is_draining() {
-            return PeerAnswer::Refused(Refusal::new(RefusalReason::Draining).into());
+            return PeerAnswer::Refused(Refusal::new(RefusalReason::Draining));
         }
         let lifetime_ms = service.limits.ticket_lifetime_ms;
         let now_us = self.inner.clock.now_us();
@@ -394,7 +387,10 @@
             return refused(RefusalReason::Deadline, Some(body));
         }
         admission.grant();
-        let Some(request) = self.target_request(head, body, deadline_us - now_us) else {
+        let budget_us = deadline_us - now_us;
+        let settings = self.settings.as_ref();
+        let request = settings.and_then(|settings| target_request(settings, head, body, budget_us));
+        let Some(request) = request else {
             permit.release_uncounted();
             return refused(RefusalReason::Unreadable, None);
         };
@@ -441,47 +437,6 @@
         let body = body.boxed_unsync();
         AttemptAnswer::new(AttemptOutcome::Answered { status: parts.status, headers, body })
     }
-
-    fn target_request(
-        &self,
-        head: AttemptHead,
-        body: AttemptBody,
-        budget_us: u64,
-    ) -> Option<Request<AnswerBody>> {
-        let settings = self.settings.as_ref()?;
-        let mut headers = headers_from_wire(&head.headers)?;
-        headers.insert(BUDGET, number_value((budget_us / 1_000).max(1)));
-        let method = Method::from_bytes(head.method.as_bytes()).ok()?;
-        let uri = format!("http://{}{}", settings.address, head.uri);
-        let uri: Uri = uri.parse().ok()?;
-        let body = match body {
-            AttemptBody::Whole(bytes) if bytes.is_empty() => empty(),
-            AttemptBody::Whole(bytes) => whole(bytes),
-            AttemptBody::Stream(body) => body,
-        };
-        let mut request = Request::new(body);
-        *request.method_mut() = method;
-        *request.uri_mut() = uri;
-        *request.headers_mut() = headers;
-        if settings.http == TargetHttp::Http2 {
-            *request.version_mut() = Version::HTTP_2;
-        }
-        Some(request)
-    }
-}
-
-fn target_client(settings: Option<&TargetSettings>) -> Client<HttpConnector, AnswerBody> {
-    let mut connector = HttpConnector::new();
-    connector.set_nodelay(true);
-    let timeout_ms = settings.map_or(1_000, |settings| settings.connect_timeout_ms);
-    connector.set_connect_timeout(Some(Duration::from_millis(timeout_ms)));
-    let mut builder = Client::builder(TokioExecutor::new());
-    builder.pool_timer(TokioTimer::new());
-    builder.pool_idle_timeout(TARGET_IDLE_TIMEOUT);
-    builder.pool_max_idle_per_host(TARGET_IDLE_MAX);
-    builder.set_host(false);
-    builder.http2_only(settings.is_some_and(|settings| settings.http == TargetHttp::Http2));
-    builder.build(connector)
 }
 
 fn kept_outcome(answer: &KeptAnswer) -> AttemptOutcome {
--- a/crates/laurelstall_peer/src/client.rs
+++ b/crates/laurelstall_peer/src/client.rs
@@ -244,9 +244,9 @@
         }
         PeerAnswer::NotRun { call_id: answered, refusal, hint } => {
             assert_eq!(answered, call_id, "an answer came back on another call's stream");
-            (AttemptOutcome::NotRun(refusal.into()), hint)
+            (AttemptOutcome::NotRun(refusal), hint)
         }
-        PeerAnswer::Refused(refusal) => (AttemptOutcome::NotRun(refusal.into()), None),
+        PeerAnswer::Refused(refusal) => (AttemptOutcome::NotRun(refusal), None),
         PeerAnswer::Unknown { hint, .. } => (AttemptOutcome::Unknown("lost at the target"), hint),
         _ => (AttemptOutcome::Unknown("unexpected answer"), None),
     };
--- a/crates/laurelstall_peer/src/lib.rs
+++ b/crates/laurelstall_peer/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod link;
 pub mod message;
 pub mod meter;
+pub mod partner_pauses;
 pub mod partners;
 pub mod platform;
 pub mod pool;
--- a/crates/laurelstall_peer/src/message.rs
+++ b/crates/laurelstall_peer/src/message.rs
@@ -2,7 +2,7 @@
 
 use laurelstall_balance::hint::{Hint, TargetState};
 use laurelstall_config::document::{DocumentName, Version};
-use laurelstall_guard::refusal::{Refusal, RefusalReason};
+use laurelstall_guard::refusal::Refusal;
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
 
@@ -91,67 +91,6 @@
     u16::try_from(count).unwrap_or(u16::MAX)
 }
 
-/// A refusal, as it travels.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
-pub struct WireRefusal {
-    reason: WireReason,
-    retry_after_ms: u32,
-}
-
-/// A reason, as it travels; [`RefusalReason`] names each.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
-enum WireReason {
-    Draining,
-    QueueFull,
-    Deadline,
-    HandedBack,
-    OtherTarget,
-    Unreadable,
-    NoConnection,
-    Shed,
-    Stranger,
-    NoTarget,
-    TicketVoid,
-}
-
-impl From<Refusal> for WireRefusal {
-    fn from(refusal: Refusal) -> Self {
-        let reason = match refusal.reason {
-            RefusalReason::Draining => WireReason::Draining,
-            RefusalReason::QueueFull => WireReason::QueueFull,
-            RefusalReason::Deadline => WireReason::Deadline,
-            RefusalReason::HandedBack => WireReason::HandedBack,
-            RefusalReason::OtherTarget => WireReason::OtherTarget,
-            RefusalReason::Unreadable => WireReason::Unreadable,
-            RefusalReason::NoConnection => WireReason::NoConnection,
-            RefusalReason::Shed => WireReason::Shed,
-            RefusalReason::Stranger => WireReason::Stranger,
-            RefusalReason::NoTarget => WireReason::NoTarget,
-            RefusalReason::TicketVoid => WireReason::TicketVoid,
-        };
-        Self { reason, retry_after_ms: refusal.retry_after_ms }
-    }
-}
-
-impl From<WireRefusal> for Refusal {
-    fn from(wire: WireRefusal) -> Self {
-        let reason = match wire.reason {
-            WireReason::Draining => RefusalReason::Draining,
-            WireReason::QueueFull => RefusalReason::QueueFull,
-            WireReason::Deadline => RefusalReason::Deadline,
-            WireReason::HandedBack => RefusalReason::HandedBack,
-            WireReason::OtherTarget => RefusalReason::OtherTarget,
-            WireReason::Unreadable => RefusalReason::Unreadable,
-            WireReason::NoConnection => RefusalReason::NoConnection,
-            WireReason::Shed => RefusalReason::Shed,
-            WireReason::Stranger => RefusalReason::Stranger,
-            WireReason::NoTarget => RefusalReason::NoTarget,
-            WireReason::TicketVoid => RefusalReason::TicketVoid,
-        };
-        Self { reason, retry_after_ms: wire.retry_after_ms }
-    }
-}
-
 /// Asks a guard for tickets.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct TicketsRequest {
@@ -245,7 +184,7 @@
         /// The call's number.
         call_id: u64,
         /// Why.
-        refusal: WireRefusal,
+        refusal: Refusal,
         /// How the target is.
         hint: Option<WireHint>,
     },
@@ -278,5 +217,5 @@
     /// Taken note of.
     Noted,
     /// Not done, for this reason.
-    Refused(WireRefusal),
+    Refused(Refusal),
 }
--- a/crates/laurelstall_peer/src/server.rs
+++ b/crates/laurelstall_peer/src/server.rs
@@ -252,7 +252,7 @@
             send_body(body, stream).await
         }
         AttemptOutcome::NotRun(refusal) => {
-            let head = PeerAnswer::NotRun { call_id, refusal: refusal.into(), hint };
+            let head = PeerAnswer::NotRun { call_id, refusal, hint };
             stream.send_data(encode(&head), true).map_err(BodyError::from)
         }
         AttemptOutcome::Unknown(_) => {
@@ -264,7 +264,7 @@
 
 fn refuse(respond: &mut SendResponse<Bytes>, reason: RefusalReason) -> Result<(), BodyError> {
     let mut stream = respond.send_response(Response::new(()), false)?;
-    let answer = PeerAnswer::Refused(Refusal::new(reason).into());
+    let answer = PeerAnswer::Refused(Refusal::new(reason));
     stream.send_data(encode(&answer), true)?;
     Ok(())
 }
--- a/crates/laurelstall_peer/src/spread.rs
+++ b/crates/laurelstall_peer/src/spread.rs
@@ -8,6 +8,7 @@
 use crate::{
     client::{PeerClient, PeerError},
     message::{Exchange, PeerAnswer, PeerRequest, PullItem},
+    partner_pauses::PartnerPauses,
     partners::{is_reader, pick_partners},
     platform::{Listing, PlatformError, PlatformSource},
     store::{Acceptor, Offer, Store},
@@ -45,8 +46,6 @@
 const ROLE_CHECK_MS: u64 = 1_000;
 /// Reads of the whole fleet together, on average, in each `fallback_read_after_ms`.
 const FALLBACK_READS: f64 = 16.0;
-/// Longest pause of a partner that does not answer, in exchanges.
-const PARTNER_PAUSE_MAX: u32 = 32;
 /// How long a joining node waits for peers and platform before it takes what it has.
 pub const JOIN_TIMEOUT: Duration = Duration::from_secs(3);
 /// Partners whose last exchange is remembered.
@@ -391,7 +390,7 @@
 
     async fn exchange_loop(&self) {
         let mut next = 0;
-        let mut pauses: HashMap<SocketAddr, (u32, u32)> = HashMap::new();
+        let mut pauses = PartnerPauses::default();
         loop {
             let interval_ms = self.view.spread().exchange_interval_ms;
             sleep(self.jittered(interval_ms)).await;
@@ -400,32 +399,25 @@
                 self.ask_seeds().await;
                 continue;
             }
-            pauses.retain(|address, _| partners.contains(address));
+            pauses.keep_only(&partners);
             let address = partners[next % partners.len()];
             next += 1;
-            let (skip, growth) = pauses.get(&address).copied().unwrap_or((0, 1));
-            if skip > 0 {
-                pauses.insert(address, (skip - 1, growth));
+            if !pauses.take_turn(address) {
                 continue;
             }
             match self.exchange_with(address).await {
-                Ok(()) => drop(pauses.remove(&address)),
+                Ok(()) => pauses.note_reached(address),
                 Err(_) => {
                     self.counts.exchanges_failed.fetch_add(1, Ordering::Relaxed);
-                    self.replace_partner_if_due(growth);
-                    pauses.insert(address, (growth, (growth * 2).min(PARTNER_PAUSE_MAX)));
+                    if pauses.note_failed(address) {
+                        // It has been away for long: other partners are picked.
+                        self.partner_seed.fetch_add(1, Ordering::Relaxed);
+                    }
                 }
             }
         }
     }
 
-    /// Picks other partners when one has not answered for long, unless most do not answer.
-    fn replace_partner_if_due(&self, growth: u32) {
-        if growth >= PARTNER_PAUSE_MAX {
-            self.partner_seed.fetch_add(1, Ordering::Relaxed);
-        }
-    }
-
     async fn exchange_with(&self, address: SocketAddr) -> Result<(), PeerError> {
         let answer = self.client.ask(address, &PeerRequest::Exchange(self.exchange())).await;
         self.note_partner(address, answer.as_ref().ok());
--- a/crates/laurelstall_peer/tests/messages.rs
+++ b/crates/laurelstall_peer/tests/messages.rs
@@ -5,7 +5,7 @@
 use laurelstall_guard::refusal::{Refusal, RefusalReason};
 use laurelstall_peer::{
     frame::{MESSAGE_VERSION, decode, encode},
-    message::{AttemptHead, BodyKind, PeerAnswer, PeerRequest, PullItem, WireRefusal},
+    message::{AttemptHead, BodyKind, PeerAnswer, PeerRequest, PullItem},
 };
 
 /// Version and length before each message.
@@ -63,7 +63,8 @@
     ];
     for reason in reasons {
         let refusal = Refusal { reason, retry_after_ms: 9 };
-        assert_eq!(Refusal::from(WireRefusal::from(refusal)), refusal);
+        let answer = PeerAnswer::Refused(refusal);
+        assert_eq!(decode::<PeerAnswer>(&encode(&answer)[PREFIX_BYTES..]).expect("it is whole"), answer);
     }
 }
 
@@ -78,7 +79,7 @@
         state: TargetState::Draining,
     };
     let answer = |hint: Option<Hint>| {
-        let refusal = Refusal::new(RefusalReason::QueueFull).into();
+        let refusal = Refusal::new(RefusalReason::QueueFull);
         encode(&PeerAnswer::NotRun { call_id: 1, refusal, hint: hint.map(Into::into) }).len() as u64
     };
     assert!(answer(Some(largest)) - answer(None) <= HINT_BYTES);
--- a/crates/laurelstall_standin/src/fleet_bench.rs
+++ b/crates/laurelstall_standin/src/fleet_bench.rs
@@ -1,7 +1,8 @@
 //! Many real nodes in one process, to measure how configuration spreads and what control costs.
 
 use crate::{
-    harness::{Cuts, HostLink, Sockets, to_toml},
+    cuts::{Cuts, HostLink},
+    harness::{Sockets, to_toml},
     latency::Latency,
     node_thread::NodeThread,
     platform::{PlatformWay, StandinPlatform},
--- a/crates/laurelstall_standin/src/lib.rs
+++ b/crates/laurelstall_standin/src/lib.rs
@@ -4,6 +4,7 @@
 //! the nodes between them are the real thing over real sockets.
 
 pub mod callers;
+pub mod cuts;
 pub mod experiment;
 pub mod fault;
 pub mod fleet_bench;
--- a/crates/laurelstall_standin/tests/bad_input.rs
+++ b/crates/laurelstall_standin/tests/bad_input.rs
@@ -5,6 +5,8 @@
 
 use bytes::Bytes;
 use http::{Method, StatusCode};
+use laurelstall_guard::refusal::{Refusal, RefusalReason};
+use laurelstall_peer::{frame::decode, message::PeerAnswer};
 use laurelstall_standin::harness::Harness;
 use std::net::SocketAddr;
 use support::{ask, entry, plan, start};
@@ -138,11 +140,8 @@
         let mut stream = response.into_body();
         let answer =
             timeout(PATIENCE, stream.data()).await.expect("in time").expect("a message").expect("whole");
-        let answer = laurelstall_peer::frame::decode::<laurelstall_peer::message::PeerAnswer>(&answer[5..]);
-        let refused = laurelstall_peer::message::PeerAnswer::Refused(
-            laurelstall_guard::refusal::Refusal::new(laurelstall_guard::refusal::RefusalReason::Unreadable)
-                .into(),
-        );
+        let answer = decode::<PeerAnswer>(&answer[5..]);
+        let refused = PeerAnswer::Refused(Refusal::new(RefusalReason::Unreadable));
         assert_eq!(answer.expect("it is readable"), refused);
     }
     let mut stream = TcpStream::connect(at).await.expect("the node listens");
