--- a/crates/laurelstall_balance/src/least_wait.rs
+++ b/crates/laurelstall_balance/src/least_wait.rs
@@ -2,7 +2,7 @@
 
 use crate::{
     chooser::{Candidate, Choice, Chooser, ChoosingContext, Reason},
-    target_view::{HINT_HALF_AGE_US, TargetView},
+    target_view::{HINT_HALF_AGE_US, SERVICE_HALF_AGE_US, TargetView},
 };
 use rand::RngExt;
 
@@ -85,6 +85,8 @@
             let said = f64::from(hint.in_flight + hint.queued);
             let busy = trust * said + (1.0 - trust) * usual_in_flight;
             let limit = trust * f64::from(hint.limit.max(1)) + (1.0 - trust) * slots;
+            // How fast a target is lasts longer than how many calls it has.
+            let trust = 1.0 / (1.0 + age_us as f64 / SERVICE_HALF_AGE_US);
             let service_us = trust * f64::from(hint.service_us) + (1.0 - trust) * context.usual_us;
             (busy + f64::from(view.sent_since_hint()), limit, service_us)
         }
--- a/crates/laurelstall_balance/src/service_balancer.rs
+++ b/crates/laurelstall_balance/src/service_balancer.rs
@@ -66,6 +66,8 @@
 /// What an entry knows and decides of one service.
 pub struct ServiceBalancer {
     targets: Vec<TargetView>,
+    /// Own calls in flight at all targets together.
+    in_flight: u32,
     limits: ServiceLimits,
     chooser: Box<dyn Chooser>,
     retries: ShareBudget,
@@ -81,6 +83,7 @@
     pub fn new(limits: ServiceLimits, chooser: Box<dyn Chooser>, seed: u64) -> Self {
         Self {
             targets: Vec::new(),
+            in_flight: 0,
             limits,
             chooser,
             retries: ShareBudget::new(limits.retry_percent, RETRY_RESERVE),
@@ -111,6 +114,7 @@
             }
             self.targets.push(view);
         }
+        self.in_flight = self.targets.iter().map(TargetView::in_flight).sum();
         self.limits = limits;
         self.retries.set_percent(limits.retry_percent);
         self.hedges.set_percent(limits.hedge_percent);
@@ -124,9 +128,9 @@
             None => view.is_eligible(now_us) && !choosing.excluded.contains(index),
         };
         let listed = self.targets.iter().enumerate().filter(is_wanted);
-        let candidates = listed.map(|(index, view)| Candidate { index, view }).collect::<Vec<_>>();
-        let own: u32 = self.targets.iter().map(TargetView::in_flight).sum();
-        let own_mean = f64::from(own) / self.targets.len().max(1) as f64;
+        let mut candidates = Vec::with_capacity(self.targets.len());
+        candidates.extend(listed.map(|(index, view)| Candidate { index, view }));
+        let own_mean = f64::from(self.in_flight) / self.targets.len().max(1) as f64;
         let mut context = ChoosingContext {
             now_us,
             slow_start_us: self.limits.slow_start_ms * 1_000,
@@ -144,6 +148,7 @@
     pub fn note_sent(&mut self, index: usize) {
         if let Some(view) = self.targets.get_mut(index) {
             view.note_sent();
+            self.in_flight += 1;
         }
     }
 
@@ -151,6 +156,7 @@
     pub fn note_result(&mut self, index: usize, name: &str, result: AttemptResult, now_us: u64) {
         let Some(index) = self.place_of(index, name) else { return };
         let view = &mut self.targets[index];
+        self.in_flight -= view.in_flight().min(1);
         view.note_ended();
         match result {
             AttemptResult::Good(latency_us) => {
--- a/crates/laurelstall_balance/src/target_view.rs
+++ b/crates/laurelstall_balance/src/target_view.rs
@@ -15,6 +15,8 @@
 const ERROR_RATE_MIN: f64 = 0.001;
 /// Age at which a hint counts half, in µs: about two service times (measured, `docs/CHOICE.md`).
 pub const HINT_HALF_AGE_US: f64 = 20_000.0;
+/// Age at which the service time of a hint counts half, in µs.
+pub const SERVICE_HALF_AGE_US: f64 = 100_000.0;
 
 /// One entry's view of one target.
 #[derive(Debug, Clone)]
