--- a/crates/laurelstall_peer/src/lib.rs
+++ b/crates/laurelstall_peer/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod pool;
 pub mod server;
 pub mod spread;
+pub mod spread_state;
 pub mod store;
 
 /// The types most callers need.
