--- a/crates/laurelstall_balance/src/service_balancer.rs
+++ b/crates/laurelstall_balance/src/service_balancer.rs
@@ -11,8 +11,6 @@
 use rand::{RngExt, SeedableRng, rngs::SmallRng};
 use std::fmt;
 
-/// Extra attempts that a quiet service may make before it has earned any.
-const RETRY_RESERVE: f64 = 10.0;
 /// Hedges that a quiet service may make before it has earned any.
 const HEDGE_RESERVE: f64 = 1.0;
 /// Attempts before errors or latency may eject a target.
@@ -86,7 +84,7 @@
             in_flight: 0,
             limits,
             chooser,
-            retries: ShareBudget::new(limits.retry_percent, RETRY_RESERVE),
+            retries: ShareBudget::new(limits.retry_percent, f64::from(limits.retry_reserve)),
             hedges: ShareBudget::new(limits.hedge_percent, HEDGE_RESERVE),
             usual_us: USUAL_START_US,
             usual_load: 0.5,
--- a/crates/laurelstall_config/src/configuration.rs
+++ b/crates/laurelstall_config/src/configuration.rs
@@ -4,8 +4,9 @@
     document::{Document, DocumentName, Version},
     fleet::Fleet,
     problem::ConfigError,
+    route::RouteTable,
     system::SystemLimits,
-    team::{Service, Team},
+    team::{Service, Target, Team},
 };
 use std::{
     collections::{BTreeMap, HashMap},
@@ -59,6 +60,10 @@
     /// The version of each document in force.
     pub versions: BTreeMap<DocumentName, Version>,
     team_by_caller_host: HashMap<String, String>,
+    /// The route table of each team.
+    routes: BTreeMap<String, Arc<RouteTable>>,
+    /// All services by full name, with the targets of the team's document and of the fleet.
+    services: BTreeMap<String, Arc<Service>>,
 }
 
 impl Configuration {
@@ -67,11 +72,17 @@
         let mut next = self.clone();
         next.versions.insert(name.clone(), version);
         match checked {
-            Checked::Fleet(fleet) => next.fleet = Arc::new(fleet),
+            Checked::Fleet(fleet) => {
+                next.fleet = Arc::new(fleet);
+                next.index_services();
+            }
             Checked::System(system) => next.system = Arc::new(system),
             Checked::Team(team) => {
+                let table = RouteTable::new(&team.routes, rand::random());
+                next.routes.insert(team.team.clone(), Arc::new(table));
                 next.teams.insert(team.team.clone(), Arc::from(team));
                 next.index_caller_hosts();
+                next.index_services();
             }
         }
         next
@@ -87,19 +98,19 @@
         self.teams.get(self.team_by_caller_host.get(host)?)
     }
 
+    /// The route table of a team.
+    pub fn routes(&self, team: &str) -> Option<&RouteTable> {
+        self.routes.get(team).map(Arc::as_ref)
+    }
+
     /// The service with this full name, `team/service`.
     pub fn service(&self, full_name: &str) -> Option<&Service> {
-        let (team, service) = full_name.split_once('/')?;
-        self.teams.get(team)?.service(service)
+        self.services.get(full_name).map(Arc::as_ref)
     }
 
     /// All services with their full names.
     pub fn services(&self) -> impl Iterator<Item = (String, &Service)> {
-        let of_team = |team: &'_ Arc<Team>| team.team.clone();
-        self.teams.values().flat_map(move |team| {
-            let prefix = of_team(team);
-            team.services.iter().map(move |s| (format!("{prefix}/{}", s.name), s))
-        })
+        self.services.iter().map(|(name, service)| (name.clone(), service.as_ref()))
     }
 
     /// Host names claimed by more than one team: name, team that holds it, team that lost it.
@@ -117,10 +128,27 @@
     fn index_caller_hosts(&mut self) {
         self.team_by_caller_host.clear();
         for team in self.teams.values() {
-            for host in &team.caller_hosts {
+            let route_hosts = team.routes.iter().map(|route| &route.host);
+            for host in team.caller_hosts.iter().chain(route_hosts) {
                 let holder = self.team_by_caller_host.entry(host.to_ascii_lowercase());
                 holder.or_insert_with(|| team.team.clone());
             }
         }
     }
+
+    fn index_services(&mut self) {
+        let of_team = |team: &Arc<Team>| {
+            let prefix = team.team.clone();
+            let services = team.services.iter().cloned();
+            services.map(move |service| (format!("{prefix}/{}", service.name), service)).collect::<Vec<_>>()
+        };
+        let mut services = self.teams.values().flat_map(of_team).collect::<BTreeMap<_, _>>();
+        for listed in &self.fleet.targets {
+            let Some(service) = services.get_mut(&listed.service) else { continue };
+            let name = listed.name.clone();
+            let host = listed.host.clone();
+            service.targets.push(Target { name, host, slots: listed.slots, connections: 0 });
+        }
+        self.services = services.into_iter().map(|(name, service)| (name, Arc::new(service))).collect();
+    }
 }
--- a/crates/laurelstall_config/src/fleet.rs
+++ b/crates/laurelstall_config/src/fleet.rs
@@ -34,6 +34,20 @@
     pub state: HostState,
 }
 
+/// A target that registered itself, beside those that the teams' documents list.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct FleetTarget {
+    /// Full name of its service, `team/service`.
+    pub service: String,
+    /// The target's name; another with each start.
+    pub name: String,
+    /// The host it runs on.
+    pub host: String,
+    /// Requests it can run at once.
+    pub slots: u32,
+}
+
 /// The hosts the platform knows of; it lags behind the truth.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -41,6 +55,9 @@
     /// All hosts, live and leaving.
     #[serde(default, rename = "host")]
     pub hosts: Vec<Host>,
+    /// Targets that registered themselves.
+    #[serde(default, rename = "target")]
+    pub targets: Vec<FleetTarget>,
 }
 
 impl Fleet {
@@ -60,6 +77,16 @@
             let message = format!("host '{}' stands twice", host.name);
             check.ensure(names.insert(&host.name), "name", &message);
         }
+        let mut target_hosts = HashSet::new();
+        for target in &fleet.targets {
+            let is_full = target.service.split_once('/').is_some_and(|(t, s)| is_name(t) && is_name(s));
+            check.ensure(is_full, "target.service", "must be 'team/service'");
+            check.ensure(is_name(&target.name), "target.name", &format!("'{}' is not a name", target.name));
+            check.range("target.slots", target.slots, 1..=100_000);
+            check.ensure(names.contains(&target.host), "target.host", "is no host of the fleet");
+            let message = format!("'{}' has two targets", target.host);
+            check.ensure(target_hosts.insert(&target.host), "target.host", &message);
+        }
         check.finish().map(|()| fleet)
     }
 
--- a/crates/laurelstall_config/src/lib.rs
+++ b/crates/laurelstall_config/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod document;
 pub mod fleet;
 pub mod problem;
+pub mod route;
 pub mod settings;
 pub mod system;
 pub mod team;
--- a/crates/laurelstall_config/src/settings.rs
+++ b/crates/laurelstall_config/src/settings.rs
@@ -18,11 +18,22 @@
     pub peer_address: SocketAddr,
     /// Where operators connect.
     pub admin_address: SocketAddr,
+    /// Whether nodes are served that no list names: where targets register themselves, a node
+    /// beside one that has not done so yet calls others all the same.
+    #[serde(default)]
+    pub takes_unlisted_peers: bool,
+    /// How long a stopping node goes on serving callers while it tells them to leave, in ms.
+    #[serde(default = "stop_linger_ms_default")]
+    pub stop_linger_ms: u64,
     /// Longest a planned stop may take in ms.
     #[serde(default = "stop_max_ms_default")]
     pub stop_max_ms: u64,
 }
 
+fn stop_linger_ms_default() -> u64 {
+    1_000
+}
+
 fn stop_max_ms_default() -> u64 {
     30_000
 }
@@ -236,6 +247,7 @@
     fn check_node(&self, check: &mut Checker<'_>) {
         check.ensure(is_name(&self.node.host), "node.host", "is not a name");
         check.ensure(is_name(&self.node.data_centre), "node.data_centre", "is not a name");
+        check.range("node.stop_linger_ms", self.node.stop_linger_ms, 0..=self.node.stop_max_ms);
         check.range("node.stop_max_ms", self.node.stop_max_ms, 0..=600_000);
         if let Some(target) = &self.target {
             let is_full = target.service.split_once('/').is_some_and(|(t, s)| is_name(t) && is_name(s));
--- a/crates/laurelstall_config/src/system.rs
+++ b/crates/laurelstall_config/src/system.rs
@@ -31,6 +31,8 @@
     pub exchange_interval_ms: u64,
     /// Without news of a platform read for so long, any node may read itself; in ms.
     pub fallback_read_after_ms: u64,
+    /// Longest pause after a failed read of the platform in ms.
+    pub read_pause_max_ms: u64,
 }
 
 impl Default for SpreadLimits {
@@ -40,6 +42,7 @@
             partners: 6,
             exchange_interval_ms: 1_000,
             fallback_read_after_ms: 60_000,
+            read_pause_max_ms: 10_000,
         }
     }
 }
@@ -64,6 +67,9 @@
     pub observe: ObserveLimits,
     /// Spreading of configuration.
     pub spread: SpreadLimits,
+    /// What it costs to send a call to another data centre, beside the time of the way, in µs: a call
+    /// leaves its data centre when it expects to gain more than that.
+    pub data_centre_change_us: u64,
     /// Times between data centres; pairs not listed count as [`DISTANCE_DEFAULT_US`].
     #[serde(rename = "distance")]
     pub distances: Vec<Distance>,
@@ -84,10 +90,12 @@
         check.range("observe.bytes_per_s", limits.observe.bytes_per_s, 0..=10_000_000);
         check.range("observe.probes_per_s", limits.observe.probes_per_s, 0..=10_000);
         let spread = limits.spread;
-        check.range("spread.readers_per_data_centre", spread.readers_per_data_centre, 1..=16);
+        check.range("spread.readers_per_data_centre", spread.readers_per_data_centre, 1..=1_000);
         check.range("spread.partners", spread.partners, 1..=32);
         check.range("spread.exchange_interval_ms", spread.exchange_interval_ms, 50..=60_000);
         check.range("spread.fallback_read_after_ms", spread.fallback_read_after_ms, 1_000..=3_600_000);
+        check.range("spread.read_pause_max_ms", spread.read_pause_max_ms, 200..=600_000);
+        check.range("data_centre_change_us", limits.data_centre_change_us, 0..=10_000_000);
         for distance in &limits.distances {
             let are_names = is_name(&distance.from) && is_name(&distance.to);
             check.ensure(are_names, "distance", "from and to must name data centres");
--- a/crates/laurelstall_config/src/team.rs
+++ b/crates/laurelstall_config/src/team.rs
@@ -1,6 +1,9 @@
 //! One team's document: its callers' host names, its services, their targets, its program.
 
-use crate::problem::{Checker, ConfigError, is_name};
+use crate::{
+    problem::{Checker, ConfigError, is_name},
+    route::{ROUTES_MAX, RouteRule},
+};
 use serde::{Deserialize, Serialize};
 use std::collections::HashSet;
 
@@ -34,6 +37,8 @@
     pub slow_start_ms: u64,
     /// Retries as a share of successful calls, in percent.
     pub retry_percent: u32,
+    /// Retries that a node may make before it has earned any.
+    pub retry_reserve: u32,
     /// Hedges as a share of calls, in percent.
     pub hedge_percent: u32,
     /// Status that, together with [`SHED_HEADER`], says a target ran nothing; 0 for none.
@@ -57,6 +62,7 @@
             ejection_ms: 1_000,
             slow_start_ms: 2_000,
             retry_percent: 10,
+            retry_reserve: 10,
             hedge_percent: 3,
             shed_status: 503,
             tickets_max: 20_000,
@@ -76,6 +82,7 @@
         check.range("limits.ejection_ms", self.ejection_ms, 10..=600_000);
         check.range("limits.slow_start_ms", self.slow_start_ms, 0..=600_000);
         check.range("limits.retry_percent", self.retry_percent, 0..=100);
+        check.range("limits.retry_reserve", self.retry_reserve, 0..=20);
         check.range("limits.hedge_percent", self.hedge_percent, 0..=50);
         let is_status = self.shed_status == 0 || (400..=599).contains(&self.shed_status);
         check.ensure(is_status, "limits.shed_status", "must be 0 or 400 to 599");
@@ -105,7 +112,7 @@
 }
 
 /// One service of a team.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Service {
     /// The service's name, unique in its team.
@@ -143,10 +150,15 @@
 pub struct Team {
     /// The team's name; the document's name must say the same.
     pub team: String,
-    /// Host names that callers of this team use, without port.
+    /// Host names that callers of this team use, without port; those of routes count as named.
+    #[serde(default)]
     pub caller_hosts: Vec<String>,
-    /// The routing program.
+    /// The routing program, for requests that no route fits; empty for none.
+    #[serde(default)]
     pub program: String,
+    /// Routes that need no program.
+    #[serde(default, rename = "route")]
+    pub routes: Vec<RouteRule>,
     /// The team's services.
     #[serde(default, rename = "service")]
     pub services: Vec<Service>,
@@ -164,12 +176,15 @@
             return Err(check.finish().expect_err("parsing noted a problem"));
         };
         check.ensure(is_name(&team.team), "team", &format!("'{}' is not a name", team.team));
-        check.ensure(!team.caller_hosts.is_empty(), "caller_hosts", "must name at least one host");
+        let has_hosts = !team.caller_hosts.is_empty() || !team.routes.is_empty();
+        check.ensure(has_hosts, "caller_hosts", "must name at least one host");
         for host in &team.caller_hosts {
             let is_host = !host.is_empty() && !host.contains([':', '/', ' ']);
             check.ensure(is_host, "caller_hosts", &format!("'{host}' is not a host name without port"));
         }
-        check.range("program", team.program.len(), 1..=PROGRAM_BYTES_MAX);
+        let program_bytes_min = usize::from(team.routes.is_empty());
+        check.range("program", team.program.len(), program_bytes_min..=PROGRAM_BYTES_MAX);
+        check.range("route", team.routes.len(), 0..=ROUTES_MAX);
         check.range("service", team.services.len(), 1..=SERVICES_MAX);
         let mut names = HashSet::new();
         for service in &team.services {
@@ -177,6 +192,10 @@
             check.ensure(names.insert(&service.name), "service.name", &message);
             service.check(&mut check);
         }
+        let services = team.services.iter().map(|service| service.name.as_str()).collect::<Vec<_>>();
+        for route in &team.routes {
+            route.check(&mut check, &services);
+        }
         check.finish().map(|()| team)
     }
 
--- a/crates/laurelstall_node/src/active.rs
+++ b/crates/laurelstall_node/src/active.rs
@@ -3,7 +3,7 @@
 use arc_swap::ArcSwap;
 use laurelstall_config::{
     configuration::{Checked, Configuration},
-    document::Document,
+    document::{Document, DocumentName},
     fleet::Fleet,
     problem::{Checker, ConfigError},
     system::SpreadLimits,
@@ -58,6 +58,9 @@
 pub fn check_document(document: &Document) -> Result<(Checked, Option<Program>), ConfigError> {
     let checked = Checked::from_document(document)?;
     let Checked::Team(team) = &checked else { return Ok((checked, None)) };
+    if team.program.is_empty() {
+        return Ok((checked, None));
+    }
     let program = compile(document, team)?;
     Ok((checked, Some(program)))
 }
@@ -87,10 +90,9 @@
         let old = self.in_force.load_full();
         let configuration = old.configuration.with_document(&document.name, document.version, checked);
         let mut programs = old.programs.clone();
-        if let (Some(program), laurelstall_config::document::DocumentName::Team(team)) =
-            (program, &document.name)
-        {
-            programs.insert(team.clone(), Arc::new(program));
+        if let DocumentName::Team(team) = &document.name {
+            programs.remove(team);
+            programs.extend(program.map(|program| (team.clone(), Arc::new(program))));
         }
         for (host, holder, loser) in configuration.caller_host_conflicts() {
             log::error!("caller host '{host}' is claimed by team {loser} but held by team {holder}");
--- a/crates/laurelstall_node/src/call.rs
+++ b/crates/laurelstall_node/src/call.rs
@@ -5,6 +5,7 @@
     call_request::{CallOutcome, CallRequest},
     counters::{Counters, count},
     decision_log::{Decision, DecisionLog},
+    dialect::HeaderDialect,
     observer::Observer,
     services::ServiceState,
 };
@@ -49,6 +50,8 @@
     pub decisions: DecisionLog,
     /// Counts.
     pub counters: Arc<Counters>,
+    /// The header fields that callers know.
+    pub dialect: Arc<dyn HeaderDialect>,
 }
 
 /// A target's answer that is kept while a repeatable call is tried once more.
@@ -252,6 +255,7 @@
             headers: self.request.headers.clone(),
             budget_us: self.request.deadline_us.saturating_sub(now_us),
             importance: self.request.route.importance,
+            may_repeat: self.request.route.may_repeat,
             may_hand_back,
             hand_backs: self.hand_backs,
             ticket: self.request.ticket.as_ref().map(|ticket| (ticket.incarnation, ticket.number)),
--- a/crates/laurelstall_node/src/entry.rs
+++ b/crates/laurelstall_node/src/entry.rs
@@ -7,17 +7,15 @@
     call_request::{CallOutcome, CallRequest},
     counters::count,
     decision_log::Decision,
-    headers::{
-        BUDGET, CALL, DEPTH, OUTCOME, REASON, RETRY_AFTER_MS, TICKET, host_of, number_value, read_number,
-        strip_request, text_value,
-    },
+    dialect::{CallFacts, Failure},
+    headers::{TICKET, host_of, read_number, strip_request, text_value},
     services::Services,
 };
 use bytes::Bytes;
-use http::{HeaderValue, Method, Request, Response, StatusCode, header::RETRY_AFTER, request::Parts};
+use http::{HeaderValue, Method, Request, Response, StatusCode, request::Parts};
 use http_body_util::BodyExt;
 use laurelstall_balance::service_balancer::Choosing;
-use laurelstall_config::{settings::CallerLimits, team::Team};
+use laurelstall_config::{route::RouteRule, settings::CallerLimits, team::Team};
 use laurelstall_guard::{
     refusal::{Refusal, RefusalReason},
     ticket::Ticket,
@@ -45,6 +43,10 @@
 const COLLECT_PATIENCE: Duration = Duration::from_millis(20);
 /// Tickets given for one request at most.
 const TICKETS_MAX: u64 = 1_000;
+/// When a caller of a node that has no configuration yet should come back, in ms.
+const NO_CONFIGURATION_RETRY_MS: u64 = 200;
+/// When a caller that a program refused should come back, in ms.
+const PROGRAM_REFUSAL_RETRY_MS: u64 = 1_000;
 /// Header fields of a request at most.
 const HEADER_COUNT_MAX: usize = 100;
 
@@ -57,6 +59,8 @@
     pub active: Arc<Active>,
     /// The services called here.
     pub services: Arc<Services>,
+    /// Name of the service beside this node, without its team; empty when there is none.
+    pub own_service: String,
     /// Limits on callers.
     pub limits: CallerLimits,
     /// Whether the node is about to stop: callers are asked to close their connections.
@@ -75,6 +79,28 @@
     }
 }
 
+/// What a caller gets.
+enum Reply {
+    /// A target's answer, or the node's own to a question that no target is asked.
+    Answered(Response<AnswerBody>),
+    /// A call that got no answer.
+    Failed(FailedCall),
+}
+
+/// How a call without an answer is told.
+struct FailedCall {
+    status: StatusCode,
+    outcome: &'static str,
+    reason: String,
+    retry_after_ms: Option<u64>,
+}
+
+impl FailedCall {
+    fn not_run(status: StatusCode, reason: &str, retry_after_ms: Option<u64>) -> Self {
+        Self { status, outcome: "not-run", reason: reason.to_owned(), retry_after_ms }
+    }
+}
+
 /// Tickets, as callers get them.
 #[derive(Debug, Serialize)]
 struct TicketsAnswer {
@@ -88,26 +114,55 @@
         let id = rand::random::<u64>();
         count(&self.context.counters.calls);
         let is_http1 = request.version() < http::Version::HTTP_2;
-        let mut response = match self.serve(id, request).await {
-            Ok(response) => response,
+        let request_id = self.context.dialect.request_id(request.headers()).map(str::to_owned);
+        let reply = match self.serve(id, request).await {
+            Ok(reply) => reply,
             Err(rejection) => {
                 count(&self.context.counters.rejected);
-                rejected(&rejection)
+                Reply::Failed(FailedCall::not_run(rejection.status, &rejection.reason, None))
             }
         };
-        response.headers_mut().insert(CALL, text_value(&format!("{id:016x}")));
+        let mut response = self.mark(reply, id, request_id.as_deref());
         if is_http1 && self.is_stopping.load(Ordering::Relaxed) {
             response.headers_mut().insert(http::header::CONNECTION, HeaderValue::from_static("close"));
         }
         response
     }
 
-    async fn serve(&self, id: u64, request: Request<AnswerBody>) -> Result<Response<AnswerBody>, Rejection> {
+    /// The response of a reply, with the header fields that callers know.
+    fn mark(&self, reply: Reply, id: u64, request_id: Option<&str>) -> Response<AnswerBody> {
+        let dialect = &self.context.dialect;
+        match reply {
+            Reply::Answered(mut response) => {
+                dialect.mark_answer(response.headers_mut(), id);
+                response
+            }
+            Reply::Failed(failed) => {
+                let FailedCall { status, outcome, reason, retry_after_ms } = failed;
+                let mut response = Response::new(whole(Bytes::from(format!("{outcome}: {reason}\n"))));
+                *response.status_mut() = status;
+                let headers = response.headers_mut();
+                headers.insert(http::header::CONTENT_TYPE, HeaderValue::from_static("text/plain"));
+                let failure = Failure { outcome, reason: &reason, retry_after_ms };
+                dialect.mark_failure(headers, id, request_id, &failure);
+                response
+            }
+        }
+    }
+
+    async fn serve(&self, id: u64, request: Request<AnswerBody>) -> Result<Reply, Rejection> {
         let (parts, body) = request.into_parts();
         let in_force = self.active.load();
         let depth = self.check_head(&parts)?;
         let host = host_of(&parts.uri, &parts.headers)
             .ok_or_else(|| Rejection::new(StatusCode::BAD_REQUEST, "no host, or more than one"))?;
+        if in_force.configuration.teams.is_empty() {
+            return Ok(Reply::Failed(FailedCall::not_run(
+                StatusCode::SERVICE_UNAVAILABLE,
+                "no configuration yet",
+                Some(NO_CONFIGURATION_RETRY_MS),
+            )));
+        }
         let team = in_force.configuration.team_of_caller_host(&host);
         let team = team.ok_or_else(|| Rejection::new(StatusCode::NOT_FOUND, "no team has this host"))?;
         if parts.uri.path() == TICKETS_PATH {
@@ -124,7 +179,7 @@
         })?;
         let request = self.read_call(id, parts, body, route, depth, &full_name).await?;
         let outcome = Call::new(&self.context, &in_force, service, request).run().await;
-        Ok(self.respond(outcome))
+        Ok(self.reply(outcome))
     }
 
     fn check_head(&self, parts: &Parts) -> Result<u64, Rejection> {
@@ -137,7 +192,7 @@
                 "too many header fields",
             ));
         }
-        let depth = read_number(&parts.headers, &DEPTH).map_err(bad_number)?.unwrap_or(0);
+        let depth = self.context.dialect.depth(&parts.headers).map_err(bad_number)?;
         if depth >= u64::from(self.limits.depth_max) {
             return Err(Rejection::new(StatusCode::LOOP_DETECTED, "calls too deep"));
         }
@@ -145,8 +200,12 @@
     }
 
     fn decide(&self, in_force: &InForce, team: &Team, parts: &Parts, host: &str) -> Result<Plan, Rejection> {
+        let found = in_force.configuration.routes(&team.team);
+        if let Some((rule, service)) = found.and_then(|table| table.find(host, parts.uri.path())) {
+            return Ok(Plan::Route(route_of(rule, service)));
+        }
         let program = in_force.programs.get(&team.team);
-        let program = program.ok_or_else(|| Rejection::new(StatusCode::SERVICE_UNAVAILABLE, "no program"))?;
+        let program = program.ok_or_else(|| Rejection::new(StatusCode::NOT_FOUND, "no such route"))?;
         let view = RequestView {
             method: parts.method.as_str(),
             host,
@@ -179,8 +238,8 @@
             // An HTTP/2 request names its host outside the header fields.
             parts.headers.insert(http::header::HOST, text_value(authority.as_str()));
         }
-        parts.headers.insert(DEPTH, number_value(depth + 1));
-        parts.headers.insert(CALL, text_value(&format!("{id:016x}")));
+        let facts = CallFacts { call_id: id, depth: depth + 1, caller_service: &self.own_service };
+        self.context.dialect.write_call(&mut parts.headers, &facts);
         let uri = parts.uri.path_and_query().map_or("/", |path| path.as_str()).to_owned();
         Ok(CallRequest {
             id,
@@ -195,7 +254,7 @@
     }
 
     fn budget_ms(&self, parts: &Parts, route: &Route) -> Result<u64, Rejection> {
-        let asked = read_number(&parts.headers, &BUDGET).map_err(bad_number)?;
+        let asked = self.context.dialect.budget_ms(&parts.headers).map_err(bad_number)?;
         let decided = route.budget_ms.unwrap_or(self.limits.budget_default_ms);
         Ok(asked.unwrap_or(decided).min(decided).min(self.limits.budget_max_ms))
     }
@@ -232,7 +291,7 @@
         }
     }
 
-    fn respond(&self, outcome: CallOutcome) -> Response<AnswerBody> {
+    fn reply(&self, outcome: CallOutcome) -> Reply {
         let counters = &self.context.counters;
         match outcome {
             CallOutcome::Answered { status, headers, body } => {
@@ -240,29 +299,23 @@
                 let mut response = Response::new(body);
                 *response.status_mut() = status;
                 *response.headers_mut() = headers;
-                response.headers_mut().insert(OUTCOME, HeaderValue::from_static("answered"));
-                response
+                Reply::Answered(response)
             }
             CallOutcome::NotRun(refusal) => {
                 count(&counters.not_run);
-                not_run(&refusal)
+                Reply::Failed(refused(&refusal))
             }
             CallOutcome::Unknown(why) => {
                 count(&counters.unknown);
                 let is_late = why.contains("time budget");
                 let status = if is_late { StatusCode::GATEWAY_TIMEOUT } else { StatusCode::BAD_GATEWAY };
-                told(status, "unknown", why)
+                let reason = why.to_owned();
+                Reply::Failed(FailedCall { status, outcome: "unknown", reason, retry_after_ms: None })
             }
         }
     }
 
-    fn refused_by_program(
-        &self,
-        id: u64,
-        in_force: &InForce,
-        team: &Team,
-        reason: &str,
-    ) -> Response<AnswerBody> {
+    fn refused_by_program(&self, id: u64, in_force: &InForce, team: &Team, reason: &str) -> Reply {
         count(&self.context.counters.not_run);
         let name = laurelstall_config::document::DocumentName::Team(team.team.clone());
         self.context.decisions.write(Decision {
@@ -278,17 +331,11 @@
             outcome: "not-run".to_owned(),
             took_us: 0,
         });
-        let mut response = told(StatusCode::SERVICE_UNAVAILABLE, "not-run", reason);
-        response.headers_mut().insert(RETRY_AFTER, HeaderValue::from_static("1"));
-        response
+        let status = StatusCode::SERVICE_UNAVAILABLE;
+        Reply::Failed(FailedCall::not_run(status, reason, Some(PROGRAM_REFUSAL_RETRY_MS)))
     }
 
-    async fn give_tickets(
-        &self,
-        in_force: &InForce,
-        team: &Team,
-        parts: &Parts,
-    ) -> Result<Response<AnswerBody>, Rejection> {
+    async fn give_tickets(&self, in_force: &InForce, team: &Team, parts: &Parts) -> Result<Reply, Rejection> {
         if parts.method != Method::POST {
             return Err(Rejection::new(StatusCode::METHOD_NOT_ALLOWED, "tickets are taken with POST"));
         }
@@ -308,7 +355,7 @@
                 })
             };
             let Some((index, target, host)) = chosen else {
-                return Ok(not_run(&Refusal::new(RefusalReason::NoTarget)));
+                return Ok(Reply::Failed(refused(&Refusal::new(RefusalReason::NoTarget))));
             };
             excluded.push(index);
             let request =
@@ -325,7 +372,8 @@
                     number,
                 };
                 let tickets = (first..first + u64::from(count)).map(|number| ticket(number).to_string());
-                return Ok(json(StatusCode::OK, &TicketsAnswer { tickets: tickets.collect(), lifetime_ms }));
+                let answer = TicketsAnswer { tickets: tickets.collect(), lifetime_ms };
+                return Ok(Reply::Answered(json(StatusCode::OK, &answer)));
             }
         }
     }
@@ -367,28 +415,21 @@
     Rejection::new(StatusCode::BAD_REQUEST, format!("{name} is not one number"))
 }
 
-fn rejected(rejection: &Rejection) -> Response<AnswerBody> {
-    told(rejection.status, "not-run", &rejection.reason)
-}
-
-/// The answer to a call that ran on no target, with when to come back.
-pub fn not_run(refusal: &Refusal) -> Response<AnswerBody> {
-    let mut response = told(StatusCode::SERVICE_UNAVAILABLE, "not-run", refusal.reason.word());
+/// What the caller of a refused call is told: it ran on no target, and when to come back.
+fn refused(refusal: &Refusal) -> FailedCall {
     let retry_after_ms = u64::from(refusal.retry_after_ms.max(1));
-    let headers = response.headers_mut();
-    headers.insert(RETRY_AFTER, number_value(retry_after_ms.div_ceil(1_000)));
-    headers.insert(RETRY_AFTER_MS, number_value(retry_after_ms));
-    response
+    FailedCall::not_run(StatusCode::SERVICE_UNAVAILABLE, refusal.reason.word(), Some(retry_after_ms))
 }
 
-fn told(status: StatusCode, outcome: &'static str, reason: &str) -> Response<AnswerBody> {
-    let mut response = Response::new(whole(Bytes::from(format!("{outcome}: {reason}\n"))));
-    *response.status_mut() = status;
-    let headers = response.headers_mut();
-    headers.insert(OUTCOME, HeaderValue::from_static(outcome));
-    headers.insert(REASON, text_value(reason));
-    headers.insert(http::header::CONTENT_TYPE, HeaderValue::from_static("text/plain"));
-    response
+fn route_of(rule: &RouteRule, service: &str) -> Route {
+    Route {
+        may_repeat: rule.may_repeat,
+        budget_ms: Some(rule.timeout_ms),
+        latency_objective_ms: Some(rule.latency_objective_ms),
+        tries: rule.tries,
+        importance: rule.importance,
+        ..Route::new(service)
+    }
 }
 
 /// A JSON answer.
--- a/crates/laurelstall_node/src/headers.rs
+++ b/crates/laurelstall_node/src/headers.rs
@@ -57,9 +57,6 @@
 /// Prepares a caller's head for a target; a body of known length is measured anew.
 pub fn strip_request(headers: &mut HeaderMap, is_whole: bool) {
     strip_hop_by_hop(headers);
-    for name in [BUDGET, DEPTH, CALL, TICKET, OUTCOME] {
-        headers.remove(name);
-    }
     headers.remove(http::header::EXPECT);
     if is_whole {
         headers.remove(CONTENT_LENGTH);
--- a/crates/laurelstall_node/src/lib.rs
+++ b/crates/laurelstall_node/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod call_request;
 pub mod counters;
 pub mod decision_log;
+pub mod dialect;
 pub mod entry;
 pub mod headers;
 pub mod idle_stream;
@@ -16,9 +17,11 @@
 pub mod node;
 pub mod observer;
 pub mod platform_http;
+pub mod process;
 pub mod services;
 pub mod target_guard;
 pub mod target_http;
+pub mod target_pool;
 
 /// The types most callers need.
 pub mod prelude {
--- a/crates/laurelstall_node/src/node.rs
+++ b/crates/laurelstall_node/src/node.rs
@@ -6,6 +6,7 @@
     call::CallContext,
     counters::{Counters, MetricSender},
     decision_log::DecisionLog,
+    dialect::{HeaderDialect, OwnDialect},
     entry::Entry,
     listener::HttpListener,
     observer::Observer,
@@ -44,8 +45,6 @@
     time::{Duration, sleep, timeout},
 };
 
-/// How long a stopping node goes on serving callers while it asks them to close.
-const LINGER: Duration = Duration::from_millis(1_000);
 /// Pause between two closings of idle connections.
 const HOUSEKEEPING_INTERVAL: Duration = Duration::from_secs(5);
 
@@ -106,6 +105,8 @@
     pub link: Arc<dyn Link>,
     /// The platform, if it is not the one of the settings.
     pub platform: Option<Arc<dyn PlatformSource>>,
+    /// The header fields that callers and targets know.
+    pub dialect: Arc<dyn HeaderDialect>,
 }
 
 impl NodeOptions {
@@ -120,6 +121,7 @@
             seed: rand::random(),
             link: Arc::new(OpenLink),
             platform: None,
+            dialect: Arc::new(OwnDialect),
         }
     }
 }
@@ -149,6 +151,7 @@
     pub guard: TargetGuard,
     /// The entry.
     pub entry: Arc<Entry>,
+    stop_linger: Duration,
     stop_max: Duration,
     peer_server: Arc<PeerServer>,
     stopping: watch::Sender<bool>,
@@ -164,6 +167,7 @@
     active: Arc<Active>,
     observer: Arc<Observer>,
     seeds: Vec<SocketAddr>,
+    takes_unlisted_peers: bool,
 }
 
 impl PeerHandler for NodePeers {
@@ -174,7 +178,7 @@
     fn is_member(&self, ip: IpAddr) -> bool {
         let fleet: Arc<Fleet> = self.active.fleet();
         // Before a list is known, only seeds can be told from strangers.
-        fleet.has_ip(ip) || self.seeds.iter().any(|seed| seed.ip() == ip)
+        self.takes_unlisted_peers || fleet.has_ip(ip) || self.seeds.iter().any(|seed| seed.ip() == ip)
     }
 
     fn answer(&self, from: IpAddr, request: PeerRequest) -> BoxFuture<'_, PeerAnswer> {
@@ -206,7 +210,7 @@
     ///
     /// [`NodeError`] when a socket cannot be used.
     pub async fn start(options: NodeOptions) -> Result<Self, NodeError> {
-        let NodeOptions { settings, listeners, chooser, is_plain, seed, link, platform } = options;
+        let NodeOptions { settings, listeners, chooser, is_plain, seed, link, platform, dialect } = options;
         let clock = Clock::new();
         let counters = Arc::new(Counters::default());
         let meter = Arc::new(Meter::default());
@@ -229,6 +233,7 @@
             active: active.clone(),
             observer: observer.clone(),
             counters: counters.clone(),
+            dialect: dialect.clone(),
         });
         let spread_options = SpreadOptions {
             host: host.clone(),
@@ -252,7 +257,9 @@
                 observer: observer.clone(),
                 decisions: DecisionLog::new(log.decisions, log.decisions_waiting_max, counters.clone()),
                 counters: counters.clone(),
+                dialect,
             },
+            own_service: own_service(&settings),
             active: active.clone(),
             services: services.clone(),
             limits: settings.callers,
@@ -267,6 +274,7 @@
             active: active.clone(),
             observer: observer.clone(),
             seeds: settings.seeds.clone(),
+            takes_unlisted_peers: settings.node.takes_unlisted_peers,
         };
         let peer_server = PeerServer::new(Arc::new(peers), meter.clone());
         background.spawn(peer_server.clone().serve(peer_listener.0));
@@ -310,6 +318,7 @@
             active,
             guard,
             entry,
+            stop_linger: Duration::from_millis(settings.node.stop_linger_ms),
             stop_max: Duration::from_millis(settings.node.stop_max_ms),
             peer_server,
             stopping,
@@ -328,7 +337,7 @@
         self.entry.is_stopping.store(true, Ordering::Relaxed);
         let limit = self.stop_max;
         let stopped = timeout(limit, async {
-            sleep(LINGER).await;
+            sleep(self.stop_linger).await;
             self.stopping.send_replace(true);
             for task in &mut self.listening {
                 // A task that panicked has nothing left to wait for.
@@ -353,6 +362,11 @@
     }
 }
 
+fn own_service(settings: &Settings) -> String {
+    let full_name = settings.target.as_ref().map_or("", |target| target.service.as_str());
+    full_name.rsplit('/').next().unwrap_or_default().to_owned()
+}
+
 fn into_tokio(listener: StdListener) -> Result<(TcpListener, SocketAddr), NodeError> {
     let unspecified = SocketAddr::from(([0, 0, 0, 0], 0));
     let address = listener.local_addr().map_err(|error| NodeError::Listen(unspecified, error))?;
--- a/crates/laurelstall_node/src/services.rs
+++ b/crates/laurelstall_node/src/services.rs
@@ -92,7 +92,11 @@
         return 0;
     }
     let data_centre = configuration.fleet.host(host).map_or("", |host| &host.data_centre);
-    2 * configuration.system.distance_us(&own.data_centre, data_centre) + HOP_US
+    let way_us = 2 * configuration.system.distance_us(&own.data_centre, data_centre) + HOP_US;
+    if data_centre == own.data_centre {
+        return way_us;
+    }
+    way_us + configuration.system.data_centre_change_us
 }
 
 /// Cost of the hop between two nodes of one data centre in µs, there and back.
--- a/crates/laurelstall_node/src/target_guard.rs
+++ b/crates/laurelstall_node/src/target_guard.rs
@@ -4,20 +4,21 @@
     active::{Active, InForce},
     body::{Collected, WatchedBody, collect, whole},
     counters::{Counters, count},
+    dialect::{AnswerKind, AttemptFacts, HeaderDialect},
     headers::strip_hop_by_hop,
     observer::Observer,
-    target_http::{target_client, target_request},
+    target_http::{TargetClient, TargetError, target_request},
+    target_pool::UsedConnection,
 };
 use futures_util::future::{BoxFuture, FutureExt};
 use http::{HeaderMap, HeaderName, HeaderValue, Response, StatusCode};
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
-use hyper_util::client::legacy::{Client, connect::HttpConnector};
 use laurelstall_balance::hint::{Hint, TargetState};
 use laurelstall_config::{
     fleet::HostState,
     settings::TargetSettings,
-    team::{SHED_HEADER, Service, ServiceLimits, Target},
+    team::{Service, ServiceLimits, Target},
 };
 use laurelstall_guard::{
     clock::Clock,
@@ -28,6 +29,7 @@
 use laurelstall_peer::{
     attempt::{Admission, Attempt, AttemptAnswer, AttemptBody, AttemptHandler, AttemptOutcome},
     body::{AnswerBody, BodyError},
+    client::headers_from_wire,
     message::{AttemptHead, PeerAnswer, TicketsRequest},
 };
 use std::sync::{
@@ -42,6 +44,11 @@
 /// Queue of a guard that stands in for none at all, behind a plain balancer.
 const PLAIN_QUEUE_LENGTH: usize = 100_000;
 
+/// Longest answer that is read whole before it is passed on, in bytes.
+const WHOLE_ANSWER_BYTES_MAX: usize = 64 * 1024;
+/// Longest wait for the whole of a short answer; a slower one is passed on as it comes.
+const WHOLE_ANSWER_PATIENCE: Duration = Duration::from_millis(200);
+
 /// Reasons to take nothing new; any one is enough.
 #[derive(Debug, Default)]
 struct Drains {
@@ -60,7 +67,8 @@
     guard: Arc<Guard>,
     ledger: Mutex<Ledger>,
     drains: Drains,
-    client: Client<HttpConnector, AnswerBody>,
+    client: Option<TargetClient>,
+    dialect: Arc<dyn HeaderDialect>,
     active: Arc<Active>,
     observer: Arc<Observer>,
     counters: Arc<Counters>,
@@ -91,6 +99,8 @@
     pub observer: Arc<Observer>,
     /// Counts.
     pub counters: Arc<Counters>,
+    /// The header fields that the target knows.
+    pub dialect: Arc<dyn HeaderDialect>,
 }
 
 impl TargetGuard {
@@ -98,7 +108,7 @@
     pub fn new(options: TargetGuardOptions) -> Self {
         let limits =
             GuardLimits { slots: 1, slots_floor_percent: 100, queue_length: 0, queue_wait_max_ms: 0 };
-        let client = target_client(options.settings.as_ref());
+        let client = options.settings.as_ref().map(TargetClient::new);
         let inner = Inner {
             clock: options.clock,
             host: options.host,
@@ -109,6 +119,7 @@
             ledger: Mutex::new(Ledger::new(options.incarnation, 0)),
             drains: Drains::default(),
             client,
+            dialect: options.dialect,
             active: options.active,
             observer: options.observer,
             counters: options.counters,
@@ -386,59 +397,118 @@
             permit.release_uncounted();
             return refused(RefusalReason::Deadline, Some(body));
         }
+        let budget_ms = ((deadline_us - now_us) / 1_000).max(1);
+        let (Some(settings), Some(client)) = (&self.settings, &self.client) else {
+            permit.release_uncounted();
+            return refused(RefusalReason::OtherTarget, Some(body));
+        };
+        let Some(mut headers) = headers_from_wire(&head.headers) else {
+            permit.release_uncounted();
+            return refused(RefusalReason::Unreadable, None);
+        };
+        self.dialect.write_attempt(&mut headers, &AttemptFacts { budget_ms, target: &head.target });
         admission.grant();
-        let budget_us = deadline_us - now_us;
-        let settings = self.settings.as_ref();
-        let request = settings.and_then(|settings| target_request(settings, head, body, budget_us));
+        let request = target_request(settings, &head.method, &head.uri, headers.clone(), body);
         let Some(request) = request else {
             permit.release_uncounted();
             return refused(RefusalReason::Unreadable, None);
         };
-        let sent = timeout_at(self.clock.instant_of(deadline_us), self.client.request(request)).await;
-        match sent {
+        let deadline = self.clock.instant_of(deadline_us);
+        match timeout_at(deadline, client.send(request, head.may_repeat)).await {
             Err(_) => unknown("time budget spent at the target"),
-            Ok(Ok(response)) => self.read_response(response, permit, &limits),
+            Ok(Ok((response, connection))) => {
+                let answered = Answered { request: headers, response, connection, permit };
+                let read = timeout_at(deadline, self.read_response(answered, &limits)).await;
+                read.unwrap_or_else(|_| unknown("time budget spent at the target"))
+            }
             Ok(Err(error)) => {
                 permit.release_uncounted();
-                if error.is_connect() {
-                    self.guard.note_shed();
-                    return refused(RefusalReason::NoConnection, None);
+                match error {
+                    TargetError::NoConnection => {
+                        self.guard.note_shed();
+                        refused(RefusalReason::NoConnection, None)
+                    }
+                    TargetError::Broken => unknown("connection to the target broke"),
                 }
-                unknown("connection to the target broke")
             }
         }
     }
 
-    fn read_response(
-        self: &Arc<Self>,
-        response: Response<Incoming>,
-        permit: Permit,
-        limits: &ServiceLimits,
-    ) -> AttemptAnswer {
+    /// Reads an answer whole if it is small, so that one that breaks off costs the caller nothing
+    /// but time; a longer one is passed on as it comes.
+    async fn read_response(self: &Arc<Self>, answered: Answered, limits: &ServiceLimits) -> AttemptAnswer {
+        let Answered { request, response, connection, permit } = answered;
         let (parts, body) = response.into_parts();
+        let status = parts.status;
         let mut headers = parts.headers;
-        let is_shed = parts.status.as_u16() == limits.shed_status && headers.contains_key(SHED_HEADER);
-        if is_shed {
+        let refusal = match self.dialect.answer_kind(&request, status, &headers, limits.shed_status) {
+            AnswerKind::Ran => None,
+            AnswerKind::Shed => Some(RefusalReason::Shed),
+            AnswerKind::OtherTarget => Some(RefusalReason::OtherTarget),
+            AnswerKind::Foreign => {
+                permit.release_uncounted();
+                return unknown("the target answered another request");
+            }
+        };
+        if let Some(reason) = refusal {
             permit.release_uncounted();
-            self.guard.note_shed();
-            return refused(RefusalReason::Shed, None);
+            if reason == RefusalReason::Shed {
+                self.guard.note_shed();
+            }
+            return refused(reason, None);
         }
         strip_hop_by_hop(&mut headers);
-        let counters = self.counters.clone();
         let body = body.map_err(BodyError::from).boxed_unsync();
+        let outcome = match collect(body, WHOLE_ANSWER_BYTES_MAX, WHOLE_ANSWER_PATIENCE).await {
+            Ok(Collected::Whole(bytes)) => {
+                drop(permit);
+                if let Some(connection) = connection {
+                    connection.give_back();
+                }
+                AttemptOutcome::Answered { status, headers, body: whole(bytes) }
+            }
+            Ok(Collected::Partial(body)) => {
+                let body = self.watched_body(body, permit, connection);
+                AttemptOutcome::Answered { status, headers, body }
+            }
+            Err(_) => {
+                count(&self.counters.bodies_broken);
+                permit.release_uncounted();
+                AttemptOutcome::Unknown("answer broke off")
+            }
+        };
+        AttemptAnswer::new(outcome)
+    }
+
+    /// An answer's body that frees slot and connection when it ends.
+    fn watched_body(
+        &self,
+        body: AnswerBody,
+        permit: Permit,
+        connection: Option<UsedConnection>,
+    ) -> AnswerBody {
+        let counters = self.counters.clone();
         let body = WatchedBody::new(body, move |is_whole| {
             if is_whole {
                 drop(permit);
+                connection.map(UsedConnection::give_back);
             } else {
                 count(&counters.bodies_broken);
                 permit.release_uncounted();
             }
         });
-        let body = body.boxed_unsync();
-        AttemptAnswer::new(AttemptOutcome::Answered { status: parts.status, headers, body })
+        body.boxed_unsync()
     }
 }
 
+/// A target's answer with what was held for it.
+struct Answered {
+    request: HeaderMap,
+    response: Response<Incoming>,
+    connection: Option<UsedConnection>,
+    permit: Permit,
+}
+
 fn kept_outcome(answer: &KeptAnswer) -> AttemptOutcome {
     let mut headers = HeaderMap::new();
     for (name, value) in &answer.headers {
--- a/crates/laurelstall_node/src/target_http.rs
+++ b/crates/laurelstall_node/src/target_http.rs
@@ -2,50 +2,103 @@
 
 use crate::{
     body::{empty, whole},
-    headers::{BUDGET, number_value},
+    target_pool::{PoolError, TargetPool, UsedConnection},
 };
-use http::{Method, Request, Uri, Version};
+use http::{HeaderMap, Method, Request, Response, Uri, Version};
+use hyper::body::Incoming;
 use hyper_util::{
     client::legacy::{Client, connect::HttpConnector},
     rt::{TokioExecutor, TokioTimer},
 };
 use laurelstall_config::settings::{TargetHttp, TargetSettings};
-use laurelstall_peer::{
-    attempt::AttemptBody, body::AnswerBody, client::headers_from_wire, message::AttemptHead,
-};
+use laurelstall_peer::{attempt::AttemptBody, body::AnswerBody};
+use std::sync::Arc;
 use tokio::time::Duration;
 
-/// Idle connections to the target that are kept.
-const TARGET_IDLE_MAX: usize = 64;
-/// An idle connection to the target is closed after so long.
+/// Idle HTTP/2 connections to the target that are kept.
+const TARGET_IDLE_MAX: usize = 4;
+/// An idle HTTP/2 connection to the target is closed after so long.
 const TARGET_IDLE_TIMEOUT: Duration = Duration::from_secs(20);
-/// A client that keeps some connections to the target open.
-pub fn target_client(settings: Option<&TargetSettings>) -> Client<HttpConnector, AnswerBody> {
+
+/// Why the target gave no answer.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum TargetError {
+    /// No connection: it has seen nothing.
+    NoConnection,
+    /// The connection broke: it may have run the request.
+    Broken,
+}
+
+/// The way to the target, in the HTTP version that it speaks.
+#[derive(Debug)]
+pub enum TargetClient {
+    /// HTTP/1.1.
+    Http1(Arc<TargetPool>),
+    /// HTTP/2 without TLS.
+    Http2(Client<HttpConnector, AnswerBody>),
+}
+
+impl TargetClient {
+    /// A client without connections.
+    pub fn new(settings: &TargetSettings) -> Self {
+        let connect_timeout = Duration::from_millis(settings.connect_timeout_ms);
+        match settings.http {
+            TargetHttp::Http1 => Self::Http1(TargetPool::new(settings.address, connect_timeout)),
+            TargetHttp::Http2 => Self::Http2(http2_client(connect_timeout)),
+        }
+    }
+
+    /// Sends a request; with HTTP/1.1, also the connection to give back once the answer was read.
+    ///
+    /// # Errors
+    ///
+    /// [`TargetError`]; only one of its values proves that nothing ran.
+    pub async fn send(
+        &self,
+        request: Request<AnswerBody>,
+        may_repeat: bool,
+    ) -> Result<(Response<Incoming>, Option<UsedConnection>), TargetError> {
+        match self {
+            Self::Http1(pool) => match pool.send(request, may_repeat).await {
+                Ok((response, connection)) => Ok((response, Some(connection))),
+                Err(PoolError::Connect(_)) => Err(TargetError::NoConnection),
+                Err(PoolError::Broken(_)) => Err(TargetError::Broken),
+            },
+            Self::Http2(client) => match client.request(request).await {
+                Ok(response) => Ok((response, None)),
+                Err(error) if error.is_connect() => Err(TargetError::NoConnection),
+                Err(_) => Err(TargetError::Broken),
+            },
+        }
+    }
+}
+
+fn http2_client(connect_timeout: Duration) -> Client<HttpConnector, AnswerBody> {
     let mut connector = HttpConnector::new();
     connector.set_nodelay(true);
-    let timeout_ms = settings.map_or(1_000, |settings| settings.connect_timeout_ms);
-    connector.set_connect_timeout(Some(Duration::from_millis(timeout_ms)));
+    connector.set_connect_timeout(Some(connect_timeout));
     let mut builder = Client::builder(TokioExecutor::new());
     builder.pool_timer(TokioTimer::new());
     builder.pool_idle_timeout(TARGET_IDLE_TIMEOUT);
     builder.pool_max_idle_per_host(TARGET_IDLE_MAX);
     builder.set_host(false);
-    builder.http2_only(settings.is_some_and(|settings| settings.http == TargetHttp::Http2));
+    builder.http2_only(true);
     builder.build(connector)
 }
 
-/// The request that the target gets; none when the head is no HTTP.
+/// The request that the target gets; none when method or path are no HTTP.
 pub fn target_request(
     settings: &TargetSettings,
-    head: AttemptHead,
+    method: &str,
+    path: &str,
+    headers: HeaderMap,
     body: AttemptBody,
-    budget_us: u64,
 ) -> Option<Request<AnswerBody>> {
-    let mut headers = headers_from_wire(&head.headers)?;
-    headers.insert(BUDGET, number_value((budget_us / 1_000).max(1)));
-    let method = Method::from_bytes(head.method.as_bytes()).ok()?;
-    let uri = format!("http://{}{}", settings.address, head.uri);
-    let uri: Uri = uri.parse().ok()?;
+    let method = Method::from_bytes(method.as_bytes()).ok()?;
+    let uri: Uri = match settings.http {
+        TargetHttp::Http1 => path.parse().ok()?,
+        TargetHttp::Http2 => format!("http://{}{path}", settings.address).parse().ok()?,
+    };
     let body = match body {
         AttemptBody::Whole(bytes) if bytes.is_empty() => empty(),
         AttemptBody::Whole(bytes) => whole(bytes),
--- a/crates/laurelstall_peer/src/message.rs
+++ b/crates/laurelstall_peer/src/message.rs
@@ -37,6 +37,8 @@
     pub budget_us: u64,
     /// Importance, 0 to 9.
     pub importance: u8,
+    /// Whether the call may run more than once.
+    pub may_repeat: bool,
     /// Whether the guard may hand the call back while it waits.
     pub may_hand_back: bool,
     /// Times it was handed back before.
--- a/crates/laurelstall_peer/src/spread.rs
+++ b/crates/laurelstall_peer/src/spread.rs
@@ -38,9 +38,8 @@
 const PULL_ITEMS_MAX: usize = 64;
 /// Random pause before a change is offered on, in ms: spreads a burst.
 const OFFER_JITTER_MS: u64 = 20;
-/// First and longest pause after a failed platform read in ms.
-const READ_BACKOFF_FIRST_MS: u64 = 200;
-const READ_BACKOFF_MAX_MS: u64 = 10_000;
+/// First pause after a failed platform read in ms; it doubles up to the limit of the configuration.
+const READ_PAUSE_FIRST_MS: u64 = 200;
 /// A watch that ends sooner without news did not wait, in µs.
 const WATCH_SHORT_US: u64 = 500_000;
 /// Pause between two looks at who reads, in ms.
@@ -297,7 +296,8 @@
                     }
                     failures += 1;
                     after = None;
-                    sleep(self.jittered(backoff_ms(failures))).await;
+                    let longest_ms = self.view.spread().read_pause_max_ms;
+                    sleep(self.jittered(read_pause_ms(failures, longest_ms))).await;
                 }
             }
         }
@@ -486,6 +486,6 @@
     }
 }
 
-fn backoff_ms(failures: u32) -> u64 {
-    (READ_BACKOFF_FIRST_MS << failures.min(10)).min(READ_BACKOFF_MAX_MS)
+fn read_pause_ms(failures: u32, longest_ms: u64) -> u64 {
+    (READ_PAUSE_FIRST_MS << failures.min(10)).min(longest_ms)
 }
--- a/crates/laurelstall_peer/tests/messages.rs
+++ b/crates/laurelstall_peer/tests/messages.rs
@@ -20,6 +20,7 @@
         uri: "/x".to_owned(),
         headers: vec![("host".to_owned(), b"a".to_vec())],
         budget_us: 1,
+        may_repeat: false,
         importance: 5,
         may_hand_back: true,
         hand_backs: 0,
--- a/crates/laurelstall_peer/tests/partners.rs
+++ b/crates/laurelstall_peer/tests/partners.rs
@@ -11,7 +11,7 @@
         data_centre: format!("dc-{}", n % 4),
         state: HostState::Live,
     };
-    Fleet { hosts: (0..hosts).map(host).collect() }
+    Fleet { hosts: (0..hosts).map(host).collect(), ..Fleet::default() }
 }
 
 fn readers(fleet: &Fleet) -> Vec<String> {
--- a/crates/laurelstall_peer/tests/spreading.rs
+++ b/crates/laurelstall_peer/tests/spreading.rs
@@ -105,7 +105,7 @@
         data_centre: "dc".to_owned(),
         state: HostState::Live,
     };
-    Arc::new(Fleet { hosts: (0..hosts).map(host).collect() })
+    Arc::new(Fleet { hosts: (0..hosts).map(host).collect(), ..Fleet::default() })
 }
 
 fn node(fleet: &Arc<Fleet>, number: usize, platform: &Arc<OneDocument>) -> Arc<Spread> {
--- a/crates/laurelstall_policy/src/plan.rs
+++ b/crates/laurelstall_policy/src/plan.rs
@@ -30,6 +30,8 @@
     pub may_repeat: bool,
     /// Field `budget_ms`: time budget; the caller's own if it is smaller.
     pub budget_ms: Option<u64>,
+    /// The time within which an answer has its full worth, in ms; none when nothing says so.
+    pub latency_objective_ms: Option<u64>,
     /// Field `tries`: most attempts, hand-backs not counted. Default 3.
     pub tries: u32,
     /// Field `hedge_after_ms`: a second attempt runs beside the first after so long.
@@ -62,6 +64,7 @@
             service: service.to_owned(),
             may_repeat: false,
             budget_ms: None,
+            latency_objective_ms: None,
             tries: 3,
             hedge_after_ms: None,
             importance: IMPORTANCE_DEFAULT,
--- a/crates/laurelstall_standin/src/fleet_bench.rs
+++ b/crates/laurelstall_standin/src/fleet_bench.rs
@@ -231,6 +231,8 @@
         let member = &self.members[index];
         let settings = Settings {
             node: NodeSettings {
+                takes_unlisted_peers: false,
+                stop_linger_ms: 1_000,
                 host: member.host.name.clone(),
                 data_centre: member.host.data_centre.clone(),
                 entry_address: member.addresses[0],
@@ -423,7 +425,8 @@
 }
 
 fn publish_documents(platform: &Arc<StandinPlatform>, members: &[Member]) {
-    let fleet = Fleet { hosts: members.iter().map(|member| member.host.clone()).collect() };
+    let fleet =
+        Fleet { hosts: members.iter().map(|member| member.host.clone()).collect(), ..Fleet::default() };
     platform.publish(&DocumentName::Fleet, &to_toml(&fleet));
     platform.publish(&DocumentName::System, &to_toml(&system_limits()));
     for (name, text) in team_documents(members.len()) {
@@ -457,6 +460,7 @@
             team: format!("team-{number:02}"),
             caller_hosts: vec![format!("team-{number:02}.example")],
             program: crate::harness::PROGRAM.to_owned(),
+            routes: Vec::new(),
             services: services.to_vec(),
         };
         (DocumentName::Team(team.team.clone()), to_toml(&team))
--- a/crates/laurelstall_standin/src/harness.rs
+++ b/crates/laurelstall_standin/src/harness.rs
@@ -343,7 +343,7 @@
             data_centre: host.data_centre.clone(),
             state: HostState::Live,
         };
-        let fleet = Fleet { hosts: hosts.iter().zip(sockets).map(host).collect() };
+        let fleet = Fleet { hosts: hosts.iter().zip(sockets).map(host).collect(), ..Fleet::default() };
         self.platform.publish(&DocumentName::Fleet, &to_toml(&fleet));
         self.platform.publish(&DocumentName::System, &to_toml(&self.system_limits()));
         self.platform.publish(&DocumentName::Team(TEAM.to_owned()), &to_toml(&self.team()));
@@ -371,6 +371,7 @@
             team: TEAM.to_owned(),
             caller_hosts: vec![CALLER_HOST.to_owned()],
             program: self.plan.program.clone(),
+            routes: Vec::new(),
             services: self.plan.services.iter().map(service).collect(),
         }
     }
@@ -449,6 +450,8 @@
 fn node_settings(host: &HarnessHost, sockets: &Sockets, decisions: DecisionFormat) -> Settings {
     Settings {
         node: NodeSettings {
+            takes_unlisted_peers: false,
+            stop_linger_ms: 1_000,
             host: host.name.clone(),
             data_centre: host.data_centre.clone(),
             entry_address: sockets.entry.1,
