Guard: the target's pace by its own word; a slow target refuses once calls that have a choice

Ruled out: pushing each change of pace to all nodes (bytes between data centres), probes (dear). Change: the load figure of each answer sets the guard's pace; a guard that is slow refuses once, which costs a way and proves that nothing ran; the entry learns from it.

--- a/crates/laurelstall_balance/src/service_balancer.rs
+++ b/crates/laurelstall_balance/src/service_balancer.rs
@@ -191,6 +191,13 @@
         self.targets[index].note_queueing(queued.max(1), self.usual_us, now_us);
     }
 
+    /// Learns from a refusal that a target works slowly now; `percent` of the usual time.
+    pub fn note_slow(&mut self, index: usize, name: &str, percent: u32, now_us: u64) {
+        let Some(index) = self.place_of(index, name) else { return };
+        let service_us = self.usual_us * f64::from(percent) / 100.0;
+        self.targets[index].note_slow_refusal(service_us, now_us);
+    }
+
     /// Whether a further attempt may be made after a proved *not run* or a repeatable failure.
     pub fn may_retry(&mut self) -> bool {
         self.retries.try_spend()
--- a/crates/laurelstall_balance/src/target_view.rs
+++ b/crates/laurelstall_balance/src/target_view.rs
@@ -94,6 +94,21 @@
         self.in_flight_at_hint = self.in_flight;
     }
 
+    /// Learns from a refusal that calls take so many µs at the target now.
+    pub fn note_slow_refusal(&mut self, service_us: f64, now_us: u64) {
+        let known = self.hint.map(|(hint, _)| hint);
+        let hint = known.unwrap_or(Hint {
+            incarnation: 0,
+            in_flight: 0,
+            queued: 0,
+            limit: self.slots,
+            service_us: 0,
+            state: TargetState::Serving,
+        });
+        self.hint = Some((Hint { service_us: service_us as u32, ..hint }, now_us));
+        self.in_flight_at_hint = self.in_flight;
+    }
+
     /// Notes that an attempt was sent.
     pub fn note_sent(&mut self) {
         self.in_flight += 1;
--- a/crates/laurelstall_guard/src/guard.rs
+++ b/crates/laurelstall_guard/src/guard.rs
@@ -3,7 +3,8 @@
 use crate::{
     clock::Clock,
     concurrency_limit::ConcurrencyLimit,
-    refusal::{Refusal, RefusalReason},
+    pace::Pace,
+    refusal::{Refusal, RefusalReason, USUAL_PERCENT},
     wait_queue::{Place, WaitQueue},
 };
 use std::sync::{
@@ -39,6 +40,8 @@
     pub may_hand_back: bool,
     /// Times it was handed back before; each doubles its patience.
     pub hand_backs: u32,
+    /// Whether the call may be refused because the target works slowly now.
+    pub may_refuse_slow: bool,
 }
 
 /// What runs and waits at this instant.
@@ -56,12 +59,15 @@
     pub is_draining: bool,
 }
 
+/// Slowness from which a call that has a choice is refused, in percent of the usual.
+const SLOW_PERCENT: u32 = 200;
 /// Smallest patience before a call is handed back, in µs.
 const PATIENCE_MIN_US: u64 = 1_000;
 
 #[derive(Debug)]
 struct State {
     limit: ConcurrencyLimit,
+    pace: Pace,
     limits: GuardLimits,
     queue: WaitQueue,
     /// Start times of running calls, by number, oldest first.
@@ -83,6 +89,7 @@
     pub fn new(limits: GuardLimits, clock: Clock) -> Arc<Self> {
         let state = State {
             limit: ConcurrencyLimit::new(limits.slots, limits.slots_floor_percent),
+            pace: Pace::default(),
             limits,
             queue: WaitQueue::default(),
             running: std::collections::BTreeMap::new(),
@@ -140,7 +147,7 @@
             in_flight: state.running.len() as u32,
             queued: state.queue.len() as u32,
             limit: state.limit.limit(),
-            service_us: state.limit.recent_us().max(oldest_us / 2).min(u64::from(u32::MAX)) as u32,
+            service_us: state.service_us(now_us).max(oldest_us / 2).min(u64::from(u32::MAX)) as u32,
             is_draining: self.is_draining(),
         }
     }
@@ -169,6 +176,12 @@
         self.lock().limit.note_shed();
     }
 
+    /// Learns how long work takes at the target now, in percent of the usual.
+    pub fn note_slowness(&self, slowness_percent: u32) {
+        let now_us = self.clock.now_us();
+        self.lock().pace.note(slowness_percent, now_us);
+    }
+
     fn enter(self: &Arc<Self>, ask: &Ask) -> Result<Entered, Refusal> {
         if self.is_draining() {
             return Err(Refusal::new(RefusalReason::Draining));
@@ -178,6 +191,10 @@
         if ask.deadline_us <= now_us {
             return Err(Refusal::new(RefusalReason::Deadline));
         }
+        let slowness_percent = state.pace.slowness_percent(now_us);
+        if ask.may_refuse_slow && slowness_percent >= SLOW_PERCENT {
+            return Err(Refusal { slowness_percent, ..Refusal::new(RefusalReason::Slow) });
+        }
         if state.queue.is_empty() && state.has_slot() {
             let number = state.start(now_us);
             return Ok(Entered::Running(Permit {
@@ -187,7 +204,7 @@
                 is_counted: true,
             }));
         }
-        let expected_us = state.expected_wait_us(ask);
+        let expected_us = state.expected_wait_us(ask, now_us);
         if now_us + expected_us > ask.deadline_us {
             drop(state);
             return Err(self.refusal(RefusalReason::Deadline));
@@ -235,17 +252,20 @@
     }
 
     fn refusal(&self, reason: RefusalReason) -> Refusal {
+        let now_us = self.clock.now_us();
         let state = self.lock();
         let waves = state.queue.len() as u64 / u64::from(state.limit.limit().max(1)) + 1;
-        let retry_after_ms = (waves * state.limit.recent_us() / 1_000).clamp(1, 60_000) as u32;
-        Refusal { reason, retry_after_ms }
+        let retry_after_ms = (waves * state.service_us(now_us) / 1_000).clamp(1, 60_000) as u32;
+        Refusal { reason, retry_after_ms, slowness_percent: state.pace.slowness_percent(now_us) }
     }
 
     fn release(&self, number: u64, service_us: Option<u64>) {
         let mut state = self.lock();
         state.running.remove(&number);
         if let Some(service_us) = service_us {
-            state.limit.note_service(service_us);
+            let slowness_percent = state.pace.slowness_percent(self.clock.now_us());
+            let usual_us = service_us * u64::from(USUAL_PERCENT) / u64::from(slowness_percent);
+            state.limit.note_service(usual_us);
         }
         state.admit_waiting(&self.clock);
         drop(state);
@@ -290,10 +310,16 @@
         }
     }
 
-    fn expected_wait_us(&self, ask: &Ask) -> u64 {
+    /// How long a call runs at the target's present pace, in µs.
+    fn service_us(&self, now_us: u64) -> u64 {
+        let slowness_percent = u64::from(self.pace.slowness_percent(now_us));
+        self.limit.recent_us() * slowness_percent / u64::from(USUAL_PERCENT)
+    }
+
+    fn expected_wait_us(&self, ask: &Ask, now_us: u64) -> u64 {
         let ahead = self.queue.ahead_of(ask.importance, ask.deadline_us) as u64;
         let limit = u64::from(self.limit.limit().max(1));
-        ahead * self.limit.recent_us() / limit
+        ahead * self.service_us(now_us) / limit
     }
 }
 
--- a/crates/laurelstall_guard/src/lib.rs
+++ b/crates/laurelstall_guard/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod concurrency_limit;
 pub mod guard;
 pub mod ledger;
+pub mod pace;
 pub mod refusal;
 pub mod ticket;
 pub mod wait_queue;
--- a/crates/laurelstall_guard/src/refusal.rs
+++ b/crates/laurelstall_guard/src/refusal.rs
@@ -30,6 +30,8 @@
     NoTarget,
     /// The ticket was refused before and is void: its call never runs.
     TicketVoid,
+    /// The target works slowly now and another may be quicker.
+    Slow,
 }
 
 impl RefusalReason {
@@ -57,6 +59,7 @@
             Self::Stranger => "stranger",
             Self::NoTarget => "no-target",
             Self::TicketVoid => "ticket-void",
+            Self::Slow => "slow",
         }
     }
 }
@@ -67,6 +70,9 @@
     }
 }
 
+/// Work that takes as long as usual.
+pub const USUAL_PERCENT: u32 = 100;
+
 /// A refusal with what helps the entry decide what is next.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Refusal {
@@ -74,11 +80,13 @@
     pub reason: RefusalReason,
     /// When a further try here makes sense, in ms; 0 when the guard cannot tell.
     pub retry_after_ms: u32,
+    /// How long work takes at the target now, in percent of the usual.
+    pub slowness_percent: u32,
 }
 
 impl Refusal {
     /// A refusal for `reason`.
     pub fn new(reason: RefusalReason) -> Self {
-        Self { reason, retry_after_ms: 0 }
+        Self { reason, retry_after_ms: 0, slowness_percent: USUAL_PERCENT }
     }
 }
--- a/crates/laurelstall_guard/tests/admission.rs
+++ b/crates/laurelstall_guard/tests/admission.rs
@@ -25,7 +25,7 @@
 
 fn ask(clock: &Clock, importance: u8, budget_ms: u64) -> Ask {
     let deadline_us = clock.now_us() + budget_ms * 1_000;
-    Ask { importance, deadline_us, may_hand_back: false, hand_backs: 0 }
+    Ask { importance, deadline_us, may_hand_back: false, hand_backs: 0, may_refuse_slow: false }
 }
 
 fn reason(refused: Result<Permit, Refusal>) -> RefusalReason {
--- a/crates/laurelstall_node/src/call.rs
+++ b/crates/laurelstall_node/src/call.rs
@@ -83,6 +83,8 @@
     attempts: u32,
     tries: u32,
     hand_backs: u32,
+    /// Targets that refused the call for being slow.
+    slow: Vec<usize>,
     is_unknown: bool,
     last_refusal: Option<Refusal>,
     spare: Option<Spare>,
@@ -113,6 +115,7 @@
             attempts: 0,
             tries: 0,
             hand_backs: 0,
+            slow: Vec::new(),
             is_unknown: false,
             last_refusal: None,
             spare: None,
@@ -258,6 +261,7 @@
             may_repeat: self.request.route.may_repeat,
             may_hand_back,
             hand_backs: self.hand_backs,
+            may_refuse_slow: self.may_refuse_slow(destination),
             ticket: self.request.ticket.as_ref().map(|ticket| (ticket.incarnation, ticket.number)),
             body: match &body {
                 AttemptBody::Whole(bytes) if bytes.is_empty() => BodyKind::Empty,
@@ -286,6 +290,12 @@
         .boxed()
     }
 
+    /// Whether the target may refuse the call for being slow: once, and not if all others did.
+    fn may_refuse_slow(&self, destination: &Destination) -> bool {
+        let is_asked_first = !self.slow.contains(&destination.choice.index);
+        self.request.ticket.is_none() && is_asked_first && self.slow.len() + 1 < destination.targets
+    }
+
     /// Whether to pay for a hint: only for a target whose last one is not fresh.
     fn wants_hint(&self, destination: &Destination, observe_percent: u8, now_us: u64) -> bool {
         let age_us = self.service.balancer().hint_age_us(destination.choice.index, now_us);
@@ -332,6 +342,10 @@
             count(&self.context.counters.hand_backs);
             return Next::Again;
         }
+        if refusal.reason == RefusalReason::Slow {
+            self.slow.push(destination.choice.index);
+            return Next::Again;
+        }
         if self.request.ticket.is_some() || !refusal.reason.may_go_elsewhere() {
             return Next::End(self.give_up(refusal.reason));
         }
@@ -371,7 +385,7 @@
             self.service.balancer().take_hint(index, &destination.name, hint, now_us);
         }
         if let AttemptOutcome::NotRun(refusal) = &answer.outcome {
-            self.note_refusal(destination, refusal.reason, now_us);
+            self.note_refusal(destination, refusal, now_us);
         }
         let (result, word) = match &answer.outcome {
             AttemptOutcome::Answered { status, .. } if status.is_server_error() => {
@@ -392,10 +406,16 @@
     }
 
     /// A refusal tells of the target's queue, without any byte of the budget for observing.
-    fn note_refusal(&self, destination: &Destination, reason: RefusalReason, now_us: u64) {
-        let is_full = match reason {
+    fn note_refusal(&self, destination: &Destination, refusal: &Refusal, now_us: u64) {
+        let is_full = match refusal.reason {
             RefusalReason::QueueFull => true,
             RefusalReason::HandedBack => false,
+            RefusalReason::Slow => {
+                let mut balancer = self.service.balancer();
+                let index = destination.choice.index;
+                balancer.note_slow(index, &destination.name, refusal.slowness_percent, now_us);
+                return;
+            }
             _ => return,
         };
         let mut balancer = self.service.balancer();
--- a/crates/laurelstall_node/src/target_guard.rs
+++ b/crates/laurelstall_node/src/target_guard.rs
@@ -300,6 +300,7 @@
             deadline_us: run.deadline_us,
             may_hand_back: run.head.may_hand_back && !self.is_plain,
             hand_backs: run.head.hand_backs,
+            may_refuse_slow: run.head.may_refuse_slow && !self.is_plain,
         };
         match self.guard.admit(ask).await {
             Ok(permit) => self.send(run, permit).await,
@@ -441,6 +442,9 @@
         let (parts, body) = response.into_parts();
         let status = parts.status;
         let mut headers = parts.headers;
+        if let Some(load) = self.dialect.load(&headers) {
+            self.guard.note_slowness(load.slowness_percent);
+        }
         let refusal = match self.dialect.answer_kind(&request, status, &headers, limits.shed_status) {
             AnswerKind::Ran => None,
             AnswerKind::Shed => Some(RefusalReason::Shed),
--- a/crates/laurelstall_peer/src/message.rs
+++ b/crates/laurelstall_peer/src/message.rs
@@ -43,6 +43,8 @@
     pub may_hand_back: bool,
     /// Times it was handed back before.
     pub hand_backs: u32,
+    /// Whether the guard may refuse the call because its target works slowly now.
+    pub may_refuse_slow: bool,
     /// Incarnation and number of the ticket it brings.
     pub ticket: Option<(u64, u64)>,
     /// How its body comes.
--- a/crates/laurelstall_peer/tests/messages.rs
+++ b/crates/laurelstall_peer/tests/messages.rs
@@ -24,6 +24,7 @@
         importance: 5,
         may_hand_back: true,
         hand_backs: 0,
+        may_refuse_slow: false,
         ticket: Some((1, 2)),
         body: BodyKind::Empty,
         wants_hint: true,
@@ -63,7 +64,7 @@
         R::TicketVoid,
     ];
     for reason in reasons {
-        let refusal = Refusal { reason, retry_after_ms: 9 };
+        let refusal = Refusal { reason, retry_after_ms: 9, slowness_percent: 400 };
         let answer = PeerAnswer::Refused(refusal);
         assert_eq!(decode::<PeerAnswer>(&encode(&answer)[PREFIX_BYTES..]).expect("it is whole"), answer);
     }
