--- a/crates/laurelstall_node/src/call.rs
+++ b/crates/laurelstall_node/src/call.rs
@@ -16,7 +16,10 @@
     chooser::Choice,
     service_balancer::{AttemptResult, Choosing},
 };
-use laurelstall_config::document::{DocumentName, Version};
+use laurelstall_config::{
+    document::{DocumentName, Version},
+    route::ROUTE_IMPORTANCE_MAX,
+};
 use laurelstall_guard::{
     clock::Clock,
     refusal::{Refusal, RefusalReason},
@@ -33,6 +36,10 @@
 /// A hint younger than this is not asked for anew, in µs.
 const HINT_FRESH_US: u64 = 15_000;
 
+/// Importance of a call that another one waits for: above all others, since the work that was done
+/// for that one is lost without it.
+const NESTED_IMPORTANCE: u8 = ROUTE_IMPORTANCE_MAX + 1;
+
 /// What all calls of an entry share.
 #[derive(Debug)]
 pub struct CallContext {
@@ -261,7 +268,7 @@
             budget_us: self.request.deadline_us.saturating_sub(now_us),
             useful_us: self.useful_us(now_us),
             class: self.request.class,
-            importance: self.request.route.importance,
+            importance: self.importance(),
             may_repeat: self.request.route.may_repeat,
             may_hand_back,
             hand_backs: self.hand_backs,
@@ -294,6 +301,10 @@
         .boxed()
     }
 
+    fn importance(&self) -> u8 {
+        if self.request.is_nested { NESTED_IMPORTANCE } else { self.request.route.importance }
+    }
+
     /// Time in which the answer has its full worth in µs; without an objective, the whole budget.
     fn useful_us(&self, now_us: u64) -> u64 {
         let until_us = self.request.useful_until_us.unwrap_or(self.request.deadline_us);
--- a/crates/laurelstall_node/src/call_request.rs
+++ b/crates/laurelstall_node/src/call_request.rs
@@ -21,6 +21,8 @@
     pub body: AttemptBody,
     /// What the program decided.
     pub route: Route,
+    /// Whether another call waits for this one.
+    pub is_nested: bool,
     /// The class of the call.
     pub class: CallClass,
     /// When the call must be done, in µs of the node's clock.
--- a/crates/laurelstall_node/src/entry.rs
+++ b/crates/laurelstall_node/src/entry.rs
@@ -9,6 +9,7 @@
     decision_log::Decision,
     dialect::{CallFacts, Failure},
     headers::{TICKET, host_of, read_number, strip_request, text_value},
+    listener::CallerAddress,
     services::Services,
 };
 use bytes::Bytes;
@@ -31,9 +32,12 @@
     program::RequestView,
 };
 use serde::Serialize;
-use std::sync::{
-    Arc,
-    atomic::{AtomicBool, Ordering},
+use std::{
+    net::IpAddr,
+    sync::{
+        Arc,
+        atomic::{AtomicBool, Ordering},
+    },
 };
 use tokio::time::Duration;
 
@@ -61,6 +65,8 @@
     pub services: Arc<Services>,
     /// Name of the service beside this node, without its team; empty when there is none.
     pub own_service: String,
+    /// The target's address, if calls from there are its own.
+    pub target_ip: Option<IpAddr>,
     /// Limits on callers.
     pub limits: CallerLimits,
     /// Whether the node is about to stop: callers are asked to close their connections.
@@ -232,8 +238,9 @@
         let budget_ms = self.budget_ms(&parts, &route)?;
         let now_us = self.context.clock.now_us();
         let deadline_us = now_us + budget_ms * 1_000;
-        let useful_ms = route.latency_objective_ms;
-        let useful_until_us = useful_ms.map(|useful_ms| now_us + useful_ms.min(budget_ms) * 1_000);
+        let is_nested = depth > 0 || self.is_from_target(&parts);
+        let objective_ms = route.latency_objective_ms;
+        let useful_until_us = objective_ms.map(|ms| (now_us + ms * 1_000).min(deadline_us));
         let body = self.read_body(&parts, body, ticket.is_some()).await?;
         let is_whole = matches!(body, AttemptBody::Whole(_));
         strip_request(&mut parts.headers, is_whole);
@@ -251,6 +258,7 @@
             headers: headers_to_wire(&parts.headers),
             body,
             class: route.class,
+            is_nested,
             route,
             deadline_us,
             useful_until_us,
@@ -258,6 +266,11 @@
         })
     }
 
+    fn is_from_target(&self, parts: &Parts) -> bool {
+        let from = parts.extensions.get::<CallerAddress>();
+        from.is_some_and(|from| Some(from.0) == self.target_ip)
+    }
+
     fn budget_ms(&self, parts: &Parts, route: &Route) -> Result<u64, Rejection> {
         let asked = self.context.dialect.budget_ms(&parts.headers).map_err(bad_number)?;
         let decided = route.budget_ms.unwrap_or(self.limits.budget_default_ms);
--- a/crates/laurelstall_node/src/node.rs
+++ b/crates/laurelstall_node/src/node.rs
@@ -260,6 +260,7 @@
                 dialect,
             },
             own_service: own_service(&settings),
+            target_ip: target_ip(&settings),
             active: active.clone(),
             services: services.clone(),
             limits: settings.callers,
@@ -367,6 +368,11 @@
     full_name.rsplit('/').next().unwrap_or_default().to_owned()
 }
 
+fn target_ip(settings: &Settings) -> Option<IpAddr> {
+    let target = settings.target.as_ref()?;
+    settings.callers.own_address_is_target.then(|| target.address.ip())
+}
+
 fn into_tokio(listener: StdListener) -> Result<(TcpListener, SocketAddr), NodeError> {
     let unspecified = SocketAddr::from(([0, 0, 0, 0], 0));
     let address = listener.local_addr().map_err(|error| NodeError::Listen(unspecified, error))?;
