Node: structured logs on standard output, metrics as text, reload of settings, published limits on callers

Cause: an engineer on call has only logs and metrics; SIGHUP did not read the settings anew. Change: one JSON line for each attempt and the end of each call (request id, versions, age of the hint, outcome), bounded and never waited for; counters and latency histograms at GET /v1/metrics; SIGHUP or a changed file reloads the settings; signals are watched from before the start; hosts may be named after their address.

--- a/crates/laurelstall_config/src/fleet.rs
+++ b/crates/laurelstall_config/src/fleet.rs
@@ -20,6 +20,11 @@
     Leaving,
 }
 
+/// The name of a host that is known by nothing but its address.
+pub fn host_name(ip: IpAddr) -> String {
+    ip.to_string().replace(['.', ':'], "-")
+}
+
 /// One host of the fleet.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
--- a/crates/laurelstall_config/src/settings.rs
+++ b/crates/laurelstall_config/src/settings.rs
@@ -1,6 +1,9 @@
 //! A node's own settings, read once at start.
 
-use crate::problem::{Checker, ConfigError, is_name};
+use crate::{
+    fleet::host_name,
+    problem::{Checker, ConfigError, is_name},
+};
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
 
@@ -8,7 +11,8 @@
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct NodeSettings {
-    /// The host's name, as in the platform's list.
+    /// The host's name, as in the platform's list; without one, it is named after its peer address.
+    #[serde(default)]
     pub host: String,
     /// The data centre the host stands in.
     pub data_centre: String,
@@ -238,9 +242,12 @@
     /// All faults found in `text`, with file, line and field.
     pub fn from_text(file: &str, text: &str) -> Result<Self, ConfigError> {
         let mut check = Checker::new(file, text);
-        let Some(settings) = check.parse::<Self>() else {
+        let Some(mut settings) = check.parse::<Self>() else {
             return Err(check.finish().expect_err("parsing noted a problem"));
         };
+        if settings.node.host.is_empty() {
+            settings.node.host = host_name(settings.node.peer_address.ip());
+        }
         settings.check_node(&mut check);
         settings.check_callers(&mut check);
         settings.check_log(&mut check);
--- a/crates/laurelstall_config/src/system.rs
+++ b/crates/laurelstall_config/src/system.rs
@@ -1,6 +1,9 @@
 //! Limits that hold for the whole system, published by the platform.
 
-use crate::problem::{Checker, ConfigError, is_name};
+use crate::{
+    problem::{Checker, ConfigError, is_name},
+    settings::CallerLimits,
+};
 use serde::{Deserialize, Serialize};
 
 /// What a node may spend on observing targets.
@@ -47,6 +50,30 @@
     }
 }
 
+/// Published limits on callers; what is not named stays as the node's settings say.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct PublishedCallerLimits {
+    /// Bytes of a request head.
+    pub head_bytes: Option<usize>,
+    /// Bytes of a request body.
+    pub body_bytes: Option<u64>,
+    /// Longest silence inside a body in ms.
+    pub idle_timeout_ms: Option<u64>,
+}
+
+impl PublishedCallerLimits {
+    /// The limits of a node's settings with these in their place.
+    pub fn applied_to(&self, settings: CallerLimits) -> CallerLimits {
+        CallerLimits {
+            head_bytes: self.head_bytes.unwrap_or(settings.head_bytes),
+            body_bytes: self.body_bytes.unwrap_or(settings.body_bytes),
+            idle_timeout_ms: self.idle_timeout_ms.unwrap_or(settings.idle_timeout_ms),
+            ..settings
+        }
+    }
+}
+
 /// The one-way time between two data centres.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -67,6 +94,8 @@
     pub observe: ObserveLimits,
     /// Spreading of configuration.
     pub spread: SpreadLimits,
+    /// Limits on callers.
+    pub callers: PublishedCallerLimits,
     /// What it costs to send a call to another data centre, in percent of the worth of its answer: a
     /// call leaves its data centre when its chance to be in time grows by more than that.
     pub data_centre_change_percent: u32,
@@ -75,6 +104,9 @@
     pub distances: Vec<Distance>,
 }
 
+/// Fewest bytes of a request head that may be the limit: the HTTP library needs them.
+const HEAD_BYTES_MIN: usize = 8_192;
+
 /// One-way time between data centres that no entry names, in µs.
 pub const DISTANCE_DEFAULT_US: u64 = 1_000;
 
@@ -96,6 +128,13 @@
         check.range("spread.fallback_read_after_ms", spread.fallback_read_after_ms, 1_000..=3_600_000);
         check.range("spread.read_pause_max_ms", spread.read_pause_max_ms, 200..=600_000);
         check.range("data_centre_change_percent", limits.data_centre_change_percent, 0..=1_000);
+        let callers = limits.callers;
+        check.range(
+            "callers.head_bytes",
+            callers.head_bytes.unwrap_or(HEAD_BYTES_MIN),
+            HEAD_BYTES_MIN..=1_048_576,
+        );
+        check.range("callers.idle_timeout_ms", callers.idle_timeout_ms.unwrap_or(10), 10..=3_600_000);
         for distance in &limits.distances {
             let are_names = is_name(&distance.from) && is_name(&distance.to);
             check.ensure(are_names, "distance", "from and to must name data centres");
--- a/crates/laurelstall_node/benches/decisions.rs
+++ b/crates/laurelstall_node/benches/decisions.rs
@@ -88,6 +88,9 @@
     let log = DecisionLog::new(DecisionFormat::Human, 4_096, Arc::new(Counters::default()));
     let decision = Decision {
         call: 1,
+        request_id: String::new(),
+        fleet_version: 1,
+        hint_age_us: Some(1),
         attempt: 1,
         service: "team/service".to_owned(),
         version: 1,
--- a/crates/laurelstall_node/src/admin.rs
+++ b/crates/laurelstall_node/src/admin.rs
@@ -2,16 +2,23 @@
 
 use crate::{
     active::{Active, check_document},
-    body::{Collected, collect},
+    body::{Collected, collect, whole},
     counters::Counters,
     decision_log::Decision,
     entry::{Entry, json},
     listener::Responder,
     logging::set_level,
+    metrics,
+    node::gauges,
     target_guard::TargetGuard,
 };
+use arc_swap::ArcSwap;
 use futures_util::future::BoxFuture;
-use http::{Method, Request, Response, StatusCode, header::AUTHORIZATION, request::Parts};
+use http::{
+    HeaderValue, Method, Request, Response, StatusCode,
+    header::{AUTHORIZATION, CONTENT_TYPE},
+    request::Parts,
+};
 use laurelstall_balance::hint::Hint;
 use laurelstall_config::{
     document::{Document, DocumentName, Version},
@@ -29,6 +36,8 @@
 const BODY_BYTES_MAX: usize = 1_100_000;
 /// Longest wait for it.
 const BODY_PATIENCE: Duration = Duration::from_secs(5);
+/// Form of the metrics.
+const METRICS_CONTENT_TYPE: &str = "application/openmetrics-text; version=1.0.0; charset=utf-8";
 /// Rows in one answer at most.
 const ROWS_MAX: usize = 1_000;
 
@@ -46,7 +55,7 @@
     /// Counts.
     pub counters: Arc<Counters>,
     /// Tokens; without any, only loopback may ask, and only read.
-    pub tokens: Vec<TokenSettings>,
+    pub tokens: ArcSwap<Vec<TokenSettings>>,
     /// Whether the address is on loopback.
     pub is_loopback: bool,
     /// The host's name.
@@ -134,6 +143,7 @@
         match (&parts.method, path.as_str()) {
             (&Method::GET, "/v1/health") => return json(StatusCode::OK, &value!({ "healthy": true })),
             (&Method::GET, "/v1/ready") => return self.ready(),
+            (&Method::GET, "/v1/metrics") => return self.metrics(),
             _ => {}
         }
         let Some(caller) = self.caller(&parts) else {
@@ -155,13 +165,14 @@
 
     /// Who asks, by token; without tokens in the settings, loopback may read.
     fn caller(&self, parts: &Parts) -> Option<Caller> {
-        if self.tokens.is_empty() {
+        let tokens = self.tokens.load();
+        if tokens.is_empty() {
             return self.is_loopback.then(|| Caller { role: Role::Read, team: String::new() });
         }
         let given = parts.headers.get(AUTHORIZATION)?.to_str().ok()?.strip_prefix("Bearer ")?;
         let mut found = None;
         // Each token is compared, so that time tells nothing of which one was near.
-        for token in &self.tokens {
+        for token in tokens.iter() {
             if bool::from(token.secret.as_bytes().ct_eq(given.as_bytes())) {
                 found = Some(Caller { role: token.role, team: token.team.clone() });
             }
@@ -169,6 +180,16 @@
         found
     }
 
+    fn metrics(&self) -> Answer {
+        let meter = self.entry.context.client.pool().meter();
+        let gauges = gauges(&self.guard, meter);
+        let text = metrics::text(self.counters.clone(), &self.entry.context.latencies, gauges);
+        let mut response = Response::new(whole(text.into()));
+        let content_type = HeaderValue::from_static(METRICS_CONTENT_TYPE);
+        response.headers_mut().insert(CONTENT_TYPE, content_type);
+        response
+    }
+
     fn ready(&self) -> Answer {
         let is_stopping = self.entry.is_stopping.load(Ordering::Relaxed);
         let is_ready =
--- a/crates/laurelstall_node/src/call.rs
+++ b/crates/laurelstall_node/src/call.rs
@@ -6,6 +6,7 @@
     counters::{Counters, count},
     decision_log::{Decision, DecisionLog},
     dialect::HeaderDialect,
+    metrics::{Latencies, observe_us},
     observer::Observer,
     services::ServiceState,
 };
@@ -57,6 +58,8 @@
     pub decisions: DecisionLog,
     /// Counts.
     pub counters: Arc<Counters>,
+    /// How long things take.
+    pub latencies: Arc<Latencies>,
     /// The header fields that callers know.
     pub dialect: Arc<dyn HeaderDialect>,
 }
@@ -76,6 +79,7 @@
     why: String,
     runner_up: Option<(String, u64)>,
     targets: usize,
+    hint_age_us: Option<u64>,
     sent_at_us: u64,
 }
 
@@ -169,6 +173,7 @@
             why: if is_logged { choice.reason.to_string() } else { String::new() },
             runner_up: runner_up.map(|(index, score)| (views[index].name.clone(), score as u64)),
             targets: views.len(),
+            hint_age_us: view.hint(now_us).map(|(_, age_us)| age_us),
             sent_at_us: now_us,
         };
         balancer.note_sent(choice.index);
@@ -422,6 +427,7 @@
             },
             AttemptOutcome::Unknown(_) => (AttemptResult::Failed, "unknown"),
         };
+        observe_us(&self.context.latencies.attempts, took_us);
         self.note(destination, result);
         self.write_decision(destination, word, took_us);
     }
@@ -455,12 +461,15 @@
         }
         self.context.decisions.write(Decision {
             call: self.request.id,
+            request_id: self.request.request_id.clone(),
             attempt: self.attempts,
             service: self.service.name.clone(),
             version: self.policy_version(),
+            fleet_version: self.in_force.configuration.version(&DocumentName::Fleet),
             target: destination.name.clone(),
             why: destination.why.clone(),
             expected_us: destination.choice.score_us as u64,
+            hint_age_us: destination.hint_age_us,
             runner_up: destination.runner_up.clone(),
             targets: destination.targets,
             outcome: outcome.to_owned(),
--- a/crates/laurelstall_node/src/call_request.rs
+++ b/crates/laurelstall_node/src/call_request.rs
@@ -11,6 +11,8 @@
 pub struct CallRequest {
     /// The call's number.
     pub id: u64,
+    /// The caller's own id of the request; empty when it has none.
+    pub request_id: String,
     /// HTTP method.
     pub method: String,
     /// Path and query.
--- a/crates/laurelstall_node/src/decision_log.rs
+++ b/crates/laurelstall_node/src/decision_log.rs
@@ -1,6 +1,12 @@
-//! One line for each routing decision, written beside the request's way.
+//! One line for each decision that touches a request: each attempt, and how each call ended.
+//!
+//! A request never waits for its lines: they are rendered by a thread that reads a bounded queue.
+//! Calls that ended well have a bounded number of lines a second; what was left out is counted.
 
-use crate::counters::{Counters, count};
+use crate::{
+    counters::{Counters, count},
+    logging::unix_ms,
+};
 use laurelstall_config::{document::Version, settings::DecisionFormat};
 use serde::Serialize;
 use std::{
@@ -20,25 +26,35 @@
 const WRITE_INTERVAL: Duration = Duration::from_millis(100);
 /// Decisions kept for the administration API.
 pub const RECENT_MAX: usize = 256;
+/// Lines a second of calls that went well; those of calls that did not are written besides.
+const GOOD_LINES_PER_S: u32 = 400;
+/// Length of a second of the time of day in ms.
+const SECOND_MS: u64 = 1_000;
 
-/// One decision: an attempt of a call went to a target, or the call was refused.
+/// One attempt of a call: where it went, why, and how it ended.
 #[derive(Debug, Clone, Serialize)]
 pub struct Decision {
     /// The call.
     pub call: u64,
+    /// The caller's own id of the request; empty when it has none.
+    pub request_id: String,
     /// Which attempt of it, from 1.
     pub attempt: u32,
     /// Full name of the service.
     pub service: String,
     /// Version of the team's document that was followed.
     pub version: Version,
+    /// Version of the list of hosts that was chosen from.
+    pub fleet_version: Version,
     /// The target chosen; empty when none was.
     pub target: String,
     /// Why.
     pub why: String,
-    /// Its expected time in µs.
+    /// Its expected loss in µs.
     pub expected_us: u64,
-    /// The next best and its expected time in µs.
+    /// Age in µs of the hint that this rests on; none when there was none.
+    pub hint_age_us: Option<u64>,
+    /// The next best and its expected loss in µs.
     pub runner_up: Option<(String, u64)>,
     /// Targets that could have been chosen.
     pub targets: usize,
@@ -50,8 +66,9 @@
 
 impl fmt::Display for Decision {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(f, "call={:016x} attempt={} service={} ", self.call, self.attempt, self.service)?;
-        write!(f, "version={} target={} why=\"{}\" ", self.version, self.target, self.why)?;
+        write!(f, "call={:016x} request_id={} attempt={} ", self.call, self.request_id, self.attempt)?;
+        write!(f, "service={} version={} ", self.service, self.version)?;
+        write!(f, "fleet_version={} target={} why=\"{}\" ", self.fleet_version, self.target, self.why)?;
         write!(f, "expected_us={} ", self.expected_us)?;
         if let Some((name, expected_us)) = &self.runner_up {
             write!(f, "runner_up={name}:{expected_us} ")?;
@@ -60,13 +77,78 @@
     }
 }
 
+/// How a call ended: what its caller was told.
+#[derive(Debug, Clone, Serialize)]
+pub struct CallEnd {
+    /// The call.
+    pub call: u64,
+    /// The caller's own id of the request; empty when it has none.
+    pub request_id: String,
+    /// Method of the request.
+    pub method: String,
+    /// Host name that it was for.
+    pub host: String,
+    /// Its path.
+    pub path: String,
+    /// Version of the team's document in force; 0 when there was none.
+    pub version: Version,
+    /// Status of the answer.
+    pub status: u16,
+    /// `answered`, `not-run` or `unknown`.
+    pub outcome: &'static str,
+    /// Why it was not answered.
+    pub reason: String,
+    /// After how many µs.
+    pub took_us: u64,
+}
+
+impl fmt::Display for CallEnd {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "call={:016x} request_id={} method={} ", self.call, self.request_id, self.method)?;
+        write!(f, "host={} path={} version={} ", self.host, self.path, self.version)?;
+        write!(f, "status={} outcome={} reason=\"{}\" ", self.status, self.outcome, self.reason)?;
+        write!(f, "took_us={}", self.took_us)
+    }
+}
+
+/// A line to be written.
+#[derive(Debug, Clone, Serialize)]
+#[serde(tag = "event", rename_all = "snake_case")]
+enum Line {
+    Attempt(Decision),
+    Call(CallEnd),
+}
+
+impl fmt::Display for Line {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Attempt(decision) => write!(f, "attempt {decision}"),
+            Self::Call(end) => write!(f, "end {end}"),
+        }
+    }
+}
+
+/// A line with its time of day.
+#[derive(Debug, Serialize)]
+struct TimedLine {
+    unix_ms: u64,
+    #[serde(flatten)]
+    line: Line,
+}
+
+/// Lines of calls that went well in the present second.
+#[derive(Debug, Default)]
+struct Allowance {
+    second: u64,
+    used: u32,
+}
+
 /// The bounded way of decisions to their log.
-///
-/// A full channel drops the line and counts it; a request never waits for a log.
 #[derive(Debug)]
 pub struct DecisionLog {
-    sender: Option<SyncSender<Decision>>,
+    sender: Option<SyncSender<TimedLine>>,
     recent: Arc<Mutex<VecDeque<Decision>>>,
+    allowance: Mutex<Allowance>,
     counters: Arc<Counters>,
 }
 
@@ -82,7 +164,7 @@
             started.expect("the system has room for one more thread");
             sender
         });
-        Self { sender, recent, counters }
+        Self { sender, recent, allowance: Mutex::default(), counters }
     }
 
     /// Whether decisions are written at all.
@@ -92,10 +174,14 @@
 
     /// Hands a decision to the writer, or drops and counts it.
     pub fn write(&self, decision: Decision) {
-        let Some(sender) = &self.sender else { return };
-        if sender.try_send(decision).is_err() {
-            count(&self.counters.decisions_dropped);
-        }
+        let is_good = decision.outcome == "answered";
+        self.send(Line::Attempt(decision), is_good);
+    }
+
+    /// Hands the end of a call to the writer, or drops and counts it.
+    pub fn write_end(&self, end: CallEnd) {
+        let is_good = end.status < 400;
+        self.send(Line::Call(end), is_good);
     }
 
     /// The latest decisions, oldest first.
@@ -104,18 +190,36 @@
         let skip = recent.len().saturating_sub(most);
         recent.iter().skip(skip).cloned().collect()
     }
+
+    fn send(&self, line: Line, is_good: bool) {
+        let Some(sender) = &self.sender else { return };
+        let unix_ms = unix_ms();
+        let is_allowed = !is_good || self.take_allowance(unix_ms / SECOND_MS);
+        if !is_allowed || sender.try_send(TimedLine { unix_ms, line }).is_err() {
+            count(&self.counters.decisions_dropped);
+        }
+    }
+
+    fn take_allowance(&self, second: u64) -> bool {
+        let mut allowance = self.allowance.lock().unwrap_or_else(PoisonError::into_inner);
+        if allowance.second != second {
+            *allowance = Allowance { second, used: 0 };
+        }
+        allowance.used += 1;
+        allowance.used <= GOOD_LINES_PER_S
+    }
 }
 
 fn write_decisions(
-    receiver: &Receiver<Decision>,
+    receiver: &Receiver<TimedLine>,
     format: DecisionFormat,
     recent: &Mutex<VecDeque<Decision>>,
 ) {
     loop {
         // Waiting in the channel would make each sender wake this thread.
         thread::sleep(WRITE_INTERVAL);
-        for decision in receiver.try_iter() {
-            write_decision(decision, format, recent);
+        for line in receiver.try_iter() {
+            write_line(line, format, recent);
         }
         if is_closed(receiver, format, recent) {
             return;
@@ -125,13 +229,13 @@
 
 /// Whether the log is gone; what was still waiting is written.
 fn is_closed(
-    receiver: &Receiver<Decision>,
+    receiver: &Receiver<TimedLine>,
     format: DecisionFormat,
     recent: &Mutex<VecDeque<Decision>>,
 ) -> bool {
     match receiver.try_recv() {
-        Ok(decision) => {
-            write_decision(decision, format, recent);
+        Ok(line) => {
+            write_line(line, format, recent);
             false
         }
         Err(TryRecvError::Empty) => false,
@@ -139,14 +243,15 @@
     }
 }
 
-fn write_decision(decision: Decision, format: DecisionFormat, recent: &Mutex<VecDeque<Decision>>) {
+fn write_line(line: TimedLine, format: DecisionFormat, recent: &Mutex<VecDeque<Decision>>) {
     match format {
         DecisionFormat::Json => {
-            let line = serde_json::to_string(&decision).unwrap_or_default();
-            log::info!(target: DECISION_TARGET, "{line}");
+            let text = serde_json::to_string(&line).unwrap_or_default();
+            log::info!(target: DECISION_TARGET, "{text}");
         }
-        _ => log::info!(target: DECISION_TARGET, "{decision}"),
+        _ => log::info!(target: DECISION_TARGET, "{}", line.line),
     }
+    let Line::Attempt(decision) = line.line else { return };
     let mut recent = recent.lock().unwrap_or_else(PoisonError::into_inner);
     if recent.len() == RECENT_MAX {
         recent.pop_front();
--- a/crates/laurelstall_node/src/entry.rs
+++ b/crates/laurelstall_node/src/entry.rs
@@ -5,18 +5,20 @@
     body::{Collected, collect, idle_body, whole},
     call::{Call, CallContext},
     call_request::{CallOutcome, CallRequest},
+    caller_rules::CallerRules,
     counters::count,
-    decision_log::Decision,
+    decision_log::{CallEnd, Decision},
     dialect::{CallFacts, Failure},
     headers::{TICKET, host_of, read_number, strip_request, text_value},
     listener::CallerAddress,
+    metrics::observe_us,
     services::Services,
 };
 use bytes::Bytes;
 use http::{HeaderValue, Method, Request, Response, StatusCode, request::Parts};
 use http_body_util::BodyExt;
 use laurelstall_balance::service_balancer::Choosing;
-use laurelstall_config::{route::RouteRule, settings::CallerLimits, team::Team};
+use laurelstall_config::{document::DocumentName, route::RouteRule, team::Team};
 use laurelstall_guard::{
     refusal::{Refusal, RefusalReason},
     ticket::Ticket,
@@ -68,7 +70,7 @@
     /// The target's address, if calls from there are its own.
     pub target_ip: Option<IpAddr>,
     /// Limits on callers.
-    pub limits: CallerLimits,
+    pub limits: Arc<CallerRules>,
     /// Whether the node is about to stop: callers are asked to close their connections.
     pub is_stopping: AtomicBool,
 }
@@ -85,6 +87,23 @@
     }
 }
 
+/// What a caller asked, for the log.
+struct Asked {
+    method: Method,
+    host: String,
+    path: String,
+}
+
+impl Asked {
+    fn new(request: &Request<AnswerBody>) -> Self {
+        Self {
+            method: request.method().clone(),
+            host: host_of(request.uri(), request.headers()).unwrap_or_default(),
+            path: request.uri().path().to_owned(),
+        }
+    }
+}
+
 /// What a caller gets.
 enum Reply {
     /// A target's answer, or the node's own to a question that no target is asked.
@@ -120,7 +139,9 @@
         let id = rand::random::<u64>();
         count(&self.context.counters.calls);
         let is_http1 = request.version() < http::Version::HTTP_2;
+        let started_us = self.context.clock.now_us();
         let request_id = self.context.dialect.request_id(request.headers()).map(str::to_owned);
+        let asked = self.context.decisions.is_on().then(|| Asked::new(&request));
         let reply = match self.serve(id, request).await {
             Ok(reply) => reply,
             Err(rejection) => {
@@ -128,6 +149,11 @@
                 Reply::Failed(FailedCall::not_run(rejection.status, &rejection.reason, None))
             }
         };
+        let took_us = self.context.clock.now_us() - started_us;
+        observe_us(&self.context.latencies.calls, took_us);
+        if let Some(asked) = asked {
+            self.write_end(id, request_id.as_deref(), asked, &reply, took_us);
+        }
         let mut response = self.mark(reply, id, request_id.as_deref());
         if is_http1 && self.is_stopping.load(Ordering::Relaxed) {
             response.headers_mut().insert(http::header::CONNECTION, HeaderValue::from_static("close"));
@@ -135,6 +161,28 @@
         response
     }
 
+    fn write_end(&self, call: u64, request_id: Option<&str>, asked: Asked, reply: &Reply, took_us: u64) {
+        let (status, outcome, reason) = match reply {
+            Reply::Answered(response) => (response.status(), "answered", ""),
+            Reply::Failed(failed) => (failed.status, failed.outcome, failed.reason.as_str()),
+        };
+        let configuration = &self.active.load().configuration;
+        let team = configuration.team_of_caller_host(&asked.host);
+        let name = team.map(|team| DocumentName::Team(team.team.clone()));
+        self.context.decisions.write_end(CallEnd {
+            call,
+            request_id: request_id.unwrap_or_default().to_owned(),
+            method: asked.method.to_string(),
+            host: asked.host,
+            path: asked.path,
+            version: name.map_or(0, |name| configuration.version(&name)),
+            status: status.as_u16(),
+            outcome,
+            reason: reason.to_owned(),
+            took_us,
+        });
+    }
+
     /// The response of a reply, with the header fields that callers know.
     fn mark(&self, reply: Reply, id: u64, request_id: Option<&str>) -> Response<AnswerBody> {
         let dialect = &self.context.dialect;
@@ -199,7 +247,7 @@
             ));
         }
         let depth = self.context.dialect.depth(&parts.headers).map_err(bad_number)?;
-        if depth >= u64::from(self.limits.depth_max) {
+        if depth >= u64::from(self.limits.now().depth_max) {
             return Err(Rejection::new(StatusCode::LOOP_DETECTED, "calls too deep"));
         }
         Ok(depth)
@@ -235,6 +283,7 @@
         full_name: &str,
     ) -> Result<CallRequest, Rejection> {
         let ticket = read_ticket(&parts, full_name)?;
+        let request_id = self.context.dialect.request_id(&parts.headers).unwrap_or_default().to_owned();
         let budget_ms = self.budget_ms(&parts, &route)?;
         let now_us = self.context.clock.now_us();
         let deadline_us = now_us + budget_ms * 1_000;
@@ -253,6 +302,7 @@
         let uri = parts.uri.path_and_query().map_or("/", |path| path.as_str()).to_owned();
         Ok(CallRequest {
             id,
+            request_id,
             method: parts.method.as_str().to_owned(),
             uri,
             headers: headers_to_wire(&parts.headers),
@@ -273,8 +323,9 @@
 
     fn budget_ms(&self, parts: &Parts, route: &Route) -> Result<u64, Rejection> {
         let asked = self.context.dialect.budget_ms(&parts.headers).map_err(bad_number)?;
-        let decided = route.budget_ms.unwrap_or(self.limits.budget_default_ms);
-        Ok(asked.unwrap_or(decided).min(decided).min(self.limits.budget_max_ms))
+        let limits = self.limits.now();
+        let decided = route.budget_ms.unwrap_or(limits.budget_default_ms);
+        Ok(asked.unwrap_or(decided).min(decided).min(limits.budget_max_ms))
     }
 
     async fn read_body(
@@ -284,7 +335,8 @@
         has_ticket: bool,
     ) -> Result<AttemptBody, Rejection> {
         let length = read_number(&parts.headers, &http::header::CONTENT_LENGTH).map_err(bad_number)?;
-        let most = self.limits.body_bytes;
+        let limits = self.limits.now();
+        let most = limits.body_bytes;
         if most > 0 && length.is_some_and(|length| length > most) {
             return Err(Rejection::new(StatusCode::PAYLOAD_TOO_LARGE, "body too large"));
         }
@@ -292,10 +344,10 @@
             0 => body,
             most => http_body_util::Limited::new(body, most as usize).boxed_unsync(),
         };
-        let idle = Duration::from_millis(self.limits.idle_timeout_ms);
+        let idle = Duration::from_millis(limits.idle_timeout_ms);
         let body = idle_body(body, idle);
         let patience = if has_ticket { idle } else { COLLECT_PATIENCE };
-        let collected = collect(body, self.limits.replay_bytes, patience).await;
+        let collected = collect(body, limits.replay_bytes, patience).await;
         match collected {
             Ok(Collected::Whole(bytes)) => Ok(AttemptBody::Whole(bytes)),
             Ok(Collected::Partial(_)) if has_ticket => {
@@ -335,15 +387,18 @@
 
     fn refused_by_program(&self, id: u64, in_force: &InForce, team: &Team, reason: &str) -> Reply {
         count(&self.context.counters.not_run);
-        let name = laurelstall_config::document::DocumentName::Team(team.team.clone());
+        let name = DocumentName::Team(team.team.clone());
         self.context.decisions.write(Decision {
             call: id,
+            request_id: String::new(),
             attempt: 0,
             service: team.team.clone(),
             version: in_force.configuration.version(&name),
+            fleet_version: in_force.configuration.version(&DocumentName::Fleet),
             target: String::new(),
             why: "refused by the program".to_owned(),
             expected_us: 0,
+            hint_age_us: None,
             runner_up: None,
             targets: 0,
             outcome: "not-run".to_owned(),
--- a/crates/laurelstall_node/src/listener.rs
+++ b/crates/laurelstall_node/src/listener.rs
@@ -2,6 +2,7 @@
 
 use crate::{
     body::whole,
+    caller_rules::CallerRules,
     counters::{Counters, count},
     entry::Entry,
     idle_stream::IdleStream,
@@ -50,7 +51,7 @@
 #[derive(Debug)]
 pub struct HttpListener {
     responder: Arc<dyn Responder>,
-    limits: CallerLimits,
+    limits: Arc<CallerRules>,
     counters: Arc<Counters>,
     stopping: watch::Receiver<bool>,
 }
@@ -59,7 +60,7 @@
     /// Hands requests to `responder` until `stopping` turns true.
     pub fn new(
         responder: Arc<dyn Responder>,
-        limits: CallerLimits,
+        limits: Arc<CallerRules>,
         counters: Arc<Counters>,
         stopping: watch::Receiver<bool>,
     ) -> Self {
@@ -70,9 +71,8 @@
     ///
     /// Dropping it breaks all connections, as a crash would.
     pub async fn serve(mut self, listener: TcpListener) {
-        let builder = self.builder();
         let graceful = GracefulShutdown::new();
-        let places = Arc::new(Semaphore::new(self.limits.connections));
+        let places = Arc::new(Semaphore::new(self.limits.now().connections));
         let refused_places = Arc::new(Semaphore::new(REFUSED_CONNECTIONS_MAX));
         let mut serving = JoinSet::new();
         loop {
@@ -98,7 +98,8 @@
             };
             // Without it, small answers wait for the caller's acknowledgement.
             let _ = stream.set_nodelay(true);
-            let idle = Duration::from_millis(self.limits.idle_timeout_ms);
+            let limits = self.limits.now();
+            let idle = Duration::from_millis(limits.idle_timeout_ms);
             let responder = self.responder.clone();
             let service = service_fn(move |request: Request<Incoming>| {
                 let responder = responder.clone();
@@ -109,7 +110,7 @@
                 }
             });
             let io = TokioIo::new(IdleStream::new(stream, idle));
-            let connection = builder.serve_connection(io, service).into_owned();
+            let connection = builder(&limits).serve_connection(io, service).into_owned();
             let connection = graceful.watch(connection);
             serving.spawn(async move {
                 let _place = place;
@@ -121,23 +122,23 @@
         drop(listener);
         graceful.shutdown().await;
     }
+}
 
-    fn builder(&self) -> Builder<TokioExecutor> {
-        let mut builder = Builder::new(TokioExecutor::new());
-        builder
-            .http1()
-            .timer(TokioTimer::new())
-            .header_read_timeout(Duration::from_millis(self.limits.head_timeout_ms))
-            .max_buf_size(self.limits.head_bytes);
-        builder
-            .http2()
-            .timer(TokioTimer::new())
-            .max_concurrent_streams(self.limits.streams)
-            .max_header_list_size(self.limits.head_bytes as u32)
-            .keep_alive_interval(Duration::from_millis(self.limits.idle_timeout_ms))
-            .keep_alive_timeout(Duration::from_millis(self.limits.idle_timeout_ms));
-        builder
-    }
+fn builder(limits: &CallerLimits) -> Builder<TokioExecutor> {
+    let mut builder = Builder::new(TokioExecutor::new());
+    builder
+        .http1()
+        .timer(TokioTimer::new())
+        .header_read_timeout(Duration::from_millis(limits.head_timeout_ms))
+        .max_buf_size(limits.head_bytes);
+    builder
+        .http2()
+        .timer(TokioTimer::new())
+        .max_concurrent_streams(limits.streams)
+        .max_header_list_size(limits.head_bytes as u32)
+        .keep_alive_interval(Duration::from_millis(limits.idle_timeout_ms))
+        .keep_alive_timeout(Duration::from_millis(limits.idle_timeout_ms));
+    builder
 }
 
 async fn refuse_connection(stream: TcpStream) {
--- a/crates/laurelstall_node/src/node.rs
+++ b/crates/laurelstall_node/src/node.rs
@@ -4,16 +4,20 @@
     active::Active,
     admin::Admin,
     call::CallContext,
+    caller_rules::CallerRules,
     counters::{Counters, MetricSender},
     decision_log::DecisionLog,
     dialect::{HeaderDialect, OwnDialect},
     entry::Entry,
     listener::HttpListener,
+    logging,
+    metrics::{Gauges, Latencies},
     observer::Observer,
     platform_http::HttpPlatform,
     services::{ChooserFactory, Own, Services},
     target_guard::{TargetGuard, TargetGuardOptions, drained},
 };
+use arc_swap::ArcSwap;
 use futures_util::future::{BoxFuture, FutureExt};
 use laurelstall_balance::least_wait::LeastWait;
 use laurelstall_config::{fleet::Fleet, settings::Settings};
@@ -151,8 +155,10 @@
     pub guard: TargetGuard,
     /// The entry.
     pub entry: Arc<Entry>,
-    stop_linger: Duration,
-    stop_max: Duration,
+    rules: Arc<CallerRules>,
+    admin: Arc<Admin>,
+    platform: Arc<dyn PlatformSource>,
+    settings: Settings,
     peer_server: Arc<PeerServer>,
     stopping: watch::Sender<bool>,
     listening: Vec<JoinHandle<()>>,
@@ -213,6 +219,8 @@
         let NodeOptions { settings, listeners, chooser, is_plain, seed, link, platform, dialect } = options;
         let clock = Clock::new();
         let counters = Arc::new(Counters::default());
+        let rules = CallerRules::new(settings.callers);
+        let latencies = Arc::new(Latencies::default());
         let meter = Arc::new(Meter::default());
         let active = Active::new();
         let observer = Arc::new(Observer::new(clock, counters.clone()));
@@ -233,6 +241,7 @@
             active: active.clone(),
             observer: observer.clone(),
             counters: counters.clone(),
+            latencies: latencies.clone(),
             dialect: dialect.clone(),
         });
         let spread_options = SpreadOptions {
@@ -243,8 +252,14 @@
             seed,
         };
         let platform = platform.unwrap_or_else(|| Arc::new(HttpPlatform::new(&settings.platform)));
-        let spread =
-            Spread::new(spread_options, clock, client.clone(), platform, active.clone(), active.clone());
+        let spread = Spread::new(
+            spread_options,
+            clock,
+            client.clone(),
+            platform.clone(),
+            active.clone(),
+            active.clone(),
+        );
         let own = Own { host: host.clone(), data_centre: data_centre.clone() };
         let services = Arc::new(Services::new(own, clock, chooser, seed));
         let log = &settings.log;
@@ -257,18 +272,24 @@
                 observer: observer.clone(),
                 decisions: DecisionLog::new(log.decisions, log.decisions_waiting_max, counters.clone()),
                 counters: counters.clone(),
+                latencies,
                 dialect,
             },
             own_service: own_service(&settings),
             target_ip: target_ip(&settings),
             active: active.clone(),
             services: services.clone(),
-            limits: settings.callers,
+            limits: rules.clone(),
             is_stopping: false.into(),
         });
 
         let mut background = JoinSet::new();
-        background.spawn(follow_configuration(active.clone(), guard.clone(), observer.clone()));
+        background.spawn(follow_configuration(
+            active.clone(),
+            guard.clone(),
+            observer.clone(),
+            rules.clone(),
+        ));
         let peers = NodePeers {
             guard: guard.clone(),
             spread: spread.clone(),
@@ -297,19 +318,31 @@
             active: active.clone(),
             spread: spread.clone(),
             counters: counters.clone(),
-            tokens: settings.tokens.clone(),
+            tokens: ArcSwap::from_pointee(settings.tokens.clone()),
             is_loopback: admin_listener.1.ip().is_loopback(),
             host,
             data_centre,
         });
-        let callers =
-            HttpListener::new(entry.clone(), settings.callers, counters.clone(), is_stopping.clone());
-        let operators = HttpListener::new(admin, settings.callers, counters.clone(), is_stopping);
+        let callers = HttpListener::new(entry.clone(), rules.clone(), counters.clone(), is_stopping.clone());
+        let operators = HttpListener::new(
+            admin.clone(),
+            CallerRules::new(settings.callers),
+            counters.clone(),
+            is_stopping,
+        );
         let listening = vec![
             tokio::spawn(callers.serve(entry_listener.0)),
             tokio::spawn(operators.serve(admin_listener.0)),
         ];
-        log::info!("node of {} serves callers on {}", settings.node.host, entry_listener.1);
+        log::info!(
+            "started: version {}, host {}, data centre {}, incarnation {:x}, callers on {}, nodes on {}",
+            env!("CARGO_PKG_VERSION"),
+            settings.node.host,
+            settings.node.data_centre,
+            guard.incarnation(),
+            entry_listener.1,
+            peer_address,
+        );
         Ok(Self {
             entry_address: entry_listener.1,
             peer_address,
@@ -319,8 +352,10 @@
             active,
             guard,
             entry,
-            stop_linger: Duration::from_millis(settings.node.stop_linger_ms),
-            stop_max: Duration::from_millis(settings.node.stop_max_ms),
+            rules,
+            admin,
+            platform,
+            settings,
             peer_server,
             stopping,
             listening,
@@ -328,17 +363,36 @@
         })
     }
 
+    /// Puts changed settings in force, as far as a running node can; says what takes a restart.
+    pub fn reload(&mut self, settings: Settings) {
+        let old = std::mem::replace(&mut self.settings, settings);
+        let new = &self.settings;
+        self.rules.set_settings(new.callers);
+        self.admin.tokens.store(Arc::new(new.tokens.clone()));
+        self.spread.set_seeds(new.seeds.clone());
+        self.platform.set_settings(&new.platform);
+        if old.log.level != new.log.level {
+            logging::set_level(&new.log.level);
+        }
+        log::info!("settings reloaded");
+        for part in needing_restart(&old, new) {
+            log::warn!("settings: a change of {part} takes a restart");
+        }
+    }
+
     /// Stops without cutting off a request; true when all ended within the longest time.
     ///
     /// The guard takes nothing new at once. The entry serves on for a moment while it asks
     /// callers to close, then takes no connections and waits for the last answer.
     pub async fn stop(mut self) -> bool {
-        log::info!("stopping");
+        let load = self.guard.guard().load();
+        log::info!("stopping: {} calls run here and {} wait", load.in_flight, load.queued);
         self.guard.set_stopping();
         self.entry.is_stopping.store(true, Ordering::Relaxed);
-        let limit = self.stop_max;
+        let limit = Duration::from_millis(self.settings.node.stop_max_ms);
+        let linger = Duration::from_millis(self.settings.node.stop_linger_ms);
         let stopped = timeout(limit, async {
-            sleep(self.stop_linger).await;
+            sleep(linger).await;
             self.stopping.send_replace(true);
             for task in &mut self.listening {
                 // A task that panicked has nothing left to wait for.
@@ -350,6 +404,9 @@
             sleep(Duration::from_millis(200)).await;
         });
         let is_whole = stopped.await.is_ok();
+        let load = self.guard.guard().load();
+        let left = load.in_flight + load.queued;
+        log::info!("stopped: {}, {left} calls cut off", if is_whole { "whole" } else { "out of time" });
         self.background.shutdown().await;
         is_whole
     }
@@ -363,6 +420,21 @@
     }
 }
 
+/// Parts of the settings that differ and that a running node cannot change.
+fn needing_restart(old: &Settings, new: &Settings) -> Vec<&'static str> {
+    let is_moved = old.node.entry_address != new.node.entry_address
+        || old.node.peer_address != new.node.peer_address
+        || old.node.admin_address != new.node.admin_address;
+    let is_renamed = old.node.host != new.node.host || old.node.data_centre != new.node.data_centre;
+    let changes = [
+        ("the addresses", is_moved),
+        ("host or data centre", is_renamed),
+        ("the target", old.target != new.target),
+        ("the form of the decision log", old.log.decisions != new.log.decisions),
+    ];
+    changes.into_iter().filter(|(_, is_changed)| *is_changed).map(|(part, _)| part).collect()
+}
+
 fn own_service(settings: &Settings) -> String {
     let full_name = settings.target.as_ref().map_or("", |target| target.service.as_str());
     full_name.rsplit('/').next().unwrap_or_default().to_owned()
@@ -381,10 +453,17 @@
     Ok((listener, address))
 }
 
-async fn follow_configuration(active: Arc<Active>, guard: TargetGuard, observer: Arc<Observer>) {
+async fn follow_configuration(
+    active: Arc<Active>,
+    guard: TargetGuard,
+    observer: Arc<Observer>,
+    rules: Arc<CallerRules>,
+) {
     let mut changes = active.changes();
     loop {
-        observer.set_limits(active.load().configuration.system.observe);
+        let in_force = active.load();
+        observer.set_limits(in_force.configuration.system.observe);
+        rules.set_published(in_force.configuration.system.callers);
         guard.update();
         if changes.changed().await.is_err() {
             return;
@@ -408,14 +487,20 @@
 ) {
     loop {
         sleep(interval).await;
-        let load = guard.guard().load();
-        let gauges = [
-            ("in_flight", u64::from(load.in_flight)),
-            ("queued", u64::from(load.queued)),
-            ("limit", u64::from(load.limit)),
-            ("control_bytes", meter.control_bytes.load(Ordering::Relaxed)),
-            ("peer_connections", meter.open.load(Ordering::Relaxed)),
-        ];
+        let gauges = gauges(&guard, &meter);
         sender.send(&counters, &gauges);
     }
 }
+
+/// What is measured at the moment when it is asked for.
+pub fn gauges(guard: &TargetGuard, meter: &Meter) -> Gauges {
+    let load = guard.guard().load();
+    vec![
+        ("in_flight", u64::from(load.in_flight)),
+        ("queued", u64::from(load.queued)),
+        ("limit", u64::from(load.limit)),
+        ("slowness_percent", u64::from(load.slowness_percent)),
+        ("control_bytes", meter.control_bytes.load(Ordering::Relaxed)),
+        ("peer_connections", meter.open.load(Ordering::Relaxed)),
+    ]
+}
--- a/crates/laurelstall_node/src/process.rs
+++ b/crates/laurelstall_node/src/process.rs
@@ -5,9 +5,14 @@
     node::{Listeners, Node, NodeOptions},
 };
 use laurelstall_config::settings::Settings;
-use std::process::ExitCode;
-use tokio::signal::unix::{SignalKind, signal};
+use std::{fs, io, process::ExitCode};
+use tokio::{
+    signal::unix::{Signal, SignalKind, signal},
+    time::{Duration, sleep},
+};
 
+/// Pause between two looks at the settings file, which may change without a signal.
+const FILE_CHECK_INTERVAL: Duration = Duration::from_secs(1);
 /// Exit code for wrong use or bad settings.
 pub const WRONG_USE: u8 = 2;
 
@@ -22,18 +27,20 @@
             return ExitCode::from(WRONG_USE);
         }
     };
-    if logging::start(&settings.log.level).is_err() {
+    if logging::start(&settings.log.level, settings.log.decisions).is_err() {
         eprintln!("logging was started before");
     }
     // One thread: a node is small, and calls need no hand-over between threads.
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
-    match runtime {
-        Ok(runtime) => runtime.block_on(serve(settings, prepare)),
+    let code = match runtime {
+        Ok(runtime) => runtime.block_on(serve(file, settings, prepare)),
         Err(error) => {
             eprintln!("{error}");
             ExitCode::FAILURE
         }
-    }
+    };
+    log::logger().flush();
+    code
 }
 
 /// Reads and checks a settings file.
@@ -46,40 +53,65 @@
     Settings::from_text(file, &text).map_err(|error| error.to_string())
 }
 
-async fn serve(settings: Settings, prepare: fn(Settings, Listeners) -> NodeOptions) -> ExitCode {
-    let level = settings.log.level.clone();
+async fn serve(file: &str, settings: Settings, prepare: fn(Settings, Listeners) -> NodeOptions) -> ExitCode {
+    let signals = match Signals::new() {
+        Ok(signals) => signals,
+        Err(error) => {
+            log::error!("signals cannot be watched: {error}");
+            return ExitCode::FAILURE;
+        }
+    };
     let started = async {
         let listeners = Listeners::bind(&settings)?;
         Node::start(prepare(settings, listeners)).await
     };
-    let node = match started.await {
+    let mut node = match started.await {
         Ok(node) => node,
         Err(error) => {
             log::error!("{error}");
             return ExitCode::FAILURE;
         }
     };
-    wait_for_stop(&level).await;
+    run_until_stop(file, &mut node, signals).await;
     if node.stop().await { ExitCode::SUCCESS } else { ExitCode::FAILURE }
 }
 
-/// Waits for SIGTERM or SIGINT; SIGHUP turns debug lines on, and off again.
-async fn wait_for_stop(level: &str) {
-    let signals =
-        (signal(SignalKind::terminate()), signal(SignalKind::interrupt()), signal(SignalKind::hangup()));
-    let (Ok(mut terminate), Ok(mut interrupt), Ok(mut hangup)) = signals else {
-        log::error!("signals cannot be watched");
-        return;
-    };
-    let mut is_debug = false;
+/// The signals that a node knows; they are watched from before the node starts.
+struct Signals {
+    terminate: Signal,
+    interrupt: Signal,
+    hangup: Signal,
+}
+
+impl Signals {
+    fn new() -> io::Result<Self> {
+        Ok(Self {
+            terminate: signal(SignalKind::terminate())?,
+            interrupt: signal(SignalKind::interrupt())?,
+            hangup: signal(SignalKind::hangup())?,
+        })
+    }
+}
+
+/// Waits for SIGTERM or SIGINT; reloads the settings on SIGHUP and when their file has changed.
+async fn run_until_stop(file: &str, node: &mut Node, mut signals: Signals) {
+    let mut text = fs::read_to_string(file).unwrap_or_default();
     loop {
         tokio::select! {
-            _ = terminate.recv() => return,
-            _ = interrupt.recv() => return,
-            _ = hangup.recv() => {
-                is_debug = !is_debug;
-                logging::set_level(if is_debug { "debug" } else { level });
-            }
+            _ = signals.terminate.recv() => return,
+            _ = signals.interrupt.recv() => return,
+            _ = signals.hangup.recv() => {}
+            () = sleep(FILE_CHECK_INTERVAL) => {}
+        }
+        // A file that is being replaced is read at the next look.
+        let Ok(new_text) = fs::read_to_string(file) else { continue };
+        if new_text == text {
+            continue;
+        }
+        match Settings::from_text(file, &new_text) {
+            Ok(settings) => node.reload(settings),
+            Err(error) => log::error!("changed settings refused, the old ones stay: {error}"),
         }
+        text = new_text;
     }
 }
--- a/crates/laurelstall_node/src/target_guard.rs
+++ b/crates/laurelstall_node/src/target_guard.rs
@@ -6,6 +6,7 @@
     counters::{Counters, count},
     dialect::{AnswerKind, AttemptFacts, HeaderDialect},
     headers::strip_hop_by_hop,
+    metrics::{Latencies, observe_us},
     observer::Observer,
     target_http::{TargetClient, TargetError, target_request},
     target_pool::UsedConnection,
@@ -72,6 +73,7 @@
     active: Arc<Active>,
     observer: Arc<Observer>,
     counters: Arc<Counters>,
+    latencies: Arc<Latencies>,
 }
 
 /// The only way to the target beside this node.
@@ -99,6 +101,8 @@
     pub observer: Arc<Observer>,
     /// Counts.
     pub counters: Arc<Counters>,
+    /// How long things take.
+    pub latencies: Arc<Latencies>,
     /// The header fields that the target knows.
     pub dialect: Arc<dyn HeaderDialect>,
 }
@@ -128,6 +132,7 @@
             active: options.active,
             observer: options.observer,
             counters: options.counters,
+            latencies: options.latencies,
         };
         Self { inner: Arc::new(inner) }
     }
@@ -315,8 +320,15 @@
             hand_backs: run.head.hand_backs,
             may_refuse_slow: run.head.may_refuse_slow && !self.is_plain,
         };
+        let asked_us = self.clock.now_us();
         match self.guard.admit(ask).await {
-            Ok(permit) => self.send(run, permit).await,
+            Ok(permit) => {
+                let admitted_us = self.clock.now_us();
+                observe_us(&self.latencies.waits, admitted_us - asked_us);
+                let answer = self.send(run, permit).await;
+                observe_us(&self.latencies.runs, self.clock.now_us() - admitted_us);
+                answer
+            }
             Err(refusal) => not_run(refusal, Some(run.body)),
         }
     }
--- a/crates/laurelstall_peer/src/platform.rs
+++ b/crates/laurelstall_peer/src/platform.rs
@@ -1,7 +1,10 @@
 //! The border to the platform's configuration service, which can only be read.
 
 use futures_util::future::BoxFuture;
-use laurelstall_config::document::{Document, DocumentName, Version};
+use laurelstall_config::{
+    document::{Document, DocumentName, Version},
+    settings::PlatformSettings,
+};
 use quick_error::quick_error;
 use std::fmt;
 
@@ -30,6 +33,9 @@
     /// Waits for a listing with a sequence above `after`, or for the watch to end.
     fn watch(&self, after: Option<u64>) -> BoxFuture<'_, Result<Listing, PlatformError>>;
 
+    /// Takes changed settings; a source that has none of them keeps what it was made with.
+    fn set_settings(&self, _settings: &PlatformSettings) {}
+
     /// Reads one document.
     fn read(&self, name: DocumentName) -> BoxFuture<'_, Result<Document, PlatformError>>;
 }
--- a/crates/laurelstall_peer/src/spread.rs
+++ b/crates/laurelstall_peer/src/spread.rs
@@ -95,6 +95,7 @@
     partner_seed: AtomicU64,
     rng: Mutex<SmallRng>,
     partner_states: Mutex<HashMap<SocketAddr, PartnerState>>,
+    seeds: Mutex<Vec<SocketAddr>>,
     /// Counts.
     pub counts: SpreadCounts,
 }
@@ -111,6 +112,7 @@
     ) -> Arc<Self> {
         let partner_seed = AtomicU64::new(options.seed);
         let rng = Mutex::new(SmallRng::seed_from_u64(options.seed));
+        let seeds = Mutex::new(options.seeds.clone());
         Arc::new(Self {
             options,
             clock,
@@ -127,10 +129,16 @@
             partner_seed,
             rng,
             partner_states: Mutex::default(),
+            seeds,
             counts: SpreadCounts::default(),
         })
     }
 
+    /// Replaces the nodes to ask when no other is known.
+    pub fn set_seeds(&self, seeds: Vec<SocketAddr>) {
+        *self.seeds.lock().unwrap_or_else(PoisonError::into_inner) = seeds;
+    }
+
     /// The documents held.
     pub fn store(&self) -> MutexGuard<'_, Store> {
         self.store.lock().unwrap_or_else(PoisonError::into_inner)
@@ -226,11 +234,12 @@
     pub fn take(&self, document: Document) -> bool {
         let name = document.name.clone();
         let version = document.version;
+        let held = self.store().version(&name);
         let offer = self.store().offer(document, &*self.acceptor);
         match offer {
             Offer::Taken => {
                 self.counts.taken.fetch_add(1, Ordering::Relaxed);
-                log::info!("{name} version {version} is in force");
+                log::info!("{name} version {version} is in force, after {held}");
                 self.changed.lock().unwrap_or_else(PoisonError::into_inner).insert(name, version);
                 self.has_changed.notify_one();
                 return true;
@@ -282,6 +291,9 @@
             match self.read_platform(after).await {
                 Ok(sequence) => {
                     after = Some(sequence);
+                    if failures > 0 {
+                        log::info!("platform: regained after {failures} failed reads");
+                    }
                     failures = 0;
                     let has_news = self.counts.taken.load(Ordering::Relaxed) > taken;
                     let is_short = self.clock.now_us() - started_us < WATCH_SHORT_US;
@@ -292,7 +304,7 @@
                 }
                 Err(error) => {
                     if failures == 0 {
-                        log::warn!("platform: {error}");
+                        log::warn!("platform: lost: {error}; documents stay as they are");
                     }
                     failures += 1;
                     after = None;
@@ -466,9 +478,10 @@
     }
 
     async fn ask_seeds(&self) {
-        let seeds = self.options.seeds.iter().filter(|address| **address != self.options.peer_address);
+        let seeds = self.seeds.lock().unwrap_or_else(PoisonError::into_inner).clone();
+        let seeds = seeds.into_iter().filter(|address| *address != self.options.peer_address);
         // A seed that is gone is one of several ways to the news.
-        futures_util::future::join_all(seeds.map(|address| self.exchange_with(*address))).await;
+        futures_util::future::join_all(seeds.map(|address| self.exchange_with(address))).await;
     }
 
     async fn ask_some_peers(&self) {
