--- a/crates/laurelstall_node/src/call.rs
+++ b/crates/laurelstall_node/src/call.rs
@@ -280,6 +280,7 @@
             may_refuse_slow: self.may_refuse_slow(destination),
             ticket: self.request.ticket.as_ref().map(|ticket| (ticket.incarnation, ticket.number)),
             body: match &body {
+                AttemptBody::Whole(_) if self.waits_for_go(is_local) => BodyKind::OnGo,
                 AttemptBody::Whole(bytes) if bytes.is_empty() => BodyKind::Empty,
                 AttemptBody::Whole(_) => BodyKind::AtOnce,
                 AttemptBody::Stream(_) => BodyKind::AfterAdmission,
@@ -306,6 +307,14 @@
         .boxed()
     }
 
+    /// Whether the call's body is sent only when the guard has reserved a slot.
+    ///
+    /// A call that may not be repeated could else not go elsewhere when the guard's node dies while
+    /// the call waits there.
+    fn waits_for_go(&self, is_local: bool) -> bool {
+        !is_local && !self.request.route.may_repeat && self.request.ticket.is_none()
+    }
+
     fn importance(&self) -> u8 {
         if self.request.is_nested { NESTED_IMPORTANCE } else { self.request.route.importance }
     }
@@ -313,7 +322,8 @@
     /// Time in which the answer has its full worth in µs; without an objective, the whole budget.
     fn useful_us(&self, now_us: u64) -> u64 {
         let until_us = self.request.useful_until_us.unwrap_or(self.request.deadline_us);
-        until_us.saturating_sub(now_us)
+        let useful_us = until_us.saturating_sub(now_us);
+        if self.request.is_nested { 2 * useful_us } else { useful_us }
     }
 
     /// Whether the target may refuse the call for being slow: once, and not if all others did.
--- a/crates/laurelstall_node/src/target_guard.rs
+++ b/crates/laurelstall_node/src/target_guard.rs
@@ -11,6 +11,7 @@
     target_http::{TargetClient, TargetError, target_request},
     target_pool::UsedConnection,
 };
+use bytes::Bytes;
 use futures_util::future::{BoxFuture, FutureExt};
 use http::{HeaderMap, HeaderName, HeaderValue, Response, StatusCode};
 use http_body_util::BodyExt;
@@ -31,7 +32,7 @@
     attempt::{Admission, Attempt, AttemptAnswer, AttemptBody, AttemptHandler, AttemptOutcome},
     body::{AnswerBody, BodyError},
     client::headers_from_wire,
-    message::{AttemptHead, PeerAnswer, TicketsRequest},
+    message::{AttemptHead, BodyKind, PeerAnswer, TicketsRequest},
 };
 use std::sync::{
     Arc, Mutex, MutexGuard, PoisonError,
@@ -50,6 +51,11 @@
 /// Longest wait for the whole of a short answer; a slower one is passed on as it comes.
 const WHOLE_ANSWER_PATIENCE: Duration = Duration::from_millis(200);
 
+/// Longest body that comes with the word to go, in bytes: as much as an entry may keep of one.
+const GO_BYTES_MAX: usize = 1024 * 1024;
+/// Longest that a reserved slot waits for the word to go.
+const GO_TIMEOUT: Duration = Duration::from_millis(500);
+
 /// Reasons to take nothing new; any one is enough.
 #[derive(Debug, Default)]
 struct Drains {
@@ -434,6 +440,16 @@
         };
         self.dialect.write_attempt(&mut headers, &AttemptFacts { budget_ms, target: &head.target });
         admission.grant();
+        let body = match body {
+            AttemptBody::Stream(body) if head.body == BodyKind::OnGo => match wait_for_go(body).await {
+                Some(bytes) => AttemptBody::Whole(bytes),
+                None => {
+                    permit.release_uncounted();
+                    return refused(RefusalReason::NoConnection, None);
+                }
+            },
+            body => body,
+        };
         let request = target_request(settings, &head.method, &head.uri, headers.clone(), body);
         let Some(request) = request else {
             permit.release_uncounted();
@@ -538,6 +554,14 @@
     permit: Permit,
 }
 
+/// The body that is the entry's word to go; none when the entry is gone, or the way to it.
+async fn wait_for_go(body: AnswerBody) -> Option<Bytes> {
+    match collect(body, GO_BYTES_MAX, GO_TIMEOUT).await {
+        Ok(Collected::Whole(bytes)) => Some(bytes),
+        Ok(Collected::Partial(_)) | Err(_) => None,
+    }
+}
+
 fn kept_outcome(answer: &KeptAnswer) -> AttemptOutcome {
     let mut headers = HeaderMap::new();
     for (name, value) in &answer.headers {
--- a/crates/laurelstall_peer/src/client.rs
+++ b/crates/laurelstall_peer/src/client.rs
@@ -4,7 +4,7 @@
     attempt::{Attempt, AttemptAnswer, AttemptBody, AttemptOutcome},
     body::{AnswerBody, BodyError, StreamBody, send_body, send_data},
     frame::{DOCUMENTS_BYTES_MAX, FrameError, FrameReader, HEAD_BYTES_MAX, encode},
-    message::{BodyKind, PeerAnswer, PeerRequest},
+    message::{AttemptHead, BodyKind, PeerAnswer, PeerRequest},
     meter::InFlight,
     pool::{ConnectError, PeerSender, Pool},
 };
@@ -109,6 +109,10 @@
             Ok(opened) => opened,
             Err(_) => return not_sent(body),
         };
+        if kind == BodyKind::OnGo {
+            let AttemptBody::Whole(bytes) = body else { return not_sent(body) };
+            return attempt_on_go(head, bytes, response, stream, in_flight).await;
+        }
         let frame = encode(&PeerRequest::Attempt(head));
         let unsent = match send_head(frame, body, kind, &mut stream).await {
             Ok(unsent) => unsent,
@@ -167,6 +171,54 @@
     sender.stream.send_request(request, false)
 }
 
+/// Runs an attempt whose body is the word to go: until it is sent, nothing can have run.
+async fn attempt_on_go(
+    head: AttemptHead,
+    body: Bytes,
+    response: ResponseFuture,
+    mut stream: SendStream<Bytes>,
+    in_flight: InFlight,
+) -> AttemptAnswer {
+    let call_id = head.call_id;
+    let budget = Duration::from_micros(head.budget_us);
+    let frame = encode(&PeerRequest::Attempt(head));
+    let asked = timeout(budget, ask_for_slot(frame, response, &mut stream)).await;
+    let held = Held { sending: None, _in_flight: in_flight };
+    let mut reader = match asked {
+        Ok(Ok((PeerAnswer::Admitted, reader))) => reader,
+        Ok(Ok((answer, reader))) => return read_answer(Ok(answer), reader, call_id, held),
+        Ok(Err(_)) => return not_run(RefusalReason::NoConnection),
+        // Dropping the stream tells the guard, which has not had the word to go.
+        Err(_) => return not_run(RefusalReason::Deadline),
+    };
+    let gone = async {
+        if !body.is_empty() {
+            send_data(body, &mut stream).await?;
+        }
+        stream.send_data(Bytes::new(), true).map_err(BodyError::from)
+    };
+    if gone.await.is_err() {
+        return AttemptAnswer::new(AttemptOutcome::Unknown("stream broke"));
+    }
+    let answer = reader.read(HEAD_BYTES_MAX).await;
+    read_answer(answer, reader, call_id, held)
+}
+
+async fn ask_for_slot(
+    frame: Bytes,
+    response: ResponseFuture,
+    stream: &mut SendStream<Bytes>,
+) -> Result<(PeerAnswer, FrameReader), BodyError> {
+    send_data(frame, stream).await?;
+    let mut reader = FrameReader::new(response.await?.into_body());
+    let answer = reader.read(HEAD_BYTES_MAX).await?;
+    Ok((answer, reader))
+}
+
+fn not_run(reason: RefusalReason) -> AttemptAnswer {
+    AttemptAnswer::new(AttemptOutcome::NotRun(Refusal::new(reason)))
+}
+
 fn not_sent(body: AttemptBody) -> AttemptAnswer {
     let refusal = Refusal::new(RefusalReason::NoConnection);
     let mut answer = AttemptAnswer::new(AttemptOutcome::NotRun(refusal));
--- a/crates/laurelstall_peer/src/message.rs
+++ b/crates/laurelstall_peer/src/message.rs
@@ -16,6 +16,9 @@
     /// It follows once the guard said [`PeerAnswer::Admitted`], so that a refused call still
     /// has its body and can go elsewhere.
     AfterAdmission,
+    /// It follows once the guard said [`PeerAnswer::Admitted`], and the target sees nothing before all of
+    /// it has come: a call that only waits when its node or the way to it dies has not run.
+    OnGo,
 }
 
 /// The head of one attempt at a call.
--- a/crates/laurelstall_peer/src/server.rs
+++ b/crates/laurelstall_peer/src/server.rs
@@ -177,7 +177,7 @@
         mut respond: SendResponse<Bytes>,
     ) -> Result<(), BodyError> {
         let call_id = head.call_id;
-        let is_streamed = head.body == BodyKind::AfterAdmission;
+        let is_streamed = matches!(head.body, BodyKind::AfterAdmission | BodyKind::OnGo);
         let body = match read_body(head.body, reader).await {
             Ok(body) => body,
             // The entry broke off before the body was whole: the target saw nothing.
@@ -234,7 +234,9 @@
             let body = timeout(HEAD_TIMEOUT, StreamBody::new(first, stream).collect()).await;
             Ok(AttemptBody::Whole(body??.to_bytes()))
         }
-        BodyKind::AfterAdmission => Ok(AttemptBody::Stream(StreamBody::new(first, stream).boxed_unsync())),
+        BodyKind::AfterAdmission | BodyKind::OnGo => {
+            Ok(AttemptBody::Stream(StreamBody::new(first, stream).boxed_unsync()))
+        }
     }
 }
 
