--- a/crates/laurelstall_node/src/target_guard.rs
+++ b/crates/laurelstall_node/src/target_guard.rs
@@ -536,7 +536,9 @@
         let body = WatchedBody::new(body, move |is_whole| {
             if is_whole {
                 drop(permit);
-                connection.map(UsedConnection::give_back);
+                if let Some(connection) = connection {
+                    connection.give_back();
+                }
             } else {
                 count(&counters.bodies_broken);
                 permit.release_uncounted();
--- a/crates/laurelstall_node/src/target_http.rs
+++ b/crates/laurelstall_node/src/target_http.rs
@@ -35,7 +35,7 @@
     /// HTTP/1.1.
     Http1(Arc<TargetPool>),
     /// HTTP/2 without TLS.
-    Http2(Client<HttpConnector, AnswerBody>),
+    Http2(Box<Client<HttpConnector, AnswerBody>>),
 }
 
 impl TargetClient {
@@ -44,7 +44,7 @@
         let connect_timeout = Duration::from_millis(settings.connect_timeout_ms);
         match settings.http {
             TargetHttp::Http1 => Self::Http1(TargetPool::new(settings.address, connect_timeout)),
-            TargetHttp::Http2 => Self::Http2(http2_client(connect_timeout)),
+            TargetHttp::Http2 => Self::Http2(Box::new(http2_client(connect_timeout))),
         }
     }
 
