Guard: what would come too late takes no slot of a loaded target

Change: a guard at half of its limit or more refuses a call whose run alone would pass its useful time.

--- a/crates/laurelstall_guard/src/guard.rs
+++ b/crates/laurelstall_guard/src/guard.rs
@@ -218,13 +218,23 @@
         if ask.may_refuse_slow && slowness_percent >= SLOW_PERCENT {
             return Err(Refusal { slowness_percent, ..Refusal::new(RefusalReason::Slow) });
         }
+        if state.is_wasted(ask, now_us) {
+            drop(state);
+            return Err(self.refusal(RefusalReason::Busy));
+        }
         if state.queue.is_empty() && state.has_slot() {
             return Ok(Entered::Running(self.start(&mut state, ask, now_us)));
         }
         let wait_max_us = state.wait_max_us(ask, now_us);
-        if state.expected_wait_us(ask, now_us) > wait_max_us {
+        let expected_us = state.expected_wait_us(ask, now_us);
+        if expected_us > wait_max_us {
             drop(state);
-            return Err(self.refusal(RefusalReason::Deadline));
+            let is_hopeless = now_us + expected_us > ask.deadline_us;
+            return Err(self.refusal(if is_hopeless {
+                RefusalReason::Deadline
+            } else {
+                RefusalReason::Busy
+            }));
         }
         let is_full = state.queue.len() >= state.limits.queue_length;
         if is_full && !state.queue.evict_below(ask.importance) {
@@ -358,6 +368,14 @@
         }
     }
 
+    /// Whether the call would take a slot that others need, and come too late all the same.
+    fn is_wasted(&self, ask: &Ask, now_us: u64) -> bool {
+        let Some(run_us) = self.limit.times().mean_us(ask.class) else { return false };
+        let run_us = run_us * f64::from(self.pace.slowness_percent(now_us)) / f64::from(USUAL_PERCENT);
+        let useful_us = ask.useful_until_us.saturating_sub(now_us) as f64;
+        run_us > useful_us && 2 * self.running.len() as u32 >= self.limit.limit()
+    }
+
     /// Longest that a call may wait: so that its answer still has its full worth.
     fn wait_max_us(&self, ask: &Ask, now_us: u64) -> u64 {
         let run_us = self.limit.times().mean_us(ask.class).unwrap_or(self.recent_us);
--- a/crates/laurelstall_guard/src/refusal.rs
+++ b/crates/laurelstall_guard/src/refusal.rs
@@ -33,6 +33,8 @@
     TicketVoid,
     /// The target works slowly now and another may be quicker.
     Slow,
+    /// The call would wait so long that its answer had no full worth any more.
+    Busy,
 }
 
 impl RefusalReason {
@@ -61,6 +63,7 @@
             Self::NoTarget => "no-target",
             Self::TicketVoid => "ticket-void",
             Self::Slow => "slow",
+            Self::Busy => "busy",
         }
     }
 }
--- a/crates/laurelstall_node/src/call.rs
+++ b/crates/laurelstall_node/src/call.rs
@@ -323,7 +323,7 @@
     fn useful_us(&self, now_us: u64) -> u64 {
         let until_us = self.request.useful_until_us.unwrap_or(self.request.deadline_us);
         let useful_us = until_us.saturating_sub(now_us);
-        if self.request.is_nested { useful_us / 2 } else { useful_us }
+        useful_us
     }
 
     /// Whether the target may refuse the call for being slow: once, and not if all others did.
@@ -445,7 +445,7 @@
     /// A refusal tells of the target's queue, without any byte of the budget for observing.
     fn note_refusal(&self, destination: &Destination, refusal: &Refusal, now_us: u64) {
         let is_full = match refusal.reason {
-            RefusalReason::QueueFull => true,
+            RefusalReason::QueueFull | RefusalReason::Busy => true,
             RefusalReason::HandedBack => false,
             RefusalReason::Slow => {
                 let mut balancer = self.service.balancer();
