--- a/crates/laurelstall_node/src/process.rs
+++ b/crates/laurelstall_node/src/process.rs
@@ -54,7 +54,7 @@
 }
 
 async fn serve(file: &str, settings: Settings, prepare: fn(Settings, Listeners) -> NodeOptions) -> ExitCode {
-    let signals = match Signals::new() {
+    let mut signals = match Signals::new() {
         Ok(signals) => signals,
         Err(error) => {
             log::error!("signals cannot be watched: {error}");
@@ -65,7 +65,15 @@
         let listeners = Listeners::bind(&settings)?;
         Node::start(prepare(settings, listeners)).await
     };
-    let mut node = match started.await {
+    let started = tokio::select! {
+        started = started => started,
+        // Nobody is served yet, so there is nothing to finish.
+        () = signals.stop() => {
+            log::info!("stopped before the start was over");
+            return ExitCode::SUCCESS;
+        }
+    };
+    let mut node = match started {
         Ok(node) => node,
         Err(error) => {
             log::error!("{error}");
@@ -91,6 +99,14 @@
             hangup: signal(SignalKind::hangup())?,
         })
     }
+
+    /// Waits for SIGTERM or SIGINT.
+    async fn stop(&mut self) {
+        tokio::select! {
+            _ = self.terminate.recv() => {}
+            _ = self.interrupt.recv() => {}
+        }
+    }
 }
 
 /// Waits for SIGTERM or SIGINT; reloads the settings on SIGHUP and when their file has changed.
