Planned stop: the target works on while callers leave

Cause: a stopping node's guard refused everything at once, 2.3 s before it could stop; in a rolling restart a target was always out. Change: the guard drains when the time for callers to leave is over.

--- a/crates/laurelstall_node/src/node.rs
+++ b/crates/laurelstall_node/src/node.rs
@@ -382,17 +382,17 @@
 
     /// Stops without cutting off a request; true when all ended within the longest time.
     ///
-    /// The guard takes nothing new at once. The entry serves on for a moment while it asks
-    /// callers to close, then takes no connections and waits for the last answer.
+    /// For a moment all goes on, while callers are asked to close and readiness says no. Then the
+    /// guard takes nothing new, the entry takes no connections, and the last answer is waited for.
     pub async fn stop(mut self) -> bool {
         let load = self.guard.guard().load();
         log::info!("stopping: {} calls run here and {} wait", load.in_flight, load.queued);
-        self.guard.set_stopping();
         self.entry.is_stopping.store(true, Ordering::Relaxed);
         let limit = Duration::from_millis(self.settings.node.stop_max_ms);
         let linger = Duration::from_millis(self.settings.node.stop_linger_ms);
         let stopped = timeout(limit, async {
             sleep(linger).await;
+            self.guard.set_stopping();
             self.stopping.send_replace(true);
             for task in &mut self.listening {
                 // A task that panicked has nothing left to wait for.
