--- a/crates/laurelstall_balance/tests/decisions.rs
+++ b/crates/laurelstall_balance/tests/decisions.rs
@@ -290,3 +290,23 @@
         random_run(seed, 100_000);
     }
 }
+
+#[test]
+fn a_call_leaves_its_data_centre_only_when_that_is_worth_it() {
+    let mut balancer = balancer(2, ServiceLimits::default());
+    let mut listed = views(2);
+    listed[1].change_percent = 50;
+    balancer.set_targets(ServiceLimits::default(), listed);
+    let mut choose = |near: u32, useful_ms: u64| {
+        let near = Hint { slowness_percent: near, ..hint(0, 0) };
+        balancer.take_hint(0, "t-0", near, START_US);
+        balancer.take_hint(1, "t-1", hint(0, 0), START_US);
+        let useful_us = Some(useful_ms * 1_000);
+        let choosing = Choosing { excluded: &[], only: None, class: 0, useful_us, now_us: START_US };
+        balancer.choose(&choosing).expect("a target").index
+    };
+    // Calls take 10 ms there, and 4 times that while the near target is slow.
+    assert_eq!(choose(100, 30), 0, "both are in time");
+    assert_eq!(choose(400, 100), 0, "the slow one is in time too");
+    assert_eq!(choose(400, 30), 1, "the near one would be late");
+}
--- a/crates/laurelstall_cli/src/bin/laurelstall-check.rs
+++ b/crates/laurelstall_cli/src/bin/laurelstall-check.rs
@@ -68,6 +68,9 @@
             return WRONG_USE;
         }
     };
+    if let Ok(Some(why)) = check::explain_route(&team, described) {
+        println!("{why}");
+    }
     match check::decide(&team, described, &headers) {
         Ok(plan) => {
             println!("{described}: {plan:?}");
--- a/crates/laurelstall_cli/src/check.rs
+++ b/crates/laurelstall_cli/src/check.rs
@@ -4,10 +4,11 @@
 use laurelstall_config::{
     document::{Document, DocumentName, Version},
     problem::Problem,
+    route::RouteTable,
     settings::Settings,
     team::Team,
 };
-use laurelstall_node::active::check_document;
+use laurelstall_node::{active::check_document, entry::route_of};
 use laurelstall_policy::{
     plan::Plan,
     program::{Program, RequestView},
@@ -52,19 +53,49 @@
     problems.into_iter().map(|problem| Problem { file: file.to_owned(), ..problem }).collect()
 }
 
-/// Runs a team's program on a request described as `METHOD PATH` or `METHOD HOST/PATH`.
+/// Says which route of a team's table takes a request, and why; none when the program decides.
 ///
 /// # Errors
 ///
-/// What is wrong with the description or the program.
-pub fn decide(team: &Team, described: &str, headers: &HeaderMap) -> Result<Plan, String> {
+/// What is wrong with the description.
+pub fn explain_route(team: &Team, described: &str) -> Result<Option<String>, String> {
+    let (_, host, path) = read_description(team, described)?;
+    let table = RouteTable::new(&team.routes, 0);
+    let fitting = table.fitting(host, path);
+    let Some(rule) = fitting.first() else { return Ok(None) };
+    let prefixes = fitting.iter().map(|rule| rule.path_prefix.as_str()).collect::<Vec<_>>();
+    let shares = rule.shares.iter().map(|share| format!("{} {}", share.service, share.weight));
+    Ok(Some(format!(
+        "route {}: host {host}, longest of the prefixes that fit: {}; services by weight: {}",
+        rule.name,
+        prefixes.join(", "),
+        shares.collect::<Vec<_>>().join(", "),
+    )))
+}
+
+/// Method, host and path of a request described as `METHOD PATH` or `METHOD HOST/PATH`.
+fn read_description<'a>(team: &'a Team, described: &'a str) -> Result<(&'a str, &'a str, &'a str), String> {
     let (method, rest) = described.split_once(' ').ok_or("a request is described as 'METHOD PATH'")?;
-    let default_host = team.caller_hosts.first().map_or("", String::as_str);
+    let route_host = team.routes.first().map_or("", |route| &route.host);
+    let default_host = team.caller_hosts.first().map_or(route_host, String::as_str);
     let (host, path) = match rest.find('/') {
         Some(0) => (default_host, rest),
         Some(slash) => rest.split_at(slash),
         None => return Err("the path must start with /".to_owned()),
     };
+    Ok((method, host, path))
+}
+
+/// Asks a team's routes, and then its program, about a request described as `METHOD PATH` or `METHOD HOST/PATH`.
+///
+/// # Errors
+///
+/// What is wrong with the description or the program.
+pub fn decide(team: &Team, described: &str, headers: &HeaderMap) -> Result<Plan, String> {
+    let (method, host, path) = read_description(team, described)?;
+    if let Some((rule, service)) = RouteTable::new(&team.routes, 0).find(host, path) {
+        return Ok(Plan::Route(route_of(rule, service)));
+    }
     let program = Program::compile(&team.program).map_err(|error| error.to_string())?;
     let request = RequestView { method, host, path, headers };
     program.decide(&request).map_err(|error| error.to_string())
--- a/crates/laurelstall_cli/tests/check.rs
+++ b/crates/laurelstall_cli/tests/check.rs
@@ -1,7 +1,7 @@
 //! The examples are right, and wrong files are said to be wrong.
 
 use http::HeaderMap;
-use laurelstall_cli::check::{FileKind, check_text, decide, kind_of};
+use laurelstall_cli::check::{FileKind, check_text, decide, explain_route, kind_of};
 use laurelstall_config::{
     configuration::{Checked, Configuration},
     document::{Document, DocumentName},
@@ -65,3 +65,47 @@
     assert!(!check_text("x.toml", "nonsense").is_empty());
     assert_eq!(kind_of("[observe]\n"), Some(FileKind::Document(DocumentName::System)));
 }
+
+const ROUTES: &str = r#"
+team = "a"
+
+[[service]]
+name = "shop"
+
+[[service]]
+name = "mill"
+
+[[route]]
+name = "all"
+host = "a.example"
+path_prefix = "/"
+timeout_ms = 1000
+latency_objective_ms = 300
+tries = 2
+importance = 5
+share = [{ service = "shop", weight = 1 }]
+
+[[route]]
+name = "grain"
+host = "a.example"
+path_prefix = "/grain/"
+may_repeat = true
+timeout_ms = 500
+latency_objective_ms = 200
+tries = 1
+importance = 7
+share = [{ service = "mill", weight = 1 }]
+"#;
+
+#[test]
+fn a_route_table_says_which_route_a_request_takes_and_why() {
+    assert_eq!(check_text("team-a.toml", ROUTES), Vec::new());
+    let team = Team::from_text("team-a.toml", ROUTES).expect("right");
+    let why = explain_route(&team, "GET /grain/rye").expect("it is described").expect("a route takes it");
+    assert!(why.starts_with("route grain: host a.example") && why.contains("/grain/, /;"), "{why}");
+    let Ok(Plan::Route(route)) = decide(&team, "GET /grain/rye", &HeaderMap::new()) else {
+        panic!("no route")
+    };
+    assert_eq!((route.service.as_str(), route.may_repeat, route.budget_ms), ("mill", true, Some(500)));
+    assert_eq!(explain_route(&team, "GET other.example/x"), Ok(None));
+}
--- a/crates/laurelstall_config/src/route.rs
+++ b/crates/laurelstall_config/src/route.rs
@@ -117,11 +117,21 @@
     ///
     /// Takes as many steps as the path has slashes, however many routes there are.
     pub fn find(&self, host: &str, path: &str) -> Option<(&Arc<RouteRule>, &str)> {
-        let of_host = self.by_host.get(host)?;
-        let ends = path.match_indices('/').map(|(index, _)| index + 1).collect::<Vec<_>>();
-        let entry = ends.iter().rev().find_map(|end| of_host.get(&path[..*end]))?;
+        let entry = self.entries(host, path).next()?;
         Some((&entry.rule, entry.take_share()))
     }
+
+    /// All routes whose host and prefix fit a request, the one that takes it first.
+    pub fn fitting(&self, host: &str, path: &str) -> Vec<&Arc<RouteRule>> {
+        self.entries(host, path).map(|entry| &entry.rule).collect()
+    }
+
+    /// Entries that fit, by falling length of the prefix.
+    fn entries<'a, 'p>(&'a self, host: &str, path: &'p str) -> impl Iterator<Item = &'a Entry> + use<'a, 'p> {
+        let of_host = self.by_host.get(host);
+        let ends = path.rmatch_indices('/').map(|(index, _)| index + 1);
+        ends.filter_map(move |end| of_host?.get(&path[..end]))
+    }
 }
 
 impl Entry {
--- a/crates/laurelstall_guard/tests/admission.rs
+++ b/crates/laurelstall_guard/tests/admission.rs
@@ -217,3 +217,52 @@
         random_calls(seed, 50_000).await;
     }
 }
+
+/// Runs one call of `class` for `ms` at the target's usual pace, so that the guard knows its time.
+async fn teach(guard: &Arc<Guard>, clock: &Clock, class: u32, ms: u64) {
+    let permit = guard.admit(Ask { class, ..ask(clock, 5, 10_000) }).await.expect("a free slot");
+    advance(Duration::from_millis(ms)).await;
+    drop(permit);
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_slow_target_refuses_what_has_a_choice_until_its_word_is_old() {
+    let (guard, clock) = guard();
+    guard.note_slowness(400);
+    let choosy = Ask { may_refuse_slow: true, ..ask(&clock, 5, 5_000) };
+    let refusal = guard.admit(choosy).await.expect_err("it is slow");
+    assert_eq!((refusal.reason, refusal.slowness_percent), (RefusalReason::Slow, 400));
+    guard.admit(ask(&clock, 5, 5_000)).await.expect("without a choice it runs");
+    advance(Duration::from_millis(600)).await;
+    guard.admit(choosy).await.expect("what was said is too old to hold");
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_loaded_target_takes_nothing_that_would_come_too_late() {
+    let (guard, clock) = guard();
+    teach(&guard, &clock, 7, 100).await;
+    let useful_until_us = clock.now_us() + 300_000;
+    let asked = Ask { class: 7, useful_until_us, ..ask(&clock, 5, 5_000) };
+    guard.note_slowness(400);
+    let _idle = guard.admit(asked).await.expect("an idle target runs it all the same");
+    let refused = guard.admit(asked).await;
+    assert_eq!(reason(refused), RefusalReason::Busy);
+    guard.note_slowness(100);
+    guard.admit(asked).await.expect("at the usual pace it is in time");
+}
+
+#[tokio::test(start_paused = true)]
+async fn nothing_waits_longer_than_its_answer_is_useful() {
+    let (guard, clock) = guard();
+    teach(&guard, &clock, 7, 100).await;
+    let _running = [
+        guard.admit(ask(&clock, 5, 9_000)).await.expect("a free slot"),
+        guard.admit(ask(&clock, 5, 9_000)).await.expect("a free slot"),
+    ];
+    let useful_until_us = clock.now_us() + 150_000;
+    let waits = waiting(&guard, Ask { class: 7, useful_until_us, ..ask(&clock, 5, 5_000) }).await;
+    advance(Duration::from_millis(40)).await;
+    assert!(!waits.is_finished());
+    advance(Duration::from_millis(20)).await;
+    assert_eq!(reason(waits.await.expect("no panic")), RefusalReason::QueueFull);
+}
--- a/crates/laurelstall_node/src/call.rs
+++ b/crates/laurelstall_node/src/call.rs
@@ -41,10 +41,6 @@
 /// for that one is lost without it.
 const NESTED_IMPORTANCE: u8 = ROUTE_IMPORTANCE_MAX + 1;
 
-/// Share of its objective that a call may take which another one waits for, in percent: that one
-/// needs time of its own (measured, `docs/ADMISSION.md`).
-const NESTED_USEFUL_PERCENT: u64 = 75;
-
 /// What all calls of an entry share.
 #[derive(Debug)]
 pub struct CallContext {
@@ -326,8 +322,7 @@
     /// Time in which the answer has its full worth in µs; without an objective, the whole budget.
     fn useful_us(&self, now_us: u64) -> u64 {
         let until_us = self.request.useful_until_us.unwrap_or(self.request.deadline_us);
-        let useful_us = until_us.saturating_sub(now_us);
-        if self.request.is_nested { useful_us * NESTED_USEFUL_PERCENT / 100 } else { useful_us }
+        until_us.saturating_sub(now_us)
     }
 
     /// Whether the target may refuse the call for being slow: once, and not if all others did.
--- a/crates/laurelstall_node/src/entry.rs
+++ b/crates/laurelstall_node/src/entry.rs
@@ -495,7 +495,8 @@
     FailedCall::not_run(StatusCode::SERVICE_UNAVAILABLE, refusal.reason.word(), Some(retry_after_ms))
 }
 
-fn route_of(rule: &RouteRule, service: &str) -> Route {
+/// What may be done with a request that a route of the table takes to `service`.
+pub fn route_of(rule: &RouteRule, service: &str) -> Route {
     Route {
         may_repeat: rule.may_repeat,
         budget_ms: Some(rule.timeout_ms),
