--- a/crates/laurelstall_balance/src/service_balancer.rs
+++ b/crates/laurelstall_balance/src/service_balancer.rs
@@ -161,6 +161,8 @@
     }
 
     /// Notes how an attempt ended; `name` guards against a list that changed meanwhile.
+    ///
+    /// Says so when the target is ejected for it.
     pub fn note_result(
         &mut self,
         index: usize,
@@ -168,8 +170,8 @@
         class: CallClass,
         result: AttemptResult,
         now_us: u64,
-    ) {
-        let Some(index) = self.place_of(index, name) else { return };
+    ) -> Option<Ejected> {
+        let index = self.place_of(index, name)?;
         let view = &mut self.targets[index];
         self.in_flight -= view.in_flight().min(1);
         view.note_ended();
@@ -183,9 +185,9 @@
                 self.hedges.earn();
             }
             AttemptResult::Failed => view.note_result(true, 0, now_us),
-            AttemptResult::NotRun | AttemptResult::Cancelled => return,
+            AttemptResult::NotRun | AttemptResult::Cancelled => return None,
         }
-        self.eject_if_due(index, now_us);
+        self.eject_if_due(index, now_us)
     }
 
     /// Takes a guard's word on its target.
@@ -292,26 +294,29 @@
         self.targets.iter().position(|view| view.name == name)
     }
 
-    fn eject_if_due(&mut self, index: usize, now_us: u64) {
+    fn eject_if_due(&mut self, index: usize, now_us: u64) -> Option<Ejected> {
         let view = &self.targets[index];
         if view.ejection.is_out(now_us) || view.samples() < EJECTION_SAMPLES_MIN {
-            return;
+            return None;
         }
         let is_slow = self.is_slow(index);
         let slow_us = self.targets[index].note_slow(is_slow, now_us);
         if !self.is_failing(index, now_us) && slow_us < EJECTION_SLOW_US {
             self.note_recovery(index, now_us);
-            return;
+            return None;
         }
         let out = self.targets.iter().filter(|view| view.ejection.is_out(now_us)).count();
         let most = self.targets.len() * self.limits.ejected_max_percent as usize / 100;
         if out >= most {
-            return;
+            return None;
         }
         let view = &mut self.targets[index];
+        let error_rate = view.error_rate(now_us);
+        let latency_us = view.latency_us() as u64;
         view.ejection.eject(now_us, self.limits.ejection_ms * 1_000);
         view.forget_errors();
         self.ejections += 1;
+        Some(Ejected { target: view.name.clone(), error_rate, latency_us, times: view.ejection.times() })
     }
 
     fn note_recovery(&mut self, index: usize, now_us: u64) {
@@ -343,6 +348,19 @@
     }
 }
 
+/// A target that was taken out of the choice, and what decided it.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Ejected {
+    /// The target's name.
+    pub target: String,
+    /// Share of its recent attempts that failed.
+    pub error_rate: f64,
+    /// Average latency of its recent successes in µs.
+    pub latency_us: u64,
+    /// Times it was ejected in a row, this one counted along.
+    pub times: u32,
+}
+
 /// Counts of a [`ServiceBalancer`] since its start.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub struct BalancerTotals {
--- a/crates/laurelstall_guard/src/guard.rs
+++ b/crates/laurelstall_guard/src/guard.rs
@@ -319,9 +319,14 @@
         }
         let is_measured = permit.is_counted && permit.slowness_percent == slowness_percent;
         let measured_us = is_measured.then_some(usual_us);
+        let limit_before = state.limit.settled();
         state.limit.note_end(permit.class, permit.measure, measured_us, now_us);
+        let limit = state.limit.settled();
         state.admit_waiting();
         drop(state);
+        if limit != limit_before {
+            log::info!("limit on concurrency: {limit} after {limit_before}, by a trial");
+        }
         self.notify_if_idle();
     }
 
--- a/crates/laurelstall_guard/src/limit_search.rs
+++ b/crates/laurelstall_guard/src/limit_search.rs
@@ -158,6 +158,11 @@
         self.trial.as_ref().map_or(self.limit, |trial| trial.limit)
     }
 
+    /// The limit without regard to a trial.
+    pub fn settled(&self) -> u32 {
+        self.limit
+    }
+
     /// Run times by class.
     pub fn times(&self) -> &ClassTimes {
         &self.times
--- a/crates/laurelstall_node/src/call.rs
+++ b/crates/laurelstall_node/src/call.rs
@@ -460,8 +460,21 @@
 
     fn note(&self, destination: &Destination, result: AttemptResult) {
         let now_us = self.context.clock.now_us();
-        let mut balancer = self.service.balancer();
-        balancer.note_result(destination.choice.index, &destination.name, self.request.class, result, now_us);
+        let class = self.request.class;
+        let ejected = {
+            let mut balancer = self.service.balancer();
+            balancer.note_result(destination.choice.index, &destination.name, class, result, now_us)
+        };
+        if let Some(ejected) = ejected {
+            log::info!(
+                "target {} of {} ejected for the {}. time: error rate {:.2}, latency {} us",
+                ejected.target,
+                self.service.name,
+                ejected.times,
+                ejected.error_rate,
+                ejected.latency_us,
+            );
+        }
     }
 
     fn write_decision(&self, destination: &Destination, outcome: &str, took_us: u64) {
--- a/crates/laurelstall_node/src/target_guard.rs
+++ b/crates/laurelstall_node/src/target_guard.rs
@@ -18,6 +18,7 @@
 use hyper::body::Incoming;
 use laurelstall_balance::hint::{Hint, TargetState};
 use laurelstall_config::{
+    document::DocumentName,
     fleet::HostState,
     settings::TargetSettings,
     team::{Service, ServiceLimits, Target},
@@ -73,6 +74,8 @@
     incarnation: u64,
     guard: Arc<Guard>,
     ledger: Mutex<Ledger>,
+    /// Name of the target that the configuration lists here; empty for none.
+    own_name: Mutex<String>,
     drains: Drains,
     client: Option<TargetClient>,
     dialect: Arc<dyn HeaderDialect>,
@@ -132,6 +135,7 @@
             incarnation: options.incarnation,
             guard: Guard::new(limits, options.clock),
             ledger: Mutex::new(Ledger::new(options.incarnation, 0)),
+            own_name: Mutex::default(),
             drains: Drains::default(),
             client,
             dialect: options.dialect,
@@ -150,7 +154,9 @@
         let is_leaving = host.is_some_and(|host| host.state == HostState::Leaving);
         self.inner.drains.platform.store(is_leaving, Ordering::Relaxed);
         self.apply_drains();
-        let Some((service, target)) = self.inner.own_target(&in_force) else { return };
+        let own = self.inner.own_target(&in_force);
+        self.note_own_target(own.map(|(_, target)| target.name.as_str()), &in_force);
+        let Some((service, target)) = own else { return };
         let limits = &service.limits;
         self.inner.ledger().set_tickets_max(limits.tickets_max);
         self.inner.guard.set_limits(if self.inner.is_plain {
@@ -172,6 +178,18 @@
         });
     }
 
+    /// Writes down when the list names another target beside this node, or none any more.
+    fn note_own_target(&self, name: Option<&str>, in_force: &InForce) {
+        let name = name.unwrap_or_default();
+        let mut known = self.inner.own_name.lock().unwrap_or_else(PoisonError::into_inner);
+        if *known == name {
+            return;
+        }
+        let version = in_force.configuration.version(&DocumentName::Fleet);
+        log::info!("own target: '{name}' after '{known}', by version {version} of the fleet");
+        name.clone_into(&mut known);
+    }
+
     /// Starts or ends draining at an operator's wish.
     pub fn set_operator_drain(&self, is_draining: bool) {
         self.inner.drains.operator.store(is_draining, Ordering::Relaxed);
--- a/crates/laurelstall_peer/src/pool.rs
+++ b/crates/laurelstall_peer/src/pool.rs
@@ -140,6 +140,9 @@
         }
         match self.connect(address).await {
             Ok(sender) => {
+                if slot.failures > 0 {
+                    log::info!("node at {address}: regained after {} failed connects", slot.failures);
+                }
                 slot.failures = 0;
                 slot.sender = Some(sender.clone());
                 Ok(sender)
@@ -147,6 +150,9 @@
             Err(error) => {
                 let pause_us = (BACKOFF_FIRST_US << slot.failures.min(10)).min(BACKOFF_MAX_US);
                 let pause_us = rand::rng().random_range(pause_us / 2..=pause_us);
+                if slot.failures == 0 {
+                    log::info!("node at {address}: lost: {error}");
+                }
                 slot.failures += 1;
                 slot.retry_at_us = self.clock.now_us() + pause_us;
                 Err(error)
@@ -214,7 +220,7 @@
                         log::debug!("connection to {address} ended: {error}");
                     }
                 }
-                () = watch_over(pings, watched) => log::debug!("node at {address} answers no ping"),
+                () = watch_over(pings, watched) => log::info!("node at {address}: lost: it answers no ping"),
             }
         });
         let stream = sender.ready().await?;
