Calls: what a guard refused takes no attempt from what may repeat

Change: refusals are counted apart, up to the same number. The test fails without it (502 instead of the answer).

--- a/crates/laurelstall_node/src/call.rs
+++ b/crates/laurelstall_node/src/call.rs
@@ -92,7 +92,10 @@
     body: Option<AttemptBody>,
     excluded: Vec<usize>,
     attempts: u32,
+    /// Attempts that reached a target, or may have.
     tries: u32,
+    /// Refusals that were taken from the retry budget.
+    refusals: u32,
     hand_backs: u32,
     /// Targets that refused the call for being slow.
     slow: Vec<usize>,
@@ -125,6 +128,7 @@
             excluded: Vec::new(),
             attempts: 0,
             tries: 0,
+            refusals: 0,
             hand_backs: 0,
             slow: Vec::new(),
             is_unknown: false,
@@ -395,8 +399,13 @@
     /// request may repeat; within the tries of the program and the service's retry budget.
     fn may_try_again(&mut self, refusal: Option<Refusal>) -> bool {
         let is_safe = refusal.is_some() || self.request.route.may_repeat;
-        self.tries += 1;
-        if !is_safe || !self.is_whole() && refusal.is_none() || self.tries >= self.request.route.tries {
+        // What a guard refused was sent to no target; it is counted apart.
+        let counted = if refusal.is_some() { &mut self.refusals } else { &mut self.tries };
+        *counted += 1;
+        if !is_safe || *counted >= self.request.route.tries {
+            return false;
+        }
+        if !self.is_whole() && refusal.is_none() {
             return false;
         }
         if self.request.ticket.is_some() {
