--- a/crates/laurelstall_node/src/lib.rs
+++ b/crates/laurelstall_node/src/lib.rs
@@ -24,6 +24,7 @@
 pub mod target_guard;
 pub mod target_http;
 pub mod target_pool;
+mod ticket_runs;
 
 /// The types most callers need.
 pub mod prelude {
--- a/crates/laurelstall_node/src/target_guard.rs
+++ b/crates/laurelstall_node/src/target_guard.rs
@@ -13,7 +13,7 @@
 };
 use bytes::Bytes;
 use futures_util::future::{BoxFuture, FutureExt};
-use http::{HeaderMap, HeaderName, HeaderValue, Response, StatusCode};
+use http::{HeaderMap, Response};
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use laurelstall_balance::hint::{Hint, TargetState};
@@ -26,7 +26,7 @@
 use laurelstall_guard::{
     clock::Clock,
     guard::{Ask, Guard, GuardLimits, Permit},
-    ledger::{Begin, KeptAnswer, Ledger, RunToken},
+    ledger::Ledger,
     refusal::{Refusal, RefusalReason},
 };
 use laurelstall_peer::{
@@ -39,10 +39,7 @@
     Arc, Mutex, MutexGuard, PoisonError,
     atomic::{AtomicBool, Ordering},
 };
-use tokio::{
-    sync::oneshot,
-    time::{Duration, timeout, timeout_at},
-};
+use tokio::time::{Duration, timeout, timeout_at};
 
 /// Queue of a guard that stands in for none at all, behind a plain balancer.
 const PLAIN_QUEUE_LENGTH: usize = 100_000;
@@ -66,8 +63,8 @@
 }
 
 #[derive(Debug)]
-struct Inner {
-    clock: Clock,
+pub(crate) struct Inner {
+    pub(crate) clock: Clock,
     host: String,
     settings: Option<TargetSettings>,
     is_plain: bool,
@@ -81,7 +78,7 @@
     dialect: Arc<dyn HeaderDialect>,
     active: Arc<Active>,
     observer: Arc<Observer>,
-    counters: Arc<Counters>,
+    pub(crate) counters: Arc<Counters>,
     latencies: Arc<Latencies>,
 }
 
@@ -272,17 +269,17 @@
 }
 
 /// One attempt with what was found out about it before it runs.
-struct Run {
+pub(crate) struct Run {
     head: AttemptHead,
     body: AttemptBody,
     admission: Admission,
-    deadline_us: u64,
+    pub(crate) deadline_us: u64,
     useful_until_us: u64,
-    limits: ServiceLimits,
+    pub(crate) limits: ServiceLimits,
 }
 
 impl Inner {
-    fn ledger(&self) -> MutexGuard<'_, Ledger> {
+    pub(crate) fn ledger(&self) -> MutexGuard<'_, Ledger> {
         self.ledger.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
@@ -334,7 +331,7 @@
         }
     }
 
-    async fn run_once(self: &Arc<Self>, run: Run) -> AttemptAnswer {
+    pub(crate) async fn run_once(self: &Arc<Self>, run: Run) -> AttemptAnswer {
         let ask = Ask {
             importance: run.head.importance,
             class: run.head.class,
@@ -357,89 +354,6 @@
         }
     }
 
-    async fn run_ticket(self: &Arc<Self>, run: Run, incarnation: u64, number: u64) -> AttemptAnswer {
-        let deadline = self.clock.instant_of(run.deadline_us);
-        loop {
-            let begin = self.ledger().begin(incarnation, number, self.clock.now_us());
-            match begin {
-                Begin::Run(token) => return self.run_detached(run, token).await,
-                Begin::Kept(answer) => {
-                    count(&self.counters.tickets_kept);
-                    return AttemptAnswer::new(kept_outcome(&answer));
-                }
-                Begin::Wait(mut done) => {
-                    if timeout_at(deadline, done.wait_for(|is_done| *is_done)).await.is_err() {
-                        return unknown("ticket still runs");
-                    }
-                }
-                Begin::Unknown => return unknown("ticket ran, answer not kept"),
-                Begin::NotRun => return refused(RefusalReason::TicketVoid, None),
-                Begin::Foreign => return unknown("ticket not known here any more"),
-            }
-        }
-    }
-
-    /// Runs a ticket's call to its end even if nobody waits for it: a repeat gets the answer.
-    async fn run_detached(self: &Arc<Self>, run: Run, token: RunToken) -> AttemptAnswer {
-        let this = self.clone();
-        let (tell, told) = oneshot::channel();
-        tokio::spawn(async move {
-            let kept_answer_bytes = run.limits.kept_answer_bytes;
-            let answer = this.run_once(run).await;
-            let answer = this.end_ticket(answer, token, kept_answer_bytes).await;
-            // The caller may have gone; the ledger knows the outcome.
-            let _ = tell.send(answer);
-        });
-        told.await.unwrap_or_else(|_| unknown("ticket's run broke off"))
-    }
-
-    async fn end_ticket(&self, answer: AttemptAnswer, token: RunToken, kept_bytes: usize) -> AttemptAnswer {
-        let AttemptAnswer { outcome, hint, unread } = answer;
-        let outcome = match outcome {
-            AttemptOutcome::NotRun(refusal) => {
-                self.ledger().end_not_run(token);
-                AttemptOutcome::NotRun(refusal)
-            }
-            AttemptOutcome::Unknown(why) => {
-                self.ledger().end_unknown(token);
-                AttemptOutcome::Unknown(why)
-            }
-            AttemptOutcome::Answered { status, headers, body } => {
-                self.keep_answer(status, headers, body, token, kept_bytes).await
-            }
-        };
-        AttemptAnswer { outcome, hint, unread }
-    }
-
-    async fn keep_answer(
-        &self,
-        status: StatusCode,
-        headers: HeaderMap,
-        body: AnswerBody,
-        token: RunToken,
-        kept_bytes: usize,
-    ) -> AttemptOutcome {
-        let patience = Duration::from_secs(30);
-        match collect(body, kept_bytes, patience).await {
-            Ok(Collected::Whole(bytes)) => {
-                let pairs =
-                    headers.iter().map(|(n, v)| (n.as_str().to_owned(), v.as_bytes().to_vec().into()));
-                let kept =
-                    KeptAnswer { status: status.as_u16(), headers: pairs.collect(), body: bytes.clone() };
-                self.ledger().end_answered(token, Some(kept));
-                AttemptOutcome::Answered { status, headers, body: whole(bytes) }
-            }
-            Ok(Collected::Partial(body)) => {
-                self.ledger().end_answered(token, None);
-                AttemptOutcome::Answered { status, headers, body }
-            }
-            Err(_) => {
-                self.ledger().end_unknown(token);
-                AttemptOutcome::Unknown("answer broke off")
-            }
-        }
-    }
-
     async fn send(self: &Arc<Self>, run: Run, permit: Permit) -> AttemptAnswer {
         let Run { head, body, mut admission, deadline_us, limits, .. } = run;
         let now_us = self.clock.now_us();
@@ -582,24 +496,11 @@
     }
 }
 
-fn kept_outcome(answer: &KeptAnswer) -> AttemptOutcome {
-    let mut headers = HeaderMap::new();
-    for (name, value) in &answer.headers {
-        let name = HeaderName::from_bytes(name.as_bytes());
-        let value = HeaderValue::from_bytes(value);
-        if let (Ok(name), Ok(value)) = (name, value) {
-            headers.append(name, value);
-        }
-    }
-    let status = StatusCode::from_u16(answer.status).unwrap_or(StatusCode::BAD_GATEWAY);
-    AttemptOutcome::Answered { status, headers, body: whole(answer.body.clone()) }
-}
-
-fn unknown(why: &'static str) -> AttemptAnswer {
+pub(crate) fn unknown(why: &'static str) -> AttemptAnswer {
     AttemptAnswer::new(AttemptOutcome::Unknown(why))
 }
 
-fn refused(reason: RefusalReason, body: Option<AttemptBody>) -> AttemptAnswer {
+pub(crate) fn refused(reason: RefusalReason, body: Option<AttemptBody>) -> AttemptAnswer {
     not_run(Refusal::new(reason), body)
 }
 
--- /dev/null
+++ b/crates/laurelstall_node/src/ticket_runs.rs
@@ -0,0 +1,124 @@
+//! Runs of calls that bring a ticket: at most once, with the answer kept for repeats.
+
+use crate::{
+    body::{Collected, collect, whole},
+    counters::count,
+    target_guard::{Inner, Run, refused, unknown},
+};
+use http::{HeaderMap, HeaderName, HeaderValue, StatusCode};
+use laurelstall_guard::{
+    ledger::{Begin, KeptAnswer, RunToken},
+    refusal::RefusalReason,
+};
+use laurelstall_peer::{
+    attempt::{AttemptAnswer, AttemptOutcome},
+    body::AnswerBody,
+};
+use std::sync::Arc;
+use tokio::{
+    sync::oneshot,
+    time::{Duration, timeout_at},
+};
+
+impl Inner {
+    pub(crate) async fn run_ticket(
+        self: &Arc<Self>,
+        run: Run,
+        incarnation: u64,
+        number: u64,
+    ) -> AttemptAnswer {
+        let deadline = self.clock.instant_of(run.deadline_us);
+        loop {
+            let begin = self.ledger().begin(incarnation, number, self.clock.now_us());
+            match begin {
+                Begin::Run(token) => return self.run_detached(run, token).await,
+                Begin::Kept(answer) => {
+                    count(&self.counters.tickets_kept);
+                    return AttemptAnswer::new(kept_outcome(&answer));
+                }
+                Begin::Wait(mut done) => {
+                    if timeout_at(deadline, done.wait_for(|is_done| *is_done)).await.is_err() {
+                        return unknown("ticket still runs");
+                    }
+                }
+                Begin::Unknown => return unknown("ticket ran, answer not kept"),
+                Begin::NotRun => return refused(RefusalReason::TicketVoid, None),
+                Begin::Foreign => return unknown("ticket not known here any more"),
+            }
+        }
+    }
+
+    /// Runs a ticket's call to its end even if nobody waits for it: a repeat gets the answer.
+    async fn run_detached(self: &Arc<Self>, run: Run, token: RunToken) -> AttemptAnswer {
+        let this = self.clone();
+        let (tell, told) = oneshot::channel();
+        tokio::spawn(async move {
+            let kept_answer_bytes = run.limits.kept_answer_bytes;
+            let answer = this.run_once(run).await;
+            let answer = this.end_ticket(answer, token, kept_answer_bytes).await;
+            // The caller may have gone; the ledger knows the outcome.
+            let _ = tell.send(answer);
+        });
+        told.await.unwrap_or_else(|_| unknown("ticket's run broke off"))
+    }
+
+    async fn end_ticket(&self, answer: AttemptAnswer, token: RunToken, kept_bytes: usize) -> AttemptAnswer {
+        let AttemptAnswer { outcome, hint, unread } = answer;
+        let outcome = match outcome {
+            AttemptOutcome::NotRun(refusal) => {
+                self.ledger().end_not_run(token);
+                AttemptOutcome::NotRun(refusal)
+            }
+            AttemptOutcome::Unknown(why) => {
+                self.ledger().end_unknown(token);
+                AttemptOutcome::Unknown(why)
+            }
+            AttemptOutcome::Answered { status, headers, body } => {
+                self.keep_answer(status, headers, body, token, kept_bytes).await
+            }
+        };
+        AttemptAnswer { outcome, hint, unread }
+    }
+
+    async fn keep_answer(
+        &self,
+        status: StatusCode,
+        headers: HeaderMap,
+        body: AnswerBody,
+        token: RunToken,
+        kept_bytes: usize,
+    ) -> AttemptOutcome {
+        let patience = Duration::from_secs(30);
+        match collect(body, kept_bytes, patience).await {
+            Ok(Collected::Whole(bytes)) => {
+                let pairs =
+                    headers.iter().map(|(n, v)| (n.as_str().to_owned(), v.as_bytes().to_vec().into()));
+                let kept =
+                    KeptAnswer { status: status.as_u16(), headers: pairs.collect(), body: bytes.clone() };
+                self.ledger().end_answered(token, Some(kept));
+                AttemptOutcome::Answered { status, headers, body: whole(bytes) }
+            }
+            Ok(Collected::Partial(body)) => {
+                self.ledger().end_answered(token, None);
+                AttemptOutcome::Answered { status, headers, body }
+            }
+            Err(_) => {
+                self.ledger().end_unknown(token);
+                AttemptOutcome::Unknown("answer broke off")
+            }
+        }
+    }
+}
+
+fn kept_outcome(answer: &KeptAnswer) -> AttemptOutcome {
+    let mut headers = HeaderMap::new();
+    for (name, value) in &answer.headers {
+        let name = HeaderName::from_bytes(name.as_bytes());
+        let value = HeaderValue::from_bytes(value);
+        if let (Ok(name), Ok(value)) = (name, value) {
+            headers.append(name, value);
+        }
+    }
+    let status = StatusCode::from_u16(answer.status).unwrap_or(StatusCode::BAD_GATEWAY);
+    AttemptOutcome::Answered { status, headers, body: whole(answer.body.clone()) }
+}
--- a/crates/laurelstall_peer/src/pool.rs
+++ b/crates/laurelstall_peer/src/pool.rs
@@ -87,6 +87,8 @@
 #[derive(Debug, Default)]
 struct Slot {
     sender: Option<PeerSender>,
+    /// Whether there ever was a connection, so that it can be lost.
+    was_connected: bool,
     failures: u32,
     retry_at_us: u64,
 }
@@ -140,9 +142,10 @@
         }
         match self.connect(address).await {
             Ok(sender) => {
-                if slot.failures > 0 {
+                if slot.was_connected && slot.failures > 0 {
                     log::info!("node at {address}: regained after {} failed connects", slot.failures);
                 }
+                slot.was_connected = true;
                 slot.failures = 0;
                 slot.sender = Some(sender.clone());
                 Ok(sender)
@@ -150,7 +153,7 @@
             Err(error) => {
                 let pause_us = (BACKOFF_FIRST_US << slot.failures.min(10)).min(BACKOFF_MAX_US);
                 let pause_us = rand::rng().random_range(pause_us / 2..=pause_us);
-                if slot.failures == 0 {
+                if slot.was_connected && slot.failures == 0 {
                     log::info!("node at {address}: lost: {error}");
                 }
                 slot.failures += 1;
