A target is slow only beside the others of its service

Cause: after a start of the whole fleet all targets work at half their pace for three seconds, and every guard refused every call for it (twice the usual was the bound): some 7,000 refusals a second, a quarter of the calls served. Ruled out: processor time (1.2 % of a core), the store, the way between nodes. Change: the entry tells the guard from which slowness on it may refuse: twice the pace of the quickest quarter of the service's targets, by words not older than half a second, three at least. No more than eight guards refuse a call for slowness.

--- a/crates/laurelstall_balance/src/service_balancer.rs
+++ b/crates/laurelstall_balance/src/service_balancer.rs
@@ -38,6 +38,15 @@
 /// Age up to which a hint tells whether its target queues, in µs.
 const QUEUEING_HINT_AGE_US: u64 = 1_000_000;
 
+/// Multiple of what is usual among the targets from which one of them is slow.
+const SLOW_FACTOR: u32 = 2;
+/// Age up to which a word on a target's slowness counts for what is usual, in µs.
+const SLOWNESS_AGE_MAX_US: u64 = 500_000;
+/// Fewest such words that tell what is usual; with fewer, one slow target could pass for all.
+const SLOWNESS_WORDS_MIN: usize = 3;
+/// Share of the targets that are taken to work at the usual pace: one in so many.
+const USUAL_PACE_SHARE: usize = 4;
+
 /// How an attempt ended, as far as it tells something of the target.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum AttemptResult {
@@ -218,6 +227,27 @@
         self.targets[index].note_slowness(percent, self.usual_us, now_us);
     }
 
+    /// Slowness from which a target is slow beside the others, in percent of the usual.
+    ///
+    /// Where all targets are slow, as after a start of the whole fleet, none is to be avoided for it.
+    pub fn slow_from_percent(&self, now_us: u64) -> u32 {
+        SLOW_FACTOR * self.pace_percent(now_us)
+    }
+
+    /// How long work takes at the quickest quarter of the targets, in percent of the usual.
+    fn pace_percent(&self, now_us: u64) -> u32 {
+        let words = self.targets.iter().filter_map(|view| view.hint(now_us));
+        let fresh = words.filter(|(_, age_us)| *age_us <= SLOWNESS_AGE_MAX_US);
+        let mut known = fresh.map(|(hint, _)| hint.slowness_percent).collect::<Vec<_>>();
+        if known.len() < SLOWNESS_WORDS_MIN {
+            return USUAL_PERCENT;
+        }
+        known.sort_unstable();
+        known
+            .get(known.len() / USUAL_PACE_SHARE)
+            .map_or(USUAL_PERCENT, |percent| (*percent).max(USUAL_PERCENT))
+    }
+
     /// Whether a further attempt may be made after a proved *not run* or a repeatable failure.
     pub fn may_retry(&mut self) -> bool {
         self.retries.try_spend()
--- a/crates/laurelstall_balance/tests/decisions.rs
+++ b/crates/laurelstall_balance/tests/decisions.rs
@@ -310,3 +310,19 @@
     assert_eq!(choose(400, 100), 0, "the slow one is in time too");
     assert_eq!(choose(400, 30), 1, "the near one would be late");
 }
+
+#[test]
+fn a_target_is_slow_only_beside_the_others() {
+    let mut balancer = balancer(4, ServiceLimits::default());
+    assert_eq!(balancer.slow_from_percent(START_US), 200, "nothing is known: the usual pace");
+    for index in 0..4 {
+        let cold = Hint { slowness_percent: 200, ..hint(0, 0) };
+        balancer.take_hint(index, &format!("t-{index}"), cold, START_US);
+    }
+    assert_eq!(balancer.slow_from_percent(START_US), 400, "all are slow");
+    for index in 0..2 {
+        balancer.take_hint(index, &format!("t-{index}"), hint(0, 0), START_US);
+    }
+    assert_eq!(balancer.slow_from_percent(START_US), 200, "half of them are not");
+    assert_eq!(balancer.slow_from_percent(START_US + SECOND_US), 200, "what was said is too old");
+}
--- a/crates/laurelstall_guard/src/guard.rs
+++ b/crates/laurelstall_guard/src/guard.rs
@@ -50,8 +50,8 @@
     pub may_hand_back: bool,
     /// Times it was handed back before; each doubles its patience.
     pub hand_backs: u32,
-    /// Whether the call may be refused because the target works slowly now.
-    pub may_refuse_slow: bool,
+    /// Slowness of the target from which the call is refused, in percent of the usual; none for never.
+    pub slow_from_percent: Option<u32>,
 }
 
 /// What runs and waits at this instant.
@@ -72,8 +72,6 @@
     pub is_draining: bool,
 }
 
-/// Slowness from which a call that has a choice is refused, in percent of the usual.
-const SLOW_PERCENT: u32 = 200;
 /// Assumed run time before the first call, in µs.
 const RECENT_START_US: f64 = 5_000.0;
 /// Weight of a new run in the recent run time.
@@ -215,7 +213,7 @@
             return Err(Refusal::new(RefusalReason::Deadline));
         }
         let slowness_percent = state.pace.slowness_percent(now_us);
-        if ask.may_refuse_slow && slowness_percent >= SLOW_PERCENT {
+        if ask.slow_from_percent.is_some_and(|from_percent| slowness_percent >= from_percent) {
             return Err(Refusal { slowness_percent, ..Refusal::new(RefusalReason::Slow) });
         }
         if state.is_wasted(ask, now_us) {
--- a/crates/laurelstall_guard/tests/admission.rs
+++ b/crates/laurelstall_guard/tests/admission.rs
@@ -37,7 +37,7 @@
         useful_until_us: deadline_us,
         may_hand_back: false,
         hand_backs: 0,
-        may_refuse_slow: false,
+        slow_from_percent: None,
     }
 }
 
@@ -229,7 +229,7 @@
 async fn a_slow_target_refuses_what_has_a_choice_until_its_word_is_old() {
     let (guard, clock) = guard();
     guard.note_slowness(400);
-    let choosy = Ask { may_refuse_slow: true, ..ask(&clock, 5, 5_000) };
+    let choosy = Ask { slow_from_percent: Some(200), ..ask(&clock, 5, 5_000) };
     let refusal = guard.admit(choosy).await.expect_err("it is slow");
     assert_eq!((refusal.reason, refusal.slowness_percent), (RefusalReason::Slow, 400));
     guard.admit(ask(&clock, 5, 5_000)).await.expect("without a choice it runs");
--- a/crates/laurelstall_node/src/call.rs
+++ b/crates/laurelstall_node/src/call.rs
@@ -37,6 +37,9 @@
 /// A hint younger than this is not asked for anew, in µs.
 const HINT_FRESH_US: u64 = 15_000;
 
+/// Most targets that may refuse one call for being slow: after so many, one more would hardly help.
+const SLOW_REFUSALS_MAX: usize = 8;
+
 /// Importance of a call that another one waits for: above all others, since the work that was done
 /// for that one is lost without it.
 const NESTED_IMPORTANCE: u8 = ROUTE_IMPORTANCE_MAX + 1;
@@ -281,7 +284,7 @@
             may_repeat: self.request.route.may_repeat,
             may_hand_back,
             hand_backs: self.hand_backs,
-            may_refuse_slow: self.may_refuse_slow(destination),
+            slow_from_percent: self.slow_from_percent(destination, now_us),
             ticket: self.request.ticket.as_ref().map(|ticket| (ticket.incarnation, ticket.number)),
             body: match &body {
                 AttemptBody::Whole(_) if self.waits_for_go(is_local) => BodyKind::OnGo,
@@ -329,10 +332,13 @@
         until_us.saturating_sub(now_us)
     }
 
-    /// Whether the target may refuse the call for being slow: once, and not if all others did.
-    fn may_refuse_slow(&self, destination: &Destination) -> bool {
+    /// From which slowness on the target may refuse the call: each target once, few in all, and not
+    /// the last one.
+    fn slow_from_percent(&self, destination: &Destination, now_us: u64) -> Option<u32> {
         let is_asked_first = !self.slow.contains(&destination.choice.index);
-        self.request.ticket.is_none() && is_asked_first && self.slow.len() + 1 < destination.targets
+        let has_choice = self.slow.len() + 1 < destination.targets && self.slow.len() < SLOW_REFUSALS_MAX;
+        let may_refuse = self.request.ticket.is_none() && is_asked_first && has_choice;
+        may_refuse.then(|| self.service.balancer().slow_from_percent(now_us))
     }
 
     /// Whether to pay for a hint: only for a target whose last one is not fresh.
--- a/crates/laurelstall_node/src/target_guard.rs
+++ b/crates/laurelstall_node/src/target_guard.rs
@@ -339,7 +339,7 @@
             useful_until_us: run.useful_until_us,
             may_hand_back: run.head.may_hand_back && !self.is_plain,
             hand_backs: run.head.hand_backs,
-            may_refuse_slow: run.head.may_refuse_slow && !self.is_plain,
+            slow_from_percent: run.head.slow_from_percent.filter(|_| !self.is_plain),
         };
         let asked_us = self.clock.now_us();
         match self.guard.admit(ask).await {
--- a/crates/laurelstall_peer/src/message.rs
+++ b/crates/laurelstall_peer/src/message.rs
@@ -50,8 +50,9 @@
     pub may_hand_back: bool,
     /// Times it was handed back before.
     pub hand_backs: u32,
-    /// Whether the guard may refuse the call because its target works slowly now.
-    pub may_refuse_slow: bool,
+    /// Slowness of its target from which the guard refuses the call, in percent of the usual; none when
+    /// it is to run however slow the target is.
+    pub slow_from_percent: Option<u32>,
     /// Incarnation and number of the ticket it brings.
     pub ticket: Option<(u64, u64)>,
     /// How its body comes.
--- a/crates/laurelstall_peer/tests/messages.rs
+++ b/crates/laurelstall_peer/tests/messages.rs
@@ -26,7 +26,7 @@
         importance: 5,
         may_hand_back: true,
         hand_backs: 0,
-        may_refuse_slow: false,
+        slow_from_percent: None,
         ticket: Some((1, 2)),
         body: BodyKind::Empty,
         wants_hint: true,
--- a/crates/laurelstall_peer/tests/on_go.rs
+++ b/crates/laurelstall_peer/tests/on_go.rs
@@ -136,7 +136,7 @@
         may_repeat: false,
         may_hand_back: false,
         hand_backs: 0,
-        may_refuse_slow: false,
+        slow_from_percent: None,
         ticket: None,
         body: BodyKind::OnGo,
         wants_hint: false,
