Calls that targets make are known by the request that runs; first attempts go before returns

Cause: all clients sit on the machine of their target and share its address, so every call passed for one that the target made: importance was the same for all, and nested calls went before nobody. Ruled out: the address of the connection, other header fields (none differ). Change: the guard keeps the ids of what runs at its target; a call whose id begins with one of them was made for it. The setting that trusted the address is gone. A call with clearly less time than callers usually give calls of its route comes back after an earlier attempt: it goes behind first attempts of the same importance. Both are in the line of each attempt, with the time left.

--- a/crates/laurelstall_balance/src/lib.rs
+++ b/crates/laurelstall_balance/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod service_balancer;
 pub mod share_budget;
 pub mod target_view;
+pub mod usual_budgets;
 
 /// The types most callers need.
 pub mod prelude {
--- a/crates/laurelstall_balance/tests/decisions.rs
+++ b/crates/laurelstall_balance/tests/decisions.rs
@@ -7,6 +7,7 @@
     service_balancer::{AttemptResult, Choosing, ServiceBalancer},
     share_budget::ShareBudget,
     target_view::TargetView,
+    usual_budgets::UsualBudgets,
 };
 use laurelstall_config::team::ServiceLimits;
 use rand::{RngExt, SeedableRng, rngs::SmallRng};
@@ -326,3 +327,35 @@
     assert_eq!(balancer.slow_from_percent(START_US), 200, "half of them are not");
     assert_eq!(balancer.slow_from_percent(START_US + SECOND_US), 200, "what was said is too old");
 }
+
+#[test]
+fn a_call_with_less_time_than_usual_comes_back() {
+    let mut budgets = UsualBudgets::default();
+    for _ in 0..20 {
+        assert!(!budgets.note(1, 800), "the usual budget");
+    }
+    assert!(budgets.note(1, 610), "a part of it was used before");
+    assert!(!budgets.note(1, 2_400), "a patient caller");
+    assert!(!budgets.note(2, 610), "nothing is known of this class");
+}
+
+#[test]
+fn budgets_that_are_all_different_tell_nothing() {
+    let mut budgets = UsualBudgets::default();
+    let is_any = (0..2_000u64).any(|call| budgets.note(1, 100 + call * 37 % 900));
+    assert!(!is_any);
+}
+
+#[test]
+fn most_calls_may_come_back_and_the_usual_budget_is_still_known() {
+    let mut budgets = UsualBudgets::default();
+    let mut known = 0;
+    for call in 0..900u64 {
+        let is_return = call % 3 != 0;
+        let budget_ms = if is_return { 300 + call * 7 % 400 } else { 800 };
+        let is_told = budgets.note(1, budget_ms);
+        assert!(is_return || !is_told);
+        known += u32::from(is_told);
+    }
+    assert!(known > 500, "{known} of 600");
+}
--- a/crates/laurelstall_config/src/settings.rs
+++ b/crates/laurelstall_config/src/settings.rs
@@ -120,8 +120,6 @@
     pub budget_max_ms: u64,
     /// Deepest chain of calls.
     pub depth_max: u32,
-    /// Whether calls from the target's own address are its own, made while it runs another.
-    pub own_address_is_target: bool,
     /// Request bytes held so that a refused call can be tried elsewhere.
     pub replay_bytes: usize,
 }
@@ -138,7 +136,6 @@
             budget_default_ms: 5_000,
             budget_max_ms: 120_000,
             depth_max: 16,
-            own_address_is_target: false,
             replay_bytes: 64 * 1024,
         }
     }
--- a/crates/laurelstall_guard/src/guard.rs
+++ b/crates/laurelstall_guard/src/guard.rs
@@ -5,7 +5,7 @@
     limit_search::{LimitSearch, Measure},
     pace::Pace,
     refusal::{Refusal, RefusalReason},
-    wait_queue::{Place, WaitQueue},
+    wait_queue::{Place, Rank, WaitQueue},
 };
 use laurelstall_balance::{class_times::CallClass, hint::USUAL_PERCENT};
 use std::{
@@ -38,8 +38,8 @@
 /// What a call asks of a guard.
 #[derive(Debug, Clone, Copy)]
 pub struct Ask {
-    /// Importance, 0 to 9.
-    pub importance: u8,
+    /// How much the call matters.
+    pub rank: Rank,
     /// The class of the call.
     pub class: CallClass,
     /// When the call must be done, in µs of the guard's clock.
@@ -235,11 +235,11 @@
             }));
         }
         let is_full = state.queue.len() >= state.limits.queue_length;
-        if is_full && !state.queue.evict_below(ask.importance) {
+        if is_full && !state.queue.evict_below(ask.rank) {
             drop(state);
             return Err(self.refusal(RefusalReason::QueueFull));
         }
-        let (place, woken) = state.queue.push(ask.importance, ask.deadline_us);
+        let (place, woken) = state.queue.push(ask.rank, ask.deadline_us);
         let patience_us = (state.recent_us as u64).max(PATIENCE_MIN_US) << ask.hand_backs.min(6);
         let is_patience = ask.may_hand_back && patience_us < wait_max_us;
         let wait_us = if is_patience { patience_us } else { wait_max_us };
@@ -394,7 +394,7 @@
     }
 
     fn expected_wait_us(&self, ask: &Ask, now_us: u64) -> u64 {
-        let ahead = self.queue.ahead_of(ask.importance, ask.deadline_us) as u64;
+        let ahead = self.queue.ahead_of(ask.rank, ask.deadline_us) as u64;
         let limit = u64::from(self.limit.limit().max(1));
         ahead * self.service_us(now_us) / limit
     }
--- a/crates/laurelstall_guard/src/wait_queue.rs
+++ b/crates/laurelstall_guard/src/wait_queue.rs
@@ -3,15 +3,32 @@
 use std::{cmp::Reverse, collections::BTreeMap};
 use tokio::sync::oneshot;
 
-/// Place of a waiting call: importance, then deadline, then arrival.
+/// How much a call matters beside others.
+///
+/// Of two calls of the same importance the one that its caller tries for the first time goes first:
+/// its answer still has its full worth, and a caller that was refused once has seen worse already.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Rank {
+    /// Importance; more goes first.
+    pub importance: u8,
+    /// Whether the call comes back after an earlier attempt of its caller.
+    pub is_return: bool,
+}
+
+/// Place of a waiting call: importance, then first attempts, then deadline, then arrival.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub struct Place {
     importance: Reverse<u8>,
+    is_return: bool,
     deadline_us: u64,
     number: u64,
 }
 
 impl Place {
+    fn new(rank: Rank, deadline_us: u64, number: u64) -> Self {
+        Self { importance: Reverse(rank.importance), is_return: rank.is_return, deadline_us, number }
+    }
+
     /// When the call must be done, in µs of the guard's clock.
     pub fn deadline_us(&self) -> u64 {
         self.deadline_us
@@ -27,9 +44,9 @@
 
 impl WaitQueue {
     /// Puts a call in the queue.
-    pub fn push(&mut self, importance: u8, deadline_us: u64) -> (Place, oneshot::Receiver<()>) {
+    pub fn push(&mut self, rank: Rank, deadline_us: u64) -> (Place, oneshot::Receiver<()>) {
         let (wake, woken) = oneshot::channel();
-        let place = Place { importance: Reverse(importance), deadline_us, number: self.next_number };
+        let place = Place::new(rank, deadline_us, self.next_number);
         self.next_number += 1;
         self.waiting.insert(place, wake);
         (place, woken)
@@ -50,19 +67,19 @@
         self.waiting.remove(place).is_some()
     }
 
-    /// Takes out the call that matters least, if it matters less than `importance`.
-    pub fn evict_below(&mut self, importance: u8) -> bool {
+    /// Takes out the call that matters least, if it matters less than `rank`.
+    pub fn evict_below(&mut self, rank: Rank) -> bool {
         let Some((last, _)) = self.waiting.last_key_value() else { return false };
-        let is_lower = last.importance.0 < importance;
+        let is_lower = (last.importance, last.is_return) > (Reverse(rank.importance), rank.is_return);
         if is_lower {
             self.waiting.pop_last();
         }
         is_lower
     }
 
-    /// Calls ahead of one with this importance and deadline.
-    pub fn ahead_of(&self, importance: u8, deadline_us: u64) -> usize {
-        let place = Place { importance: Reverse(importance), deadline_us, number: u64::MAX };
+    /// Calls ahead of one with this rank and deadline.
+    pub fn ahead_of(&self, rank: Rank, deadline_us: u64) -> usize {
+        let place = Place::new(rank, deadline_us, u64::MAX);
         self.waiting.range(..place).count()
     }
 
--- a/crates/laurelstall_guard/tests/admission.rs
+++ b/crates/laurelstall_guard/tests/admission.rs
@@ -4,6 +4,7 @@
     clock::Clock,
     guard::{Ask, Guard, GuardLimits, Permit},
     refusal::{Refusal, RefusalReason},
+    wait_queue::Rank,
 };
 use rand::{RngExt, SeedableRng, rngs::SmallRng};
 use std::sync::{
@@ -31,7 +32,7 @@
 fn ask(clock: &Clock, importance: u8, budget_ms: u64) -> Ask {
     let deadline_us = clock.now_us() + budget_ms * 1_000;
     Ask {
-        importance,
+        rank: Rank { importance, is_return: false },
         class: 0,
         deadline_us,
         useful_until_us: deadline_us,
@@ -266,3 +267,19 @@
     advance(Duration::from_millis(20)).await;
     assert_eq!(reason(waits.await.expect("no panic")), RefusalReason::QueueFull);
 }
+
+#[tokio::test(start_paused = true)]
+async fn what_comes_back_goes_behind_first_attempts_and_gives_way_to_them() {
+    let (guard, clock) = guard();
+    let first = guard.admit(ask(&clock, 5, 900)).await.expect("a free slot");
+    let _second = guard.admit(ask(&clock, 5, 900)).await.expect("a free slot");
+    let rank = Rank { importance: 5, is_return: true };
+    let returned = waiting(&guard, Ask { rank, ..ask(&clock, 5, 300) }).await;
+    let fresh = waiting(&guard, ask(&clock, 5, 900)).await;
+    let others = [waiting(&guard, ask(&clock, 5, 900)).await, waiting(&guard, ask(&clock, 5, 900)).await];
+    assert_eq!(reason(returned.await.expect("it ends")), RefusalReason::QueueFull, "its place is taken");
+    drop(first);
+    tokio::task::yield_now().await;
+    assert!(fresh.is_finished(), "the oldest first attempt runs");
+    others.iter().for_each(tokio::task::JoinHandle::abort);
+}
--- a/crates/laurelstall_node/src/call_request.rs
+++ b/crates/laurelstall_node/src/call_request.rs
@@ -25,6 +25,8 @@
     pub route: Route,
     /// Whether another call waits for this one.
     pub is_nested: bool,
+    /// Whether it comes back after an earlier attempt of its caller.
+    pub is_return: bool,
     /// The class of the call.
     pub class: CallClass,
     /// When the call must be done, in µs of the node's clock.
--- a/crates/laurelstall_node/src/decision_log.rs
+++ b/crates/laurelstall_node/src/decision_log.rs
@@ -40,6 +40,12 @@
     pub request_id: String,
     /// Which attempt of it, from 1.
     pub attempt: u32,
+    /// Its importance; above that of any route when the own target makes it for a request it runs.
+    pub importance: u8,
+    /// Whether its caller tried before.
+    pub is_return: bool,
+    /// Time that the call had left when the attempt was sent, in µs.
+    pub left_us: u64,
     /// Full name of the service.
     pub service: String,
     /// Version of the team's document that was followed.
@@ -67,6 +73,8 @@
 impl fmt::Display for Decision {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         write!(f, "call={:016x} request_id={} attempt={} ", self.call, self.request_id, self.attempt)?;
+        write!(f, "importance={} is_return={} ", self.importance, self.is_return)?;
+        write!(f, "left_us={} ", self.left_us)?;
         write!(f, "service={} version={} ", self.service, self.version)?;
         write!(f, "fleet_version={} target={} why=\"{}\" ", self.fleet_version, self.target, self.why)?;
         write!(f, "expected_us={} ", self.expected_us)?;
--- a/crates/laurelstall_node/src/dialect.rs
+++ b/crates/laurelstall_node/src/dialect.rs
@@ -70,6 +70,10 @@
     /// The caller's own id of a request, for logs.
     fn request_id<'a>(&self, headers: &'a HeaderMap) -> Option<&'a str>;
 
+    /// The id of the request that this one was made for, where the id tells; whether that one runs
+    /// here is for the caller to check.
+    fn parent_request_id<'a>(&self, headers: &'a HeaderMap) -> Option<&'a str>;
+
     /// Time that the caller waits, in ms.
     ///
     /// # Errors
@@ -126,6 +130,10 @@
         None
     }
 
+    fn parent_request_id<'a>(&self, _headers: &'a HeaderMap) -> Option<&'a str> {
+        None
+    }
+
     fn budget_ms(&self, headers: &HeaderMap) -> Result<Option<u64>, HeaderName> {
         read_number(headers, &BUDGET)
     }
--- a/crates/laurelstall_node/src/entry.rs
+++ b/crates/laurelstall_node/src/entry.rs
@@ -10,14 +10,14 @@
     decision_log::{CallEnd, Decision},
     dialect::{CallFacts, Failure},
     headers::{TICKET, host_of, read_number, strip_request, text_value},
-    listener::CallerAddress,
     metrics::observe_us,
+    running_requests::RunningRequests,
     services::Services,
 };
 use bytes::Bytes;
 use http::{HeaderValue, Method, Request, Response, StatusCode, request::Parts};
 use http_body_util::BodyExt;
-use laurelstall_balance::service_balancer::Choosing;
+use laurelstall_balance::{service_balancer::Choosing, usual_budgets::UsualBudgets};
 use laurelstall_config::{document::DocumentName, route::RouteRule, team::Team};
 use laurelstall_guard::{
     refusal::{Refusal, RefusalReason},
@@ -34,12 +34,9 @@
     program::RequestView,
 };
 use serde::Serialize;
-use std::{
-    net::IpAddr,
-    sync::{
-        Arc,
-        atomic::{AtomicBool, Ordering},
-    },
+use std::sync::{
+    Arc, Mutex, PoisonError,
+    atomic::{AtomicBool, Ordering},
 };
 use tokio::time::Duration;
 
@@ -67,10 +64,12 @@
     pub services: Arc<Services>,
     /// Name of the service beside this node, without its team; empty when there is none.
     pub own_service: String,
-    /// The target's address, if calls from there are its own.
-    pub target_ip: Option<IpAddr>,
+    /// What runs at the own target now.
+    pub running: Arc<RunningRequests>,
     /// Limits on callers.
     pub limits: Arc<CallerRules>,
+    /// The time that callers usually give their calls.
+    pub budgets: Mutex<UsualBudgets>,
     /// Whether the node is about to stop: callers are asked to close their connections.
     pub is_stopping: AtomicBool,
 }
@@ -287,7 +286,8 @@
         let budget_ms = self.budget_ms(&parts, &route)?;
         let now_us = self.context.clock.now_us();
         let deadline_us = now_us + budget_ms * 1_000;
-        let is_nested = depth > 0 || self.is_from_target(&parts);
+        let is_nested = depth > 0 || self.is_for_running(&parts);
+        let is_return = !is_nested && self.is_return(&parts, &route)?;
         let objective_ms = route.latency_objective_ms;
         let useful_until_us = objective_ms.map(|ms| (now_us + ms * 1_000).min(deadline_us));
         let body = self.read_body(&parts, body, ticket.is_some()).await?;
@@ -309,6 +309,7 @@
             body,
             class: route.class,
             is_nested,
+            is_return,
             route,
             deadline_us,
             useful_until_us,
@@ -316,9 +317,10 @@
         })
     }
 
-    fn is_from_target(&self, parts: &Parts) -> bool {
-        let from = parts.extensions.get::<CallerAddress>();
-        from.is_some_and(|from| Some(from.0) == self.target_ip)
+    /// Whether the own target makes this call for a request that it runs.
+    fn is_for_running(&self, parts: &Parts) -> bool {
+        let parent = self.context.dialect.parent_request_id(&parts.headers);
+        parent.is_some_and(|parent| self.running.contains(parent))
     }
 
     fn budget_ms(&self, parts: &Parts, route: &Route) -> Result<u64, Rejection> {
@@ -328,6 +330,14 @@
         Ok(asked.unwrap_or(decided).min(decided).min(limits.budget_max_ms))
     }
 
+    /// Whether a caller's call comes back after an earlier attempt, by the time it has left.
+    fn is_return(&self, parts: &Parts, route: &Route) -> Result<bool, Rejection> {
+        let asked_ms = self.context.dialect.budget_ms(&parts.headers).map_err(bad_number)?;
+        let Some(asked_ms) = asked_ms else { return Ok(false) };
+        let mut budgets = self.budgets.lock().unwrap_or_else(PoisonError::into_inner);
+        Ok(budgets.note(route.class, asked_ms))
+    }
+
     async fn read_body(
         &self,
         parts: &Parts,
@@ -392,6 +402,9 @@
             call: id,
             request_id: String::new(),
             attempt: 0,
+            importance: 0,
+            is_return: false,
+            left_us: 0,
             service: team.team.clone(),
             version: in_force.configuration.version(&name),
             fleet_version: in_force.configuration.version(&DocumentName::Fleet),
--- a/crates/laurelstall_node/src/lib.rs
+++ b/crates/laurelstall_node/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod observer;
 pub mod platform_http;
 pub mod process;
+pub mod running_requests;
 pub mod services;
 pub mod target_guard;
 pub mod target_http;
--- a/crates/laurelstall_node/src/listener.rs
+++ b/crates/laurelstall_node/src/listener.rs
@@ -18,7 +18,7 @@
 };
 use laurelstall_config::settings::CallerLimits;
 use laurelstall_peer::body::{AnswerBody, BodyError};
-use std::{convert::Infallible, fmt, net::IpAddr, sync::Arc};
+use std::{convert::Infallible, fmt, sync::Arc};
 use tokio::{
     net::{TcpListener, TcpStream},
     sync::{Semaphore, watch},
@@ -31,10 +31,6 @@
 /// Longest time to tell them.
 const REFUSAL_TIMEOUT: Duration = Duration::from_secs(1);
 
-/// The address that a request came from, as an extension of it.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct CallerAddress(pub IpAddr);
-
 /// Whoever answers requests.
 pub trait Responder: Send + Sync + fmt::Debug {
     /// Answers one.
@@ -81,7 +77,7 @@
                 accepted = listener.accept() => accepted,
                 _ = self.stopping.wait_for(|is_stopping| *is_stopping) => break,
             };
-            let Ok((stream, from)) = accepted else {
+            let Ok((stream, _)) = accepted else {
                 // Out of descriptors, or a connection that was gone at once.
                 tokio::time::sleep(Duration::from_millis(10)).await;
                 continue;
@@ -104,8 +100,7 @@
             let service = service_fn(move |request: Request<Incoming>| {
                 let responder = responder.clone();
                 async move {
-                    let mut request = request.map(|body| body.map_err(BodyError::from).boxed_unsync());
-                    request.extensions_mut().insert(CallerAddress(from.ip()));
+                    let request = request.map(|body| body.map_err(BodyError::from).boxed_unsync());
                     Ok::<_, Infallible>(responder.respond(request).await)
                 }
             });
--- a/crates/laurelstall_node/src/node.rs
+++ b/crates/laurelstall_node/src/node.rs
@@ -14,6 +14,7 @@
     metrics::{Gauges, Latencies},
     observer::Observer,
     platform_http::HttpPlatform,
+    running_requests::RunningRequests,
     services::{ChooserFactory, Own, Services},
     target_guard::{TargetGuard, TargetGuardOptions, drained},
 };
@@ -40,7 +41,7 @@
 use std::{
     fmt, io,
     net::{IpAddr, SocketAddr, TcpListener as StdListener},
-    sync::{Arc, atomic::Ordering},
+    sync::{Arc, Mutex, atomic::Ordering},
 };
 use tokio::{
     net::TcpListener,
@@ -232,6 +233,7 @@
         let admin_listener = into_tokio(listeners.admin)?;
         let peer_address = peer_listener.1;
 
+        let running = Arc::<RunningRequests>::default();
         let guard = TargetGuard::new(TargetGuardOptions {
             clock,
             host: host.clone(),
@@ -243,6 +245,7 @@
             counters: counters.clone(),
             latencies: latencies.clone(),
             dialect: dialect.clone(),
+            running: running.clone(),
         });
         let spread_options = SpreadOptions {
             host: host.clone(),
@@ -276,10 +279,11 @@
                 dialect,
             },
             own_service: own_service(&settings),
-            target_ip: target_ip(&settings),
+            running: running.clone(),
             active: active.clone(),
             services: services.clone(),
             limits: rules.clone(),
+            budgets: Mutex::default(),
             is_stopping: false.into(),
         });
 
@@ -440,11 +444,6 @@
     full_name.rsplit('/').next().unwrap_or_default().to_owned()
 }
 
-fn target_ip(settings: &Settings) -> Option<IpAddr> {
-    let target = settings.target.as_ref()?;
-    settings.callers.own_address_is_target.then(|| target.address.ip())
-}
-
 fn into_tokio(listener: StdListener) -> Result<(TcpListener, SocketAddr), NodeError> {
     let unspecified = SocketAddr::from(([0, 0, 0, 0], 0));
     let address = listener.local_addr().map_err(|error| NodeError::Listen(unspecified, error))?;
--- a/crates/laurelstall_node/src/target_guard.rs
+++ b/crates/laurelstall_node/src/target_guard.rs
@@ -8,6 +8,7 @@
     headers::strip_hop_by_hop,
     metrics::{Latencies, observe_us},
     observer::Observer,
+    running_requests::RunningRequests,
     target_http::{TargetClient, TargetError, target_request},
     target_pool::UsedConnection,
 };
@@ -28,6 +29,7 @@
     guard::{Ask, Guard, GuardLimits, Permit},
     ledger::Ledger,
     refusal::{Refusal, RefusalReason},
+    wait_queue::Rank,
 };
 use laurelstall_peer::{
     attempt::{Admission, Attempt, AttemptAnswer, AttemptBody, AttemptHandler, AttemptOutcome},
@@ -76,6 +78,7 @@
     drains: Drains,
     client: Option<TargetClient>,
     dialect: Arc<dyn HeaderDialect>,
+    running: Arc<RunningRequests>,
     active: Arc<Active>,
     observer: Arc<Observer>,
     pub(crate) counters: Arc<Counters>,
@@ -111,6 +114,8 @@
     pub latencies: Arc<Latencies>,
     /// The header fields that the target knows.
     pub dialect: Arc<dyn HeaderDialect>,
+    /// What runs at the target now.
+    pub running: Arc<RunningRequests>,
 }
 
 impl TargetGuard {
@@ -136,6 +141,7 @@
             drains: Drains::default(),
             client,
             dialect: options.dialect,
+            running: options.running,
             active: options.active,
             observer: options.observer,
             counters: options.counters,
@@ -333,7 +339,7 @@
 
     pub(crate) async fn run_once(self: &Arc<Self>, run: Run) -> AttemptAnswer {
         let ask = Ask {
-            importance: run.head.importance,
+            rank: Rank { importance: run.head.importance, is_return: run.head.is_return },
             class: run.head.class,
             deadline_us: run.deadline_us,
             useful_until_us: run.useful_until_us,
@@ -387,6 +393,7 @@
             permit.release_uncounted();
             return refused(RefusalReason::Unreadable, None);
         };
+        let _running = self.running.enter(self.dialect.request_id(&headers));
         let deadline = self.clock.instant_of(deadline_us);
         match timeout_at(deadline, client.send(request, head.may_repeat)).await {
             Err(_) => unknown("time budget spent at the target"),
--- a/crates/laurelstall_peer/src/message.rs
+++ b/crates/laurelstall_peer/src/message.rs
@@ -44,6 +44,8 @@
     pub class: u32,
     /// Importance, 0 to 9.
     pub importance: u8,
+    /// Whether the call comes back after an earlier attempt of its caller.
+    pub is_return: bool,
     /// Whether the call may run more than once.
     pub may_repeat: bool,
     /// Whether the guard may hand the call back while it waits.
--- a/crates/laurelstall_peer/tests/messages.rs
+++ b/crates/laurelstall_peer/tests/messages.rs
@@ -24,6 +24,7 @@
         useful_us: 1,
         class: 7,
         importance: 5,
+        is_return: false,
         may_hand_back: true,
         hand_backs: 0,
         slow_from_percent: None,
--- a/crates/laurelstall_peer/tests/on_go.rs
+++ b/crates/laurelstall_peer/tests/on_go.rs
@@ -133,6 +133,7 @@
         useful_us: budget.as_micros() as u64,
         class: 0,
         importance: 5,
+        is_return: false,
         may_repeat: false,
         may_hand_back: false,
         hand_backs: 0,
