A joining node waits for nobody once the platform has answered

Cause: after power came back to all machines, nodes ran and answered peers from 0.4 s on, but served callers only 0.5 to 0.75 s later: they waited for every seed and five peers, of which some had no power yet and said nothing. Besides, guards handed calls back after 5 ms, the run time assumed before any is known: some 1,300 times in half a second. Ruled out: processor time at the start, the store's rate. Change: platform and peers are asked side by side; the platform's answer ends the wait, else the first seed with documents and 300 ms for the platform. Before a run was measured a call is handed back after a quarter of its longest wait; the first measured run counts in full. The test of the usual patience teaches the guard that service time first, which it used to assume.

--- a/crates/laurelstall_guard/src/guard.rs
+++ b/crates/laurelstall_guard/src/guard.rs
@@ -76,6 +76,8 @@
 const RECENT_START_US: f64 = 5_000.0;
 /// Weight of a new run in the recent run time.
 const RECENT_WEIGHT: f64 = 0.15;
+/// Patience before any run was measured: the longest wait over this.
+const UNMEASURED_PATIENCE: u64 = 4;
 /// Smallest patience before a call is handed back, in µs.
 const PATIENCE_MIN_US: u64 = 1_000;
 
@@ -84,6 +86,8 @@
     limit: LimitSearch,
     /// Recent run time in µs at the target's usual pace.
     recent_us: f64,
+    /// Whether any run was measured.
+    has_measured: bool,
     pace: Pace,
     limits: GuardLimits,
     queue: WaitQueue,
@@ -107,6 +111,7 @@
         let state = State {
             limit: LimitSearch::new(limits.slots, limits.slots_start_percent, limits.slots_floor_percent),
             recent_us: RECENT_START_US,
+            has_measured: false,
             pace: Pace::default(),
             limits,
             queue: WaitQueue::default(),
@@ -240,7 +245,7 @@
             return Err(self.refusal(RefusalReason::QueueFull));
         }
         let (place, woken) = state.queue.push(ask.rank, ask.deadline_us);
-        let patience_us = (state.recent_us as u64).max(PATIENCE_MIN_US) << ask.hand_backs.min(6);
+        let patience_us = state.patience_us(wait_max_us) << ask.hand_backs.min(6);
         let is_patience = ask.may_hand_back && patience_us < wait_max_us;
         let wait_us = if is_patience { patience_us } else { wait_max_us };
         let wait_until: Instant = self.clock.instant_of(now_us + wait_us);
@@ -313,7 +318,9 @@
         let run_us = now_us.saturating_sub(permit.start_us) as f64;
         let usual_us = run_us * f64::from(USUAL_PERCENT) / f64::from(slowness_percent);
         if permit.is_counted {
-            state.recent_us += RECENT_WEIGHT * (usual_us - state.recent_us);
+            let weight = if state.has_measured { RECENT_WEIGHT } else { 1.0 };
+            state.recent_us += weight * (usual_us - state.recent_us);
+            state.has_measured = true;
         }
         let is_measured = permit.is_counted && permit.slowness_percent == slowness_percent;
         let measured_us = is_measured.then_some(usual_us);
@@ -387,6 +394,14 @@
         useful_us.min(self.limits.queue_wait_max_ms * 1_000)
     }
 
+    /// How long a call waits before it is first handed back, in µs.
+    fn patience_us(&self, wait_max_us: u64) -> u64 {
+        if !self.has_measured {
+            return (wait_max_us / UNMEASURED_PATIENCE).max(PATIENCE_MIN_US);
+        }
+        (self.recent_us as u64).max(PATIENCE_MIN_US)
+    }
+
     /// How long a call runs at the target's present pace, in µs.
     fn service_us(&self, now_us: u64) -> u64 {
         let slowness_percent = f64::from(self.pace.slowness_percent(now_us));
--- a/crates/laurelstall_guard/tests/admission.rs
+++ b/crates/laurelstall_guard/tests/admission.rs
@@ -126,6 +126,7 @@
 #[tokio::test(start_paused = true)]
 async fn a_waiting_call_is_handed_back_after_a_usual_service_time() {
     let (guard, clock) = guard();
+    teach(&guard, &clock, 0, 5).await;
     let _held = (guard.admit(ask(&clock, 5, 5_000)).await, guard.admit(ask(&clock, 5, 5_000)).await);
     let started_us = clock.now_us();
     let patient = Ask { may_hand_back: true, ..ask(&clock, 5, 5_000) };
@@ -283,3 +284,17 @@
     assert!(fresh.is_finished(), "the oldest first attempt runs");
     others.iter().for_each(tokio::task::JoinHandle::abort);
 }
+
+#[tokio::test(start_paused = true)]
+async fn nothing_is_handed_back_in_haste_before_any_run_time_is_known() {
+    let (guard, clock) = guard();
+    let _running = [
+        guard.admit(ask(&clock, 5, 9_000)).await.expect("a free slot"),
+        guard.admit(ask(&clock, 5, 9_000)).await.expect("a free slot"),
+    ];
+    let asked_us = clock.now_us();
+    let refused = guard.admit(Ask { may_hand_back: true, ..ask(&clock, 5, 400) }).await;
+    assert_eq!(reason(refused), RefusalReason::HandedBack);
+    let waited_us = clock.now_us() - asked_us;
+    assert!((90_000..110_000).contains(&waited_us), "{waited_us}: a quarter of the longest wait");
+}
--- a/crates/laurelstall_peer/src/spread.rs
+++ b/crates/laurelstall_peer/src/spread.rs
@@ -14,6 +14,10 @@
     spread_state::{PartnerState, SpreadCounts},
     store::{Acceptor, Offer, Store},
 };
+use futures_util::{
+    future::{Either, select},
+    stream::{FuturesUnordered, StreamExt},
+};
 use laurelstall_config::{
     document::{Document, DocumentName, Version},
     fleet::Fleet,
@@ -24,6 +28,7 @@
 use std::{
     collections::HashMap,
     net::{IpAddr, SocketAddr},
+    pin::pin,
     sync::{
         Arc, Mutex, MutexGuard, PoisonError,
         atomic::{AtomicBool, AtomicU64, Ordering},
@@ -31,7 +36,7 @@
 };
 use tokio::{
     sync::{Mutex as AsyncMutex, Notify},
-    time::{Duration, sleep},
+    time::{Duration, sleep, timeout},
 };
 
 /// Most documents in one pull.
@@ -48,6 +53,10 @@
 const FALLBACK_READS: f64 = 16.0;
 /// How long a joining node waits for peers and platform before it takes what it has.
 pub const JOIN_TIMEOUT: Duration = Duration::from_secs(3);
+/// How much longer a joining node that has documents from peers waits for the platform.
+const PLATFORM_PATIENCE: Duration = Duration::from_millis(300);
+/// How long a joining node waits for its peers when a seed has brought documents.
+const PEERS_PATIENCE: Duration = Duration::from_millis(300);
 /// Partners whose last exchange is remembered.
 const PARTNER_STATES_MAX: usize = 64;
 /// Peers that a joining node asks.
@@ -172,21 +181,49 @@
 
     /// Asks platform and peers for what they have and takes the newest of each document.
     ///
-    /// Returns when both were asked or [`JOIN_TIMEOUT`] is over; a node without any document
-    /// goes on asking in [`run`](Self::run).
+    /// The platform's word is the newest there is; without it, that of the peers has to do. Returns
+    /// when one of them gave it, or [`JOIN_TIMEOUT`] is over; a node without any document goes on
+    /// asking in [`run`](Self::run).
     pub async fn join(&self) {
-        let asked = async {
-            // Peers first: the platform is then asked only for what they do not have. Either may
-            // be away; what both know is taken.
-            self.ask_seeds().await;
-            let _ = self.read_platform(None).await;
-            self.ask_some_peers().await;
-        };
         // A part that did not answer in time is caught up with by the exchanges.
-        let _ = tokio::time::timeout(JOIN_TIMEOUT, asked).await;
+        let _ = timeout(JOIN_TIMEOUT, self.ask_platform_and_peers()).await;
         self.is_joined.store(true, Ordering::Relaxed);
     }
 
+    async fn ask_platform_and_peers(&self) {
+        let platform = pin!(self.read_platform(None));
+        let peers = pin!(self.ask_seeds_and_peers());
+        match select(platform, peers).await {
+            Either::Left((Ok(_), _)) => {}
+            Either::Left((Err(_), peers)) => peers.await,
+            Either::Right(((), platform)) if self.has_documents() => {
+                let _ = timeout(PLATFORM_PATIENCE, platform).await;
+            }
+            Either::Right(((), platform)) => drop(platform.await),
+        }
+    }
+
+    /// Asks seeds until one brings documents, then some of the peers that these list.
+    ///
+    /// A seed or peer without power says nothing: the others are not held up by it.
+    async fn ask_seeds_and_peers(&self) {
+        let mut seeds = self.exchange_with_each(self.other_seeds());
+        while seeds.next().await.is_some() {
+            if self.has_documents() {
+                break;
+            }
+        }
+        let peers = self.exchange_with_each(self.partners().into_iter().take(JOIN_PEERS));
+        let _ = timeout(PEERS_PATIENCE, peers.count()).await;
+    }
+
+    fn exchange_with_each(
+        &self,
+        addresses: impl IntoIterator<Item = SocketAddr>,
+    ) -> FuturesUnordered<impl Future<Output = Result<(), PeerError>>> {
+        addresses.into_iter().map(|address| self.exchange_with(address)).collect()
+    }
+
     /// Reads, offers and exchanges until it is dropped.
     pub async fn run(self: Arc<Self>) {
         tokio::join!(self.read_loop(), self.offer_loop(), self.exchange_loop());
@@ -383,7 +420,8 @@
             sleep(self.jittered(interval_ms)).await;
             let partners = self.partners();
             if partners.is_empty() {
-                self.ask_seeds().await;
+                // A seed that is gone is one of several ways to the news.
+                self.exchange_with_each(self.other_seeds()).count().await;
                 continue;
             }
             pauses.keep_only(&partners);
@@ -477,17 +515,10 @@
         Ok(again)
     }
 
-    async fn ask_seeds(&self) {
-        let seeds = self.seeds.lock().unwrap_or_else(PoisonError::into_inner).clone();
-        let seeds = seeds.into_iter().filter(|address| *address != self.options.peer_address);
-        // A seed that is gone is one of several ways to the news.
-        futures_util::future::join_all(seeds.map(|address| self.exchange_with(address))).await;
-    }
-
-    async fn ask_some_peers(&self) {
-        let peers = self.partners().into_iter().take(JOIN_PEERS);
-        let asked = peers.map(|address| self.exchange_with(address));
-        futures_util::future::join_all(asked).await;
+    /// The seeds but for this node.
+    fn other_seeds(&self) -> Vec<SocketAddr> {
+        let seeds = self.seeds.lock().unwrap_or_else(PoisonError::into_inner);
+        seeds.iter().copied().filter(|address| *address != self.options.peer_address).collect()
     }
 
     fn partners(&self) -> Vec<SocketAddr> {
