Before the fleet is known only seeds read the platform; joining nodes ask peers first

Change: without a fleet only nodes that are seeds (or have none) watch; with one, only listed nodes do.

--- a/crates/laurelstall_peer/src/partners.rs
+++ b/crates/laurelstall_peer/src/partners.rs
@@ -12,6 +12,9 @@
 /// Rendezvous hashing over the live hosts: each node decides alike from the same list, and a
 /// host that comes or goes moves at most one reader.
 pub fn is_reader(fleet: &Fleet, host: &str, data_centre: &str, count: usize) -> bool {
+    if fleet.host(host).is_none() {
+        return false;
+    }
     let own = weight(host);
     let is_ahead = |other: &&Host| {
         other.data_centre == data_centre && other.state == HostState::Live && weight(&other.name) > own
--- a/crates/laurelstall_peer/src/spread.rs
+++ b/crates/laurelstall_peer/src/spread.rs
@@ -53,6 +53,10 @@
 const FALLBACK_READS: f64 = 16.0;
 /// How long a joining node waits for peers and platform before it takes what it has.
 pub const JOIN_TIMEOUT: Duration = Duration::from_secs(3);
+/// How long a joining node waits for its seeds before it reads the platform besides.
+const SEEDS_PATIENCE: Duration = Duration::from_millis(150);
+/// Age of a read of the platform up to which the peers that heard of it have the newest there is.
+const FRESH_READ_AGE_MS: u64 = 4_000;
 /// How much longer a joining node that has documents from peers waits for the platform.
 const PLATFORM_PATIENCE: Duration = Duration::from_millis(300);
 /// How long a joining node waits for its peers when a seed has brought documents.
@@ -156,10 +160,20 @@
     /// Whether this node watches the platform now.
     pub fn is_reader(&self) -> bool {
         let fleet = self.view.fleet();
+        if fleet.hosts.is_empty() {
+            return self.reads_first();
+        }
         let count = self.view.spread().readers_per_data_centre;
         is_reader(&fleet, &self.options.host, &self.options.data_centre, count)
     }
 
+    /// Whether this node reads the platform while nobody knows the fleet: if others ask it, or if it
+    /// has nobody to ask.
+    fn reads_first(&self) -> bool {
+        let seeds = self.seeds.lock().unwrap_or_else(PoisonError::into_inner);
+        seeds.is_empty() || seeds.contains(&self.options.peer_address)
+    }
+
     /// Whether this node asked around before it served.
     pub fn is_joined(&self) -> bool {
         self.is_joined.load(Ordering::Relaxed)
@@ -181,9 +195,10 @@
 
     /// Asks platform and peers for what they have and takes the newest of each document.
     ///
-    /// The platform's word is the newest there is; without it, that of the peers has to do. Returns
-    /// when one of them gave it, or [`JOIN_TIMEOUT`] is over; a node without any document goes on
-    /// asking in [`run`](Self::run).
+    /// The platform's word is the newest there is. That of peers does as well while some node reads
+    /// the platform, and costs no call there; without the platform it has to do. Returns when one
+    /// of them gave it, or [`JOIN_TIMEOUT`] is over; a node without any document goes on asking in
+    /// [`run`](Self::run).
     pub async fn join(&self) {
         // A part that did not answer in time is caught up with by the exchanges.
         let _ = timeout(JOIN_TIMEOUT, self.ask_platform_and_peers()).await;
@@ -191,8 +206,18 @@
     }
 
     async fn ask_platform_and_peers(&self) {
+        let mut peers = pin!(self.ask_seeds_and_peers());
+        if !self.reads_first() {
+            let answered = timeout(SEEDS_PATIENCE, peers.as_mut()).await;
+            if self.has_documents() && self.platform_read_age_ms() < FRESH_READ_AGE_MS {
+                return;
+            }
+            if answered.is_ok() {
+                let _ = self.read_platform(None).await;
+                return;
+            }
+        }
         let platform = pin!(self.read_platform(None));
-        let peers = pin!(self.ask_seeds_and_peers());
         match select(platform, peers).await {
             Either::Left((Ok(_), _)) => {}
             Either::Left((Err(_), peers)) => peers.await,
@@ -318,7 +343,7 @@
         let mut after = None;
         let mut failures = 0;
         loop {
-            if !self.is_reader() && self.has_documents() {
+            if !self.is_reader() {
                 after = None;
                 self.read_if_cut_off().await;
                 continue;
