A look at the target's pace before a call, when its last word is old

Ruled out: waiting in queues, more attempts, the way between nodes. One look at a time, 20 ms at most, after a vain one a second of pause.

--- a/crates/laurelstall_config/src/team.rs
+++ b/crates/laurelstall_config/src/team.rs
@@ -121,6 +121,9 @@
 pub struct Service {
     /// The service's name, unique in its team.
     pub name: String,
+    /// Path at which a target tells its load at once; empty when there is none.
+    #[serde(default, skip_serializing_if = "String::is_empty")]
+    pub load_path: String,
     /// Its limits.
     #[serde(default)]
     pub limits: ServiceLimits,
@@ -133,6 +136,8 @@
     fn check(&self, check: &mut Checker<'_>) {
         check.ensure(is_name(&self.name), "service.name", &format!("'{}' is not a name", self.name));
         check.ensure(self.targets.len() <= TARGETS_MAX, "target", "too many targets");
+        let is_path = self.load_path.is_empty() || self.load_path.starts_with('/');
+        check.ensure(is_path, "service.load_path", "it must begin with a slash");
         self.limits.check(check);
         let mut names = HashSet::new();
         let mut hosts = HashSet::new();
--- a/crates/laurelstall_guard/src/guard.rs
+++ b/crates/laurelstall_guard/src/guard.rs
@@ -208,6 +208,12 @@
         self.lock().pace.note(slowness_percent, now_us);
     }
 
+    /// Age of the target's last word on how long work takes, in µs; none when there was none.
+    pub fn pace_age_us(&self) -> Option<u64> {
+        let now_us = self.clock.now_us();
+        self.lock().pace.age_us(now_us)
+    }
+
     fn enter(self: &Arc<Self>, ask: &Ask) -> Result<Entered, Refusal> {
         if self.is_draining() {
             return Err(Refusal::new(RefusalReason::Draining));
--- a/crates/laurelstall_node/src/lib.rs
+++ b/crates/laurelstall_node/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod metrics;
 pub mod node;
 pub mod observer;
+pub mod pace_look;
 pub mod platform_http;
 pub mod process;
 pub mod running_requests;
--- a/crates/laurelstall_node/src/target_guard.rs
+++ b/crates/laurelstall_node/src/target_guard.rs
@@ -8,6 +8,7 @@
     headers::strip_hop_by_hop,
     metrics::{Latencies, observe_us},
     observer::Observer,
+    pace_look::{Looker, PaceLook},
     running_requests::RunningRequests,
     target_http::{TargetClient, TargetError, target_request},
     target_pool::UsedConnection,
@@ -79,6 +80,7 @@
     client: Option<TargetClient>,
     dialect: Arc<dyn HeaderDialect>,
     running: Arc<RunningRequests>,
+    pace_look: PaceLook,
     active: Arc<Active>,
     observer: Arc<Observer>,
     pub(crate) counters: Arc<Counters>,
@@ -142,6 +144,7 @@
             client,
             dialect: options.dialect,
             running: options.running,
+            pace_look: PaceLook::default(),
             active: options.active,
             observer: options.observer,
             counters: options.counters,
@@ -329,6 +332,9 @@
         let deadline_us = now_us + head.budget_us;
         let useful_until_us = now_us + head.useful_us.min(head.budget_us);
         let limits = service.limits;
+        if head.slow_from_percent.is_some() && !service.load_path.is_empty() {
+            self.refresh_pace(&service.load_path).await;
+        }
         let ticket = head.ticket;
         let run = Run { head, body, admission, deadline_us, useful_until_us, limits };
         match ticket {
@@ -337,6 +343,13 @@
         }
     }
 
+    async fn refresh_pace(&self, path: &str) {
+        let (Some(settings), Some(client)) = (&self.settings, &self.client) else { return };
+        let looker =
+            Looker { clock: self.clock, guard: &self.guard, settings, client, dialect: &*self.dialect };
+        self.pace_look.refresh(looker, path).await;
+    }
+
     pub(crate) async fn run_once(self: &Arc<Self>, run: Run) -> AttemptAnswer {
         let ask = Ask {
             rank: Rank { importance: run.head.importance, is_return: run.head.is_return },
--- a/crates/laurelstall_standin/src/fleet_bench.rs
+++ b/crates/laurelstall_standin/src/fleet_bench.rs
@@ -449,6 +449,7 @@
 /// Team documents of the letter's size: [`SERVICES`] services over `targets` targets.
 pub fn team_documents(targets: usize) -> Vec<(DocumentName, String)> {
     let services = (0..SERVICES).map(|number| Service {
+        load_path: String::new(),
         name: format!("service-{number:02}"),
         limits: ServiceLimits::default(),
         targets: (number..targets).step_by(SERVICES).map(target).collect(),
--- a/crates/laurelstall_standin/src/harness.rs
+++ b/crates/laurelstall_standin/src/harness.rs
@@ -363,6 +363,7 @@
 
     fn team(&self) -> Team {
         let service = |plan: &ServicePlan| Service {
+            load_path: String::new(),
             name: plan.name.clone(),
             limits: plan.limits,
             targets: (1..=plan.targets).map(|number| target(plan, number)).collect(),
