Near targets are weighed first, and two far ones besides

Ruled out: near targets that were busy or slow (a third of the far attempts went while most near ones were idle); what nodes say to each other. Change: four near targets are drawn and two of the others.

--- a/crates/laurelstall_balance/src/least_wait.rs
+++ b/crates/laurelstall_balance/src/least_wait.rs
@@ -5,10 +5,12 @@
     hint::USUAL_PERCENT,
     target_view::{HINT_HALF_AGE_US, SERVICE_HALF_AGE_US, TargetView},
 };
-use rand::RngExt;
+use rand::{RngExt, rngs::SmallRng, seq::IndexedRandom};
 
 /// Targets weighed for each choice.
 pub const WEIGHED_DEFAULT: usize = 4;
+/// Targets outside the own data centre that are weighed besides.
+const FAR_WEIGHED: usize = 2;
 /// What a target that fails every call adds to its expected time, in µs.
 const ERROR_PENALTY_US: f64 = 200_000.0;
 
@@ -21,6 +23,9 @@
 const USEFUL_MIN_US: f64 = 20_000.0;
 
 /// Power of `d` choices by expected time.
+///
+/// Where there are many targets, `d` of those that cost nothing to go to are weighed and a few of
+/// the others: a draw among all would often leave no near one to choose.
 #[derive(Debug, Clone)]
 pub struct LeastWait {
     weighed: usize,
@@ -31,6 +36,37 @@
     pub fn new(weighed: usize) -> Self {
         Self { weighed }
     }
+
+    /// The candidates that are weighed, in an order that no target is always first in.
+    fn drawn<'a>(
+        &self,
+        candidates: &'a [Candidate<'a>],
+        context: &mut ChoosingContext<'_>,
+    ) -> Vec<&'a Candidate<'a>> {
+        if candidates.len() <= self.weighed {
+            return draw(candidates.iter().collect(), self.weighed, context.rng);
+        }
+        let is_near = |candidate: &&Candidate<'_>| candidate.view.change_percent == 0;
+        let (near, far): (Vec<_>, Vec<_>) = candidates.iter().partition(is_near);
+        let far_weighed = if near.is_empty() { self.weighed } else { FAR_WEIGHED };
+        let mut drawn = draw(near, self.weighed, context.rng);
+        drawn.extend(draw(far, far_weighed, context.rng));
+        drawn
+    }
+}
+
+/// `count` of these, or all of them from a random place on.
+fn draw<'a>(
+    mut candidates: Vec<&'a Candidate<'a>>,
+    count: usize,
+    rng: &mut SmallRng,
+) -> Vec<&'a Candidate<'a>> {
+    if candidates.len() <= count {
+        let start = if candidates.is_empty() { 0 } else { rng.random_range(0..candidates.len()) };
+        candidates.rotate_left(start);
+        return candidates;
+    }
+    candidates.sample(rng, count).copied().collect()
 }
 
 impl Default for LeastWait {
@@ -47,7 +83,7 @@
     fn choose(&mut self, candidates: &[Candidate<'_>], context: &mut ChoosingContext<'_>) -> Option<Choice> {
         let mut best: Option<(usize, f64)> = None;
         let mut runner_up = None;
-        let mut weigh = |candidate: &Candidate<'_>, context: &mut ChoosingContext<'_>| {
+        for candidate in self.drawn(candidates, context) {
             let score = loss_us(candidate.view, context);
             match best {
                 Some((_, least)) if score >= least => {
@@ -57,17 +93,6 @@
                 }
                 _ => runner_up = best.replace((candidate.index, score)),
             }
-        };
-        if candidates.len() <= self.weighed {
-            let start = if candidates.is_empty() { 0 } else { context.rng.random_range(0..candidates.len()) };
-            for offset in 0..candidates.len() {
-                weigh(&candidates[(start + offset) % candidates.len()], context);
-            }
-        } else {
-            for _ in 0..self.weighed {
-                let at = context.rng.random_range(0..candidates.len());
-                weigh(&candidates[at], context);
-            }
         }
         let (index, score_us) = best?;
         let reason = if candidates.len() == 1 { Reason::Only } else { Reason::LeastWait };
--- a/crates/laurelstall_balance/tests/decisions.rs
+++ b/crates/laurelstall_balance/tests/decisions.rs
@@ -359,3 +359,22 @@
     }
     assert!(known > 500, "{known} of 600");
 }
+
+#[test]
+fn of_many_targets_a_near_one_is_found_whenever_one_is_as_good() {
+    let mut balancer = ServiceBalancer::new(ServiceLimits::default(), Box::new(LeastWait::default()), 7);
+    let mut listed = views(30);
+    for view in &mut listed[6..] {
+        view.change_percent = 90;
+    }
+    balancer.set_targets(ServiceLimits::default(), listed);
+    for index in 0..30 {
+        balancer.take_hint(index, &format!("t-{index}"), hint(1, 0), START_US);
+    }
+    let far = (0..500).filter(|_| {
+        let choice = choose(&mut balancer, START_US).expect("all are eligible");
+        balancer.note_result(choice, &format!("t-{choice}"), 0, AttemptResult::Cancelled, START_US);
+        choice >= 6
+    });
+    assert_eq!(far.count(), 0);
+}
