Calls that targets make are useful as long as what they are made for

Ruled out: the order in queues (such calls go first already). Change: with the id of each running request the guard keeps until when its answer is useful; a call made for it waits as long as that, if its own objective ends sooner.

--- a/crates/laurelstall_node/src/entry.rs
+++ b/crates/laurelstall_node/src/entry.rs
@@ -286,10 +286,12 @@
         let budget_ms = self.budget_ms(&parts, &route)?;
         let now_us = self.context.clock.now_us();
         let deadline_us = now_us + budget_ms * 1_000;
-        let is_nested = depth > 0 || self.is_for_running(&parts);
+        let parent_useful_until_us = self.parent_useful_until_us(&parts);
+        let is_nested = depth > 0 || parent_useful_until_us.is_some();
         let is_return = !is_nested && self.is_return(&parts, &route)?;
         let objective_ms = route.latency_objective_ms;
-        let useful_until_us = objective_ms.map(|ms| (now_us + ms * 1_000).min(deadline_us));
+        let useful_until_us = objective_ms
+            .map(|ms| (now_us + ms * 1_000).max(parent_useful_until_us.unwrap_or(0)).min(deadline_us));
         let body = self.read_body(&parts, body, ticket.is_some()).await?;
         let is_whole = matches!(body, AttemptBody::Whole(_));
         strip_request(&mut parts.headers, is_whole);
@@ -317,10 +319,11 @@
         })
     }
 
-    /// Whether the own target makes this call for a request that it runs.
-    fn is_for_running(&self, parts: &Parts) -> bool {
-        let parent = self.context.dialect.parent_request_id(&parts.headers);
-        parent.is_some_and(|parent| self.running.contains(parent))
+    /// Until when the answer to the request has its full worth that the own target runs and makes
+    /// this call for; none when it makes it for none.
+    fn parent_useful_until_us(&self, parts: &Parts) -> Option<u64> {
+        let parent = self.context.dialect.parent_request_id(&parts.headers)?;
+        self.running.useful_until_us(parent)
     }
 
     fn budget_ms(&self, parts: &Parts, route: &Route) -> Result<u64, Rejection> {
--- a/crates/laurelstall_node/src/running_requests.rs
+++ b/crates/laurelstall_node/src/running_requests.rs
@@ -8,33 +8,48 @@
 /// Ids of the requests that run at the own target, as its callers gave them.
 #[derive(Debug, Default)]
 pub struct RunningRequests {
-    /// How many runs each id has; more than one when a request was repeated.
-    runs: Mutex<HashMap<String, u32>>,
+    runs: Mutex<HashMap<String, Runs>>,
+}
+
+/// The runs of one id.
+#[derive(Debug, Clone, Copy, Default)]
+struct Runs {
+    /// More than one when a request was repeated.
+    count: u32,
+    /// Until when an answer has its full worth, in µs of the node's clock.
+    useful_until_us: u64,
 }
 
 impl RunningRequests {
     /// Notes that a request runs, for as long as the result lives; none when it has no id.
-    pub fn enter(self: &Arc<Self>, request_id: Option<&str>) -> Option<RunningRequest> {
+    ///
+    /// Its answer has its full worth until `useful_until_us`, in µs of the node's clock.
+    pub fn enter(self: &Arc<Self>, request_id: Option<&str>, useful_until_us: u64) -> Option<RunningRequest> {
         let request_id = request_id?.to_owned();
-        *self.lock().entry(request_id.clone()).or_default() += 1;
+        let mut runs = self.lock();
+        let entry = runs.entry(request_id.clone()).or_default();
+        entry.count += 1;
+        entry.useful_until_us = useful_until_us;
+        drop(runs);
         Some(RunningRequest { requests: self.clone(), request_id })
     }
 
-    /// Whether a request with this id runs.
-    pub fn contains(&self, request_id: &str) -> bool {
-        self.lock().contains_key(request_id)
+    /// Until when the answer to a request that runs has its full worth, in µs of the node's clock;
+    /// none when no request with this id runs.
+    pub fn useful_until_us(&self, request_id: &str) -> Option<u64> {
+        self.lock().get(request_id).map(|runs| runs.useful_until_us)
     }
 
     fn leave(&self, request_id: &str) {
         let mut runs = self.lock();
-        let Some(count) = runs.get_mut(request_id) else { return };
-        *count -= 1;
-        if *count == 0 {
+        let Some(entry) = runs.get_mut(request_id) else { return };
+        entry.count -= 1;
+        if entry.count == 0 {
             runs.remove(request_id);
         }
     }
 
-    fn lock(&self) -> MutexGuard<'_, HashMap<String, u32>> {
+    fn lock(&self) -> MutexGuard<'_, HashMap<String, Runs>> {
         self.runs.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
--- a/crates/laurelstall_node/src/target_guard.rs
+++ b/crates/laurelstall_node/src/target_guard.rs
@@ -374,7 +374,7 @@
     }
 
     async fn send(self: &Arc<Self>, run: Run, permit: Permit) -> AttemptAnswer {
-        let Run { head, body, mut admission, deadline_us, limits, .. } = run;
+        let Run { head, body, mut admission, deadline_us, useful_until_us, limits } = run;
         let now_us = self.clock.now_us();
         if now_us >= deadline_us {
             permit.release_uncounted();
@@ -406,7 +406,7 @@
             permit.release_uncounted();
             return refused(RefusalReason::Unreadable, None);
         };
-        let _running = self.running.enter(self.dialect.request_id(&headers));
+        let _running = self.running.enter(self.dialect.request_id(&headers), useful_until_us);
         let deadline = self.clock.instant_of(deadline_us);
         match timeout_at(deadline, client.send(request, head.may_repeat)).await {
             Err(_) => unknown("time budget spent at the target"),
