Four far targets are weighed besides the near ones

Cause: with two, calls of grown deployments were refused by busy near targets while far ones were free.

--- a/crates/laurelstall_balance/src/least_wait.rs
+++ b/crates/laurelstall_balance/src/least_wait.rs
@@ -10,7 +10,7 @@
 /// Targets weighed for each choice.
 pub const WEIGHED_DEFAULT: usize = 4;
 /// Targets outside the own data centre that are weighed besides.
-const FAR_WEIGHED: usize = 2;
+const FAR_WEIGHED: usize = 4;
 /// What a target that fails every call adds to its expected time, in µs.
 const ERROR_PENALTY_US: f64 = 200_000.0;
 
