--- a/crates/laurelstall_node/src/call.rs
+++ b/crates/laurelstall_node/src/call.rs
@@ -4,9 +4,9 @@
     active::InForce,
     call_request::{CallOutcome, CallRequest},
     counters::{Counters, count},
-    decision_log::{Decision, DecisionLog},
+    decision_log::DecisionLog,
     dialect::HeaderDialect,
-    metrics::{Latencies, observe_us},
+    metrics::Latencies,
     observer::Observer,
     services::ServiceState,
 };
@@ -17,10 +17,7 @@
     chooser::Choice,
     service_balancer::{AttemptResult, Choosing},
 };
-use laurelstall_config::{
-    document::{DocumentName, Version},
-    route::ROUTE_IMPORTANCE_MAX,
-};
+use laurelstall_config::route::ROUTE_IMPORTANCE_MAX;
 use laurelstall_guard::{
     clock::Clock,
     refusal::{Refusal, RefusalReason},
@@ -34,6 +31,8 @@
 use std::sync::Arc;
 use tokio::time::{sleep_until, timeout_at};
 
+mod notes;
+
 /// A hint younger than this is not asked for anew, in µs.
 const HINT_FRESH_US: u64 = 15_000;
 
@@ -427,102 +426,6 @@
         is_granted
     }
 
-    /// Tells the balancer and the decision log how an attempt ended.
-    fn note_outcome(&mut self, destination: &Destination, answer: &AttemptAnswer) {
-        let now_us = self.context.clock.now_us();
-        let took_us = now_us.saturating_sub(destination.sent_at_us);
-        if let Some(hint) = answer.hint {
-            let index = destination.choice.index;
-            self.service.balancer().take_hint(index, &destination.name, hint, now_us);
-        }
-        if let AttemptOutcome::NotRun(refusal) = &answer.outcome {
-            self.note_refusal(destination, refusal, now_us);
-        }
-        let (result, word) = match &answer.outcome {
-            AttemptOutcome::Answered { status, .. } if status.is_server_error() => {
-                (AttemptResult::Failed, "error")
-            }
-            AttemptOutcome::Answered { .. } => (AttemptResult::Good(took_us), "answered"),
-            AttemptOutcome::NotRun(refusal) => match refusal.reason {
-                // A target that sheds or takes no connection is to be avoided like one that fails.
-                RefusalReason::NoConnection | RefusalReason::Shed => {
-                    (AttemptResult::Failed, refusal.reason.word())
-                }
-                reason => (AttemptResult::NotRun, reason.word()),
-            },
-            AttemptOutcome::Unknown(_) => (AttemptResult::Failed, "unknown"),
-        };
-        observe_us(&self.context.latencies.attempts, took_us);
-        self.note(destination, result);
-        self.write_decision(destination, word, took_us);
-    }
-
-    /// A refusal tells of the target's queue, without any byte of the budget for observing.
-    fn note_refusal(&self, destination: &Destination, refusal: &Refusal, now_us: u64) {
-        let is_full = match refusal.reason {
-            RefusalReason::QueueFull | RefusalReason::Busy => true,
-            RefusalReason::HandedBack => false,
-            RefusalReason::Slow => {
-                let mut balancer = self.service.balancer();
-                let index = destination.choice.index;
-                balancer.note_slow(index, &destination.name, refusal.slowness_percent, now_us);
-                return;
-            }
-            _ => return,
-        };
-        let mut balancer = self.service.balancer();
-        balancer.note_queueing(destination.choice.index, &destination.name, is_full, now_us);
-    }
-
-    fn note(&self, destination: &Destination, result: AttemptResult) {
-        let now_us = self.context.clock.now_us();
-        let class = self.request.class;
-        let ejected = {
-            let mut balancer = self.service.balancer();
-            balancer.note_result(destination.choice.index, &destination.name, class, result, now_us)
-        };
-        if let Some(ejected) = ejected {
-            log::info!(
-                "target {} of {} ejected for the {}. time: error rate {:.2}, latency {} us",
-                ejected.target,
-                self.service.name,
-                ejected.times,
-                ejected.error_rate,
-                ejected.latency_us,
-            );
-        }
-    }
-
-    fn write_decision(&self, destination: &Destination, outcome: &str, took_us: u64) {
-        if !self.context.decisions.is_on() {
-            return;
-        }
-        self.context.decisions.write(Decision {
-            call: self.request.id,
-            request_id: self.request.request_id.clone(),
-            attempt: self.attempts,
-            importance: self.importance(),
-            is_return: self.request.is_return,
-            left_us: self.request.deadline_us.saturating_sub(destination.sent_at_us),
-            service: self.service.name.clone(),
-            version: self.policy_version(),
-            fleet_version: self.in_force.configuration.version(&DocumentName::Fleet),
-            target: destination.name.clone(),
-            why: destination.why.clone(),
-            expected_us: destination.choice.score_us as u64,
-            hint_age_us: destination.hint_age_us,
-            runner_up: destination.runner_up.clone(),
-            targets: destination.targets,
-            outcome: outcome.to_owned(),
-            took_us,
-        });
-    }
-
-    fn policy_version(&self) -> Version {
-        let team = self.service.name.split('/').next().unwrap_or_default();
-        self.in_force.configuration.version(&DocumentName::Team(team.to_owned()))
-    }
-
     fn give_up(&mut self, reason: RefusalReason) -> CallOutcome {
         if let Some(Spare { status, headers, body }) = self.spare.take() {
             return CallOutcome::Answered { status, headers, body };
--- /dev/null
+++ b/crates/laurelstall_node/src/entry/reading.rs
@@ -0,0 +1,122 @@
+//! From an HTTP request to the call that it makes.
+
+use super::{Entry, Rejection, bad_number, read_ticket};
+use crate::{
+    body::{Collected, collect, idle_body},
+    call_request::CallRequest,
+    dialect::CallFacts,
+    headers::{read_number, strip_request, text_value},
+};
+use http::{StatusCode, request::Parts};
+use http_body_util::BodyExt;
+use laurelstall_peer::{attempt::AttemptBody, body::AnswerBody, client::headers_to_wire};
+use laurelstall_policy::plan::Route;
+use std::sync::PoisonError;
+use tokio::time::Duration;
+
+/// How long the start of a body is waited for before it is passed on as a stream.
+const COLLECT_PATIENCE: Duration = Duration::from_millis(20);
+
+impl Entry {
+    pub(super) async fn read_call(
+        &self,
+        id: u64,
+        mut parts: Parts,
+        body: AnswerBody,
+        route: Route,
+        depth: u64,
+        full_name: &str,
+    ) -> Result<CallRequest, Rejection> {
+        let ticket = read_ticket(&parts, full_name)?;
+        let request_id = self.context.dialect.request_id(&parts.headers).unwrap_or_default().to_owned();
+        let budget_ms = self.budget_ms(&parts, &route)?;
+        let now_us = self.context.clock.now_us();
+        let deadline_us = now_us + budget_ms * 1_000;
+        let parent_useful_until_us = self.parent_useful_until_us(&parts);
+        let is_nested = depth > 0 || parent_useful_until_us.is_some();
+        let is_return = !is_nested && self.is_return(&parts, &route)?;
+        let objective_ms = route.latency_objective_ms;
+        let useful_until_us = objective_ms
+            .map(|ms| (now_us + ms * 1_000).max(parent_useful_until_us.unwrap_or(0)).min(deadline_us));
+        let body = self.read_body(&parts, body, ticket.is_some()).await?;
+        let is_whole = matches!(body, AttemptBody::Whole(_));
+        strip_request(&mut parts.headers, is_whole);
+        if let Some(authority) = parts.uri.authority() {
+            // An HTTP/2 request names its host outside the header fields.
+            parts.headers.insert(http::header::HOST, text_value(authority.as_str()));
+        }
+        let facts = CallFacts { call_id: id, depth: depth + 1, caller_service: &self.own_service };
+        self.context.dialect.write_call(&mut parts.headers, &facts);
+        let uri = parts.uri.path_and_query().map_or("/", |path| path.as_str()).to_owned();
+        Ok(CallRequest {
+            id,
+            request_id,
+            method: parts.method.as_str().to_owned(),
+            uri,
+            headers: headers_to_wire(&parts.headers),
+            body,
+            class: route.class,
+            is_nested,
+            is_return,
+            route,
+            deadline_us,
+            useful_until_us,
+            ticket,
+        })
+    }
+
+    /// Until when the answer to the request has its full worth that the own target runs and makes
+    /// this call for; none when it makes it for none.
+    fn parent_useful_until_us(&self, parts: &Parts) -> Option<u64> {
+        let parent = self.context.dialect.parent_request_id(&parts.headers)?;
+        self.running.useful_until_us(parent)
+    }
+
+    fn budget_ms(&self, parts: &Parts, route: &Route) -> Result<u64, Rejection> {
+        let asked = self.context.dialect.budget_ms(&parts.headers).map_err(bad_number)?;
+        let limits = self.limits.now();
+        let decided = route.budget_ms.unwrap_or(limits.budget_default_ms);
+        Ok(asked.unwrap_or(decided).min(decided).min(limits.budget_max_ms))
+    }
+
+    /// Whether a caller's call comes back after an earlier attempt, by the time it has left.
+    fn is_return(&self, parts: &Parts, route: &Route) -> Result<bool, Rejection> {
+        let asked_ms = self.context.dialect.budget_ms(&parts.headers).map_err(bad_number)?;
+        let Some(asked_ms) = asked_ms else { return Ok(false) };
+        let mut budgets = self.budgets.lock().unwrap_or_else(PoisonError::into_inner);
+        Ok(budgets.note(route.class, asked_ms))
+    }
+
+    async fn read_body(
+        &self,
+        parts: &Parts,
+        body: AnswerBody,
+        has_ticket: bool,
+    ) -> Result<AttemptBody, Rejection> {
+        let length = read_number(&parts.headers, &http::header::CONTENT_LENGTH).map_err(bad_number)?;
+        let limits = self.limits.now();
+        let most = limits.body_bytes;
+        if most > 0 && length.is_some_and(|length| length > most) {
+            return Err(Rejection::new(StatusCode::PAYLOAD_TOO_LARGE, "body too large"));
+        }
+        let body = match most {
+            0 => body,
+            most => http_body_util::Limited::new(body, most as usize).boxed_unsync(),
+        };
+        let idle = Duration::from_millis(limits.idle_timeout_ms);
+        let body = idle_body(body, idle);
+        let patience = if has_ticket { idle } else { COLLECT_PATIENCE };
+        let collected = collect(body, limits.replay_bytes, patience).await;
+        match collected {
+            Ok(Collected::Whole(bytes)) => Ok(AttemptBody::Whole(bytes)),
+            Ok(Collected::Partial(_)) if has_ticket => {
+                Err(Rejection::new(StatusCode::PAYLOAD_TOO_LARGE, "body too large or slow for a ticket"))
+            }
+            Ok(Collected::Partial(rest)) => Ok(AttemptBody::Stream(rest)),
+            Err(error) if error.is::<http_body_util::LengthLimitError>() => {
+                Err(Rejection::new(StatusCode::PAYLOAD_TOO_LARGE, "body too large"))
+            }
+            Err(_) => Err(Rejection::new(StatusCode::BAD_REQUEST, "body broke off")),
+        }
+    }
+}
--- a/crates/laurelstall_node/src/target_guard.rs
+++ b/crates/laurelstall_node/src/target_guard.rs
@@ -2,10 +2,9 @@
 
 use crate::{
     active::{Active, InForce},
-    body::{Collected, WatchedBody, collect, whole},
+    body::{Collected, collect},
     counters::{Counters, count},
-    dialect::{AnswerKind, AttemptFacts, HeaderDialect},
-    headers::strip_hop_by_hop,
+    dialect::{AttemptFacts, HeaderDialect},
     metrics::{Latencies, observe_us},
     observer::Observer,
     pace_look::{Looker, PaceLook},
@@ -16,7 +15,6 @@
 use bytes::Bytes;
 use futures_util::future::{BoxFuture, FutureExt};
 use http::{HeaderMap, Response};
-use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use laurelstall_balance::hint::{Hint, TargetState};
 use laurelstall_config::{
@@ -34,7 +32,7 @@
 };
 use laurelstall_peer::{
     attempt::{Admission, Attempt, AttemptAnswer, AttemptBody, AttemptHandler, AttemptOutcome},
-    body::{AnswerBody, BodyError},
+    body::AnswerBody,
     client::headers_from_wire,
     message::{AttemptHead, BodyKind, PeerAnswer, TicketsRequest},
 };
@@ -44,14 +42,11 @@
 };
 use tokio::time::{Duration, timeout, timeout_at};
 
+mod answers;
+
 /// Queue of a guard that stands in for none at all, behind a plain balancer.
 const PLAIN_QUEUE_LENGTH: usize = 100_000;
 
-/// Longest answer that is read whole before it is passed on, in bytes.
-const WHOLE_ANSWER_BYTES_MAX: usize = 64 * 1024;
-/// Longest wait for the whole of a short answer; a slower one is passed on as it comes.
-const WHOLE_ANSWER_PATIENCE: Duration = Duration::from_millis(200);
-
 /// Longest body that comes with the word to go, in bytes: as much as an entry may keep of one.
 const GO_BYTES_MAX: usize = 1024 * 1024;
 /// Longest that a reserved slot waits for the word to go.
@@ -427,77 +422,6 @@
             }
         }
     }
-
-    /// Reads an answer whole if it is small, so that one that breaks off costs the caller nothing
-    /// but time; a longer one is passed on as it comes.
-    async fn read_response(self: &Arc<Self>, answered: Answered, limits: &ServiceLimits) -> AttemptAnswer {
-        let Answered { request, response, connection, permit } = answered;
-        let (parts, body) = response.into_parts();
-        let status = parts.status;
-        let mut headers = parts.headers;
-        if let Some(load) = self.dialect.load(&headers) {
-            self.guard.note_slowness(load.slowness_percent);
-        }
-        let refusal = match self.dialect.answer_kind(&request, status, &headers, limits.shed_status) {
-            AnswerKind::Ran => None,
-            AnswerKind::Shed => Some(RefusalReason::Shed),
-            AnswerKind::OtherTarget => Some(RefusalReason::OtherTarget),
-            AnswerKind::Foreign => {
-                permit.release_uncounted();
-                return unknown("the target answered another request");
-            }
-        };
-        if let Some(reason) = refusal {
-            permit.release_uncounted();
-            if reason == RefusalReason::Shed {
-                self.guard.note_shed();
-            }
-            return refused(reason, None);
-        }
-        strip_hop_by_hop(&mut headers);
-        let body = body.map_err(BodyError::from).boxed_unsync();
-        let outcome = match collect(body, WHOLE_ANSWER_BYTES_MAX, WHOLE_ANSWER_PATIENCE).await {
-            Ok(Collected::Whole(bytes)) => {
-                drop(permit);
-                if let Some(connection) = connection {
-                    connection.give_back();
-                }
-                AttemptOutcome::Answered { status, headers, body: whole(bytes) }
-            }
-            Ok(Collected::Partial(body)) => {
-                let body = self.watched_body(body, permit, connection);
-                AttemptOutcome::Answered { status, headers, body }
-            }
-            Err(_) => {
-                count(&self.counters.bodies_broken);
-                permit.release_uncounted();
-                AttemptOutcome::Unknown("answer broke off")
-            }
-        };
-        AttemptAnswer::new(outcome)
-    }
-
-    /// An answer's body that frees slot and connection when it ends.
-    fn watched_body(
-        &self,
-        body: AnswerBody,
-        permit: Permit,
-        connection: Option<UsedConnection>,
-    ) -> AnswerBody {
-        let counters = self.counters.clone();
-        let body = WatchedBody::new(body, move |is_whole| {
-            if is_whole {
-                drop(permit);
-                if let Some(connection) = connection {
-                    connection.give_back();
-                }
-            } else {
-                count(&counters.bodies_broken);
-                permit.release_uncounted();
-            }
-        });
-        body.boxed_unsync()
-    }
 }
 
 /// A target's answer with what was held for it.
--- a/crates/laurelstall_peer/src/spread.rs
+++ b/crates/laurelstall_peer/src/spread.rs
@@ -14,10 +14,7 @@
     spread_state::{PartnerState, SpreadCounts},
     store::{Acceptor, Offer, Store},
 };
-use futures_util::{
-    future::{Either, select},
-    stream::{FuturesUnordered, StreamExt},
-};
+use futures_util::stream::{FuturesUnordered, StreamExt};
 use laurelstall_config::{
     document::{Document, DocumentName, Version},
     fleet::Fleet,
@@ -28,7 +25,6 @@
 use std::{
     collections::HashMap,
     net::{IpAddr, SocketAddr},
-    pin::pin,
     sync::{
         Arc, Mutex, MutexGuard, PoisonError,
         atomic::{AtomicBool, AtomicU64, Ordering},
@@ -36,9 +32,12 @@
 };
 use tokio::{
     sync::{Mutex as AsyncMutex, Notify},
-    time::{Duration, sleep, timeout},
+    time::{Duration, sleep},
 };
 
+mod joining;
+mod platform_news;
+
 /// Most documents in one pull.
 const PULL_ITEMS_MAX: usize = 64;
 /// Random pause before a change is offered on, in ms: spreads a burst.
@@ -51,24 +50,8 @@
 const ROLE_CHECK_MS: u64 = 1_000;
 /// Reads of the whole fleet together, on average, in each `fallback_read_after_ms`.
 const FALLBACK_READS: f64 = 16.0;
-/// How long a joining node waits for peers and platform before it takes what it has.
-pub const JOIN_TIMEOUT: Duration = Duration::from_secs(3);
-/// How long a joining node waits for its seeds before it reads the platform besides.
-const SEEDS_PATIENCE: Duration = Duration::from_millis(150);
-/// Age of a read of the platform up to which the peers that heard of it have the newest there is.
-const FRESH_READ_AGE_MS: u64 = 4_000;
-/// How much longer a joining node that has documents from peers waits for the platform.
-const PLATFORM_PATIENCE: Duration = Duration::from_millis(300);
-/// How long a joining node waits for its peers when a seed has brought documents.
-const PEERS_PATIENCE: Duration = Duration::from_millis(300);
-/// Time without a read of the platform that a failing reader heard of, from which it was away, in ms.
-const OUTAGE_MIN_MS: u64 = 3_500;
-/// Two returns of the platform that are noticed within so long are one, in ms.
-const SAME_RETURN_MS: u64 = 3_000;
 /// Partners whose last exchange is remembered.
 const PARTNER_STATES_MAX: usize = 64;
-/// Peers that a joining node asks.
-const JOIN_PEERS: usize = 5;
 
 /// Who this node is.
 #[derive(Debug, Clone)]
@@ -177,81 +160,17 @@
         is_reader(&fleet, &self.options.host, &self.options.data_centre, count)
     }
 
-    /// Whether this node reads the platform while nobody knows the fleet: if others ask it, or if it
-    /// has nobody to ask.
-    fn reads_first(&self) -> bool {
-        let seeds = self.seeds.lock().unwrap_or_else(PoisonError::into_inner);
-        seeds.is_empty() || seeds.contains(&self.options.peer_address)
-    }
-
     /// Whether this node asked around before it served.
     pub fn is_joined(&self) -> bool {
         self.is_joined.load(Ordering::Relaxed)
     }
 
-    /// Since a platform read that this node heard of, in ms.
-    pub fn platform_read_age_ms(&self) -> u64 {
-        match self.platform_read_us.load(Ordering::Relaxed) {
-            0 => u64::from(u32::MAX),
-            read_us => self.clock.now_us().saturating_sub(read_us) / 1_000,
-        }
-    }
-
     /// How each partner stood at the last exchange.
     pub fn partner_states(&self) -> Vec<(SocketAddr, PartnerState)> {
         let states = self.partner_states.lock().unwrap_or_else(PoisonError::into_inner);
         states.iter().map(|(address, state)| (*address, *state)).collect()
     }
 
-    /// Asks platform and peers for what they have and takes the newest of each document.
-    ///
-    /// The platform's word is the newest there is. That of peers does as well while some node reads
-    /// the platform, and costs no call there; without the platform it has to do. Returns when one
-    /// of them gave it, or [`JOIN_TIMEOUT`] is over; a node without any document goes on asking in
-    /// [`run`](Self::run).
-    pub async fn join(&self) {
-        // A part that did not answer in time is caught up with by the exchanges.
-        let _ = timeout(JOIN_TIMEOUT, self.ask_platform_and_peers()).await;
-        self.is_joined.store(true, Ordering::Relaxed);
-    }
-
-    async fn ask_platform_and_peers(&self) {
-        let mut peers = pin!(self.ask_seeds_and_peers());
-        if !self.reads_first() {
-            let answered = timeout(SEEDS_PATIENCE, peers.as_mut()).await;
-            if self.has_documents() && self.platform_read_age_ms() < FRESH_READ_AGE_MS {
-                return;
-            }
-            if answered.is_ok() {
-                let _ = self.read_platform(None).await;
-                return;
-            }
-        }
-        let platform = pin!(self.read_platform(None));
-        match select(platform, peers).await {
-            Either::Left((Ok(_), _)) => {}
-            Either::Left((Err(_), peers)) => peers.await,
-            Either::Right(((), platform)) if self.has_documents() => {
-                let _ = timeout(PLATFORM_PATIENCE, platform).await;
-            }
-            Either::Right(((), platform)) => drop(platform.await),
-        }
-    }
-
-    /// Asks seeds until one brings documents, then some of the peers that these list.
-    ///
-    /// A seed or peer without power says nothing: the others are not held up by it.
-    async fn ask_seeds_and_peers(&self) {
-        let mut seeds = self.exchange_with_each(self.other_seeds());
-        while seeds.next().await.is_some() {
-            if self.has_documents() {
-                break;
-            }
-        }
-        let peers = self.exchange_with_each(self.partners().into_iter().take(JOIN_PEERS));
-        let _ = timeout(PEERS_PATIENCE, peers.count()).await;
-    }
-
     fn exchange_with_each(
         &self,
         addresses: impl IntoIterator<Item = SocketAddr>,
@@ -348,47 +267,6 @@
         }
     }
 
-    fn note_platform_age(&self, age_ms: u64) {
-        let read_us = self.clock.now_us().saturating_sub(age_ms.saturating_mul(1_000));
-        self.platform_read_us.fetch_max(read_us, Ordering::Relaxed);
-    }
-
-    /// Takes another node's news from the platform.
-    fn note_news(&self, theirs: &Exchange) {
-        if let Some(age_ms) = theirs.platform_return_age_ms {
-            self.note_platform_return(self.clock.now_us().saturating_sub(age_ms.saturating_mul(1_000)));
-        }
-        self.note_platform_age(theirs.platform_read_age_ms);
-    }
-
-    /// Notes that this node read the platform; if nobody could for long, that it is back.
-    fn note_platform_read(&self) {
-        let now_us = self.clock.now_us();
-        let was_failing = self.is_read_failing.swap(false, Ordering::Relaxed);
-        if was_failing && self.platform_read_age_ms() > OUTAGE_MIN_MS {
-            self.note_platform_return(now_us);
-        }
-        self.platform_read_us.store(now_us, Ordering::Relaxed);
-    }
-
-    /// Notes that the platform came back at `returned_us`; what others say of the same return adds
-    /// nothing.
-    fn note_platform_return(&self, returned_us: u64) {
-        let before_us = self.platform_return_us.load(Ordering::Relaxed);
-        if before_us > 0 && returned_us < before_us + SAME_RETURN_MS * 1_000 {
-            return;
-        }
-        self.platform_return_us.store(returned_us.max(1), Ordering::Relaxed);
-        if self.clock.now_us().saturating_sub(returned_us) < SAME_RETURN_MS * 1_000 {
-            self.acceptor.expect_lapsed();
-        }
-    }
-
-    fn platform_return_age_ms(&self) -> Option<u64> {
-        let returned_us = self.platform_return_us.load(Ordering::Relaxed);
-        (returned_us > 0).then(|| self.clock.now_us().saturating_sub(returned_us) / 1_000)
-    }
-
     async fn read_loop(&self) {
         let mut after = None;
         let mut failures = 0;
--- /dev/null
+++ b/crates/laurelstall_peer/src/spread/joining.rs
@@ -0,0 +1,83 @@
+//! What a node does before it serves: it asks platform and peers for the newest there is.
+
+use super::Spread;
+use futures_util::{
+    future::{Either, select},
+    stream::StreamExt,
+};
+use std::{
+    pin::pin,
+    sync::{PoisonError, atomic::Ordering},
+};
+use tokio::time::{Duration, timeout};
+
+/// How long a joining node waits for peers and platform before it takes what it has.
+const JOIN_TIMEOUT: Duration = Duration::from_secs(3);
+/// How long a joining node waits for its seeds before it reads the platform besides.
+const SEEDS_PATIENCE: Duration = Duration::from_millis(150);
+/// Age of a read of the platform up to which the peers that heard of it have the newest there is.
+const FRESH_READ_AGE_MS: u64 = 4_000;
+/// How much longer a joining node that has documents from peers waits for the platform.
+const PLATFORM_PATIENCE: Duration = Duration::from_millis(300);
+/// How long a joining node waits for its peers when a seed has brought documents.
+const PEERS_PATIENCE: Duration = Duration::from_millis(300);
+/// Peers that a joining node asks.
+const JOIN_PEERS: usize = 5;
+
+impl Spread {
+    /// Whether this node reads the platform while nobody knows the fleet: if others ask it, or if it
+    /// has nobody to ask.
+    pub(super) fn reads_first(&self) -> bool {
+        let seeds = self.seeds.lock().unwrap_or_else(PoisonError::into_inner);
+        seeds.is_empty() || seeds.contains(&self.options.peer_address)
+    }
+
+    /// Asks platform and peers for what they have and takes the newest of each document.
+    ///
+    /// The platform's word is the newest there is. That of peers does as well while some node reads
+    /// the platform, and costs no call there; without the platform it has to do. Returns when one
+    /// of them gave it, or [`JOIN_TIMEOUT`] is over; a node without any document goes on asking in
+    /// [`run`](Self::run).
+    pub async fn join(&self) {
+        // A part that did not answer in time is caught up with by the exchanges.
+        let _ = timeout(JOIN_TIMEOUT, self.ask_platform_and_peers()).await;
+        self.is_joined.store(true, Ordering::Relaxed);
+    }
+
+    async fn ask_platform_and_peers(&self) {
+        let mut peers = pin!(self.ask_seeds_and_peers());
+        if !self.reads_first() {
+            let answered = timeout(SEEDS_PATIENCE, peers.as_mut()).await;
+            if self.has_documents() && self.platform_read_age_ms() < FRESH_READ_AGE_MS {
+                return;
+            }
+            if answered.is_ok() {
+                let _ = self.read_platform(None).await;
+                return;
+            }
+        }
+        let platform = pin!(self.read_platform(None));
+        match select(platform, peers).await {
+            Either::Left((Ok(_), _)) => {}
+            Either::Left((Err(_), peers)) => peers.await,
+            Either::Right(((), platform)) if self.has_documents() => {
+                let _ = timeout(PLATFORM_PATIENCE, platform).await;
+            }
+            Either::Right(((), platform)) => drop(platform.await),
+        }
+    }
+
+    /// Asks seeds until one brings documents, then some of the peers that these list.
+    ///
+    /// A seed or peer without power says nothing: the others are not held up by it.
+    async fn ask_seeds_and_peers(&self) {
+        let mut seeds = self.exchange_with_each(self.other_seeds());
+        while seeds.next().await.is_some() {
+            if self.has_documents() {
+                break;
+            }
+        }
+        let peers = self.exchange_with_each(self.partners().into_iter().take(JOIN_PEERS));
+        let _ = timeout(PEERS_PATIENCE, peers.count()).await;
+    }
+}
--- /dev/null
+++ b/crates/laurelstall_peer/src/spread/platform_news.rs
@@ -0,0 +1,61 @@
+//! What a node knows of the platform itself: when it was read last, and when it came back.
+
+use super::Spread;
+use crate::message::Exchange;
+use std::sync::atomic::Ordering;
+
+/// Time without a read of the platform that a failing reader heard of, from which it was away, in ms.
+const OUTAGE_MIN_MS: u64 = 3_500;
+/// Two returns of the platform that are noticed within so long are one, in ms.
+const SAME_RETURN_MS: u64 = 3_000;
+
+impl Spread {
+    /// Since a platform read that this node heard of, in ms.
+    pub fn platform_read_age_ms(&self) -> u64 {
+        match self.platform_read_us.load(Ordering::Relaxed) {
+            0 => u64::from(u32::MAX),
+            read_us => self.clock.now_us().saturating_sub(read_us) / 1_000,
+        }
+    }
+
+    pub(super) fn note_platform_age(&self, age_ms: u64) {
+        let read_us = self.clock.now_us().saturating_sub(age_ms.saturating_mul(1_000));
+        self.platform_read_us.fetch_max(read_us, Ordering::Relaxed);
+    }
+
+    /// Takes another node's news from the platform.
+    pub(super) fn note_news(&self, theirs: &Exchange) {
+        if let Some(age_ms) = theirs.platform_return_age_ms {
+            self.note_platform_return(self.clock.now_us().saturating_sub(age_ms.saturating_mul(1_000)));
+        }
+        self.note_platform_age(theirs.platform_read_age_ms);
+    }
+
+    /// Notes that this node read the platform; if nobody could for long, that it is back.
+    pub(super) fn note_platform_read(&self) {
+        let now_us = self.clock.now_us();
+        let was_failing = self.is_read_failing.swap(false, Ordering::Relaxed);
+        if was_failing && self.platform_read_age_ms() > OUTAGE_MIN_MS {
+            self.note_platform_return(now_us);
+        }
+        self.platform_read_us.store(now_us, Ordering::Relaxed);
+    }
+
+    /// Notes that the platform came back at `returned_us`; what others say of the same return adds
+    /// nothing.
+    fn note_platform_return(&self, returned_us: u64) {
+        let before_us = self.platform_return_us.load(Ordering::Relaxed);
+        if before_us > 0 && returned_us < before_us + SAME_RETURN_MS * 1_000 {
+            return;
+        }
+        self.platform_return_us.store(returned_us.max(1), Ordering::Relaxed);
+        if self.clock.now_us().saturating_sub(returned_us) < SAME_RETURN_MS * 1_000 {
+            self.acceptor.expect_lapsed();
+        }
+    }
+
+    pub(super) fn platform_return_age_ms(&self) -> Option<u64> {
+        let returned_us = self.platform_return_us.load(Ordering::Relaxed);
+        (returned_us > 0).then(|| self.clock.now_us().saturating_sub(returned_us) / 1_000)
+    }
+}
