A list that comes when the time of kept targets is over is not taken back

Cause: found in reading: a list taken after the two seconds but before their timer ran was replaced by the one before it when the timer ran; the configuration went back. Change: such a list ends the keeping; a second return before that adds nothing.

--- a/crates/laurelstall_node/src/active.rs
+++ b/crates/laurelstall_node/src/active.rs
@@ -98,9 +98,9 @@
     /// run out.
     fn with_lapsed(&self, listed: Fleet, before: &Fleet) -> Fleet {
         let mut lapsed = self.lapsed();
-        let Some(lapsed) = lapsed.as_mut().filter(|lapsed| Instant::now() < lapsed.until) else {
-            return listed;
-        };
+        // A list that comes when their time is over is taken as it is.
+        lapsed.take_if(|lapsed| Instant::now() >= lapsed.until);
+        let Some(lapsed) = lapsed.as_mut() else { return listed };
         lapsed.listed = Arc::new(listed);
         let Some(kept) = lapsed.listed.with_lost_targets(before) else { return (*lapsed.listed).clone() };
         let missing = kept.targets.len() - lapsed.listed.targets.len();
@@ -177,7 +177,7 @@
     fn expect_lapsed(&self) {
         let now = Instant::now();
         let mut lapsed = self.lapsed();
-        if lapsed.as_ref().is_some_and(|lapsed| now < lapsed.until) {
+        if lapsed.is_some() {
             return;
         }
         let listed = self.in_force.load().configuration.fleet.clone();
--- a/crates/laurelstall_node/tests/lapsed.rs
+++ b/crates/laurelstall_node/tests/lapsed.rs
@@ -61,3 +61,14 @@
     active.accept(&list(2, &[("d", "h-b", "live")])).expect("it is a list");
     assert_eq!(targets(&active), ["c", "d"]);
 }
+
+#[tokio::test(start_paused = true)]
+async fn a_list_that_comes_when_their_time_is_over_is_not_taken_back() {
+    let active = active_with(&list(1, &[("a", "h-a", "live"), ("b", "h-b", "live")]));
+    active.expect_lapsed();
+    active.accept(&list(2, &[("a", "h-a", "live")])).expect("it is a list");
+    advance(Duration::from_millis(2_100)).await;
+    active.accept(&list(3, &[("a", "h-a", "live"), ("c", "h-c", "live")])).expect("it is a list");
+    assert!(timeout(A_MOMENT, active.drop_lapsed()).await.is_err(), "there is nothing left to drop");
+    assert_eq!(targets(&active), ["a", "c"]);
+}
