A call that a busy target refused leaves its data centre at no cost

Ruled out: the rolling restart, lost answers (both everywhere alike). Change: after a refusal for load the next choice does not count that cost.

--- a/crates/laurelstall_balance/src/chooser.rs
+++ b/crates/laurelstall_balance/src/chooser.rs
@@ -67,6 +67,8 @@
     pub class_us: Option<f64>,
     /// Time left in which the answer has its full worth in µs, if anything says so.
     pub useful_us: Option<f64>,
+    /// Whether leaving the data centre costs nothing now.
+    pub may_leave_free: bool,
     /// The service's usual share of slots in use, for the same.
     pub usual_load: f64,
     /// Own calls in flight at each target of the service, on average.
--- a/crates/laurelstall_balance/src/least_wait.rs
+++ b/crates/laurelstall_balance/src/least_wait.rs
@@ -110,7 +110,7 @@
 /// Calls that nobody set an objective for lose nothing but time.
 fn loss_us(view: &TargetView, context: &ChoosingContext<'_>) -> f64 {
     let expected_us = expected_us(view, context);
-    let change = f64::from(view.change_percent) / 100.0;
+    let change = if context.may_leave_free { 0.0 } else { f64::from(view.change_percent) / 100.0 };
     match context.useful_us {
         None => expected_us + change * context.class_us.unwrap_or(context.usual_us),
         Some(useful_us) => {
--- a/crates/laurelstall_balance/src/service_balancer.rs
+++ b/crates/laurelstall_balance/src/service_balancer.rs
@@ -71,6 +71,9 @@
     pub class: CallClass,
     /// Time left in which the answer has its full worth in µs; none when nothing says so.
     pub useful_us: Option<u64>,
+    /// Whether leaving the data centre costs nothing: targets refused the call for their load, and it
+    /// would be lost here.
+    pub may_leave_free: bool,
     /// Now, in µs of the entry's monotonic clock.
     pub now_us: u64,
 }
@@ -151,6 +154,7 @@
             slow_start_us: self.limits.slow_start_ms * 1_000,
             usual_us: self.usual_us,
             class_us: self.times.mean_us(choosing.class),
+            may_leave_free: choosing.may_leave_free,
             useful_us: choosing.useful_us.map(|useful_us| useful_us as f64),
             usual_load: self.usual_load,
             own_mean,
--- a/crates/laurelstall_balance/tests/decisions.rs
+++ b/crates/laurelstall_balance/tests/decisions.rs
@@ -39,7 +39,14 @@
 
 fn choose(balancer: &mut ServiceBalancer, now_us: u64) -> Option<usize> {
     balancer
-        .choose(&Choosing { excluded: &[], only: None, class: 0, useful_us: None, now_us })
+        .choose(&Choosing {
+            excluded: &[],
+            only: None,
+            class: 0,
+            useful_us: None,
+            may_leave_free: false,
+            now_us,
+        })
         .map(|choice| choice.index)
 }
 
@@ -240,6 +247,7 @@
                     only: None,
                     class: 0,
                     useful_us: None,
+                    may_leave_free: false,
                     now_us,
                 });
                 let Some(choice) = choice else { continue };
@@ -303,7 +311,14 @@
         balancer.take_hint(0, "t-0", near, START_US);
         balancer.take_hint(1, "t-1", hint(0, 0), START_US);
         let useful_us = Some(useful_ms * 1_000);
-        let choosing = Choosing { excluded: &[], only: None, class: 0, useful_us, now_us: START_US };
+        let choosing = Choosing {
+            excluded: &[],
+            only: None,
+            class: 0,
+            useful_us,
+            may_leave_free: false,
+            now_us: START_US,
+        };
         balancer.choose(&choosing).expect("a target").index
     };
     // Calls take 10 ms there, and 4 times that while the near target is slow.
@@ -378,3 +393,22 @@
     });
     assert_eq!(far.count(), 0);
 }
+
+#[test]
+fn a_call_that_busy_targets_refused_leaves_its_data_centre() {
+    let mut balancer = balancer(3, ServiceLimits::default());
+    let mut listed = views(3);
+    listed[2].change_percent = 90;
+    balancer.set_targets(ServiceLimits::default(), listed);
+    balancer.take_hint(0, "t-0", hint(12, 12), START_US);
+    balancer.take_hint(1, "t-1", hint(12, 6), START_US);
+    balancer.take_hint(2, "t-2", hint(0, 0), START_US);
+    let mut choose = |may_leave_free: bool| {
+        let useful_us = Some(20_000);
+        let choosing =
+            Choosing { excluded: &[0], only: None, class: 0, useful_us, may_leave_free, now_us: START_US };
+        balancer.choose(&choosing).expect("a target").index
+    };
+    assert_eq!(choose(false), 1, "a near one is tried first");
+    assert_eq!(choose(true), 2, "then it goes where there is room");
+}
--- a/crates/laurelstall_node/benches/decisions.rs
+++ b/crates/laurelstall_node/benches/decisions.rs
@@ -56,7 +56,14 @@
         for index in 0..targets {
             balancer.take_hint(index, &format!("target-{index}"), hint(index as u32 % 12), 1_000_000);
         }
-        let choosing = Choosing { excluded: &[], only: None, class: 0, useful_us: None, now_us: 1_001_000 };
+        let choosing = Choosing {
+            excluded: &[],
+            only: None,
+            class: 0,
+            useful_us: None,
+            may_leave_free: false,
+            now_us: 1_001_000,
+        };
         criterion.bench_function(&format!("choice among {targets}"), |b| {
             b.iter(|| balancer.choose(black_box(&choosing)))
         });
--- a/crates/laurelstall_node/src/call.rs
+++ b/crates/laurelstall_node/src/call.rs
@@ -165,7 +165,8 @@
         let only = self.request.ticket.as_ref().map(|ticket| ticket.target.as_str());
         let useful_us = self.request.useful_until_us.map(|until_us| until_us.saturating_sub(now_us));
         let class = self.request.class;
-        let choosing = Choosing { excluded: &self.excluded, only, class, useful_us, now_us };
+        let may_leave_free = self.refusals > 0;
+        let choosing = Choosing { excluded: &self.excluded, only, class, useful_us, may_leave_free, now_us };
         let mut balancer = self.service.balancer();
         let choice = balancer.choose(&choosing)?;
         let is_logged = self.context.decisions.is_on();
--- a/crates/laurelstall_node/src/entry.rs
+++ b/crates/laurelstall_node/src/entry.rs
@@ -329,7 +329,14 @@
         let mut excluded = Vec::new();
         loop {
             let now_us = self.context.clock.now_us();
-            let choosing = Choosing { excluded: &excluded, only: None, class: 0, useful_us: None, now_us };
+            let choosing = Choosing {
+                excluded: &excluded,
+                only: None,
+                class: 0,
+                useful_us: None,
+                may_leave_free: false,
+                now_us,
+            };
             let chosen = {
                 let mut balancer = service.balancer();
                 let choice = balancer.choose(&choosing);
