A guard decides for each free slot: begin, hold, or elsewhere

Cause: how fast a target works at the instant when a call begins decides how long the whole call runs.

Change: a model of the target's pace (phases, their lengths, how far an old report is believed), the expected worth of beginning and of holding, questions to the target where a fresher report is worth its cost, and a second look at deadline, target list and drain at the end of a wait. The guard is split into its state, its waiting calls and its interface.

--- a/crates/laurelstall_config/src/team.rs
+++ b/crates/laurelstall_config/src/team.rs
@@ -25,6 +25,8 @@
     pub queue_per_slot: u32,
     /// Longest wait at one guard in ms.
     pub queue_wait_max_ms: u64,
+    /// Whether calls wait for a slow target to be quick again where that is worth more than to begin.
+    pub may_hold: bool,
     /// Most times a call is handed back while it waits; 0 turns handing back off.
     pub hand_backs_max: u32,
     /// What the limit on a target's concurrency starts at, in percent of its slots.
@@ -58,6 +60,7 @@
         Self {
             queue_per_slot: 4,
             queue_wait_max_ms: 1_000,
+            may_hold: true,
             hand_backs_max: 8,
             slots_start_percent: 100,
             slots_floor_percent: 100,
--- a/crates/laurelstall_guard/src/guard.rs
+++ b/crates/laurelstall_guard/src/guard.rs
@@ -2,23 +2,22 @@
 
 use crate::{
     clock::Clock,
-    limit_search::{LimitSearch, Measure},
-    pace::Pace,
     refusal::{Refusal, RefusalReason},
-    wait_queue::{Place, Rank, WaitQueue},
+    wait_queue::{Rank, Wake},
 };
 use laurelstall_balance::{class_times::CallClass, hint::USUAL_PERCENT};
-use std::{
-    collections::BTreeMap,
-    sync::{
-        Arc, Mutex, MutexGuard, PoisonError,
-        atomic::{AtomicBool, Ordering},
-    },
-};
-use tokio::{
-    sync::{Notify, oneshot},
-    time::{Instant, timeout_at},
+use state::{Looks, State};
+use std::sync::{
+    Arc, Mutex, MutexGuard, PoisonError,
+    atomic::{AtomicU64, Ordering},
 };
+use tokio::{sync::Notify, time::timeout_at};
+use waiting::{Entered, Wait, Waiting};
+
+mod state;
+mod waiting;
+
+pub use waiting::Permit;
 
 /// Limits of a guard, from the published configuration.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -33,6 +32,8 @@
     pub queue_length: usize,
     /// Longest wait in ms.
     pub queue_wait_max_ms: u64,
+    /// Whether calls are held while the target is slow.
+    pub may_hold: bool,
 }
 
 /// What a call asks of a guard.
@@ -72,76 +73,63 @@
     pub is_draining: bool,
 }
 
-/// Assumed run time before the first call, in µs.
-const RECENT_START_US: f64 = 5_000.0;
-/// Weight of a new run in the recent run time.
-const RECENT_WEIGHT: f64 = 0.15;
-/// Patience before any run was measured: the longest wait over this.
-const UNMEASURED_PATIENCE: u64 = 4;
-/// Smallest patience before a call is handed back, in µs.
-const PATIENCE_MIN_US: u64 = 1_000;
-
-#[derive(Debug)]
-struct State {
-    limit: LimitSearch,
-    /// Recent run time in µs at the target's usual pace.
-    recent_us: f64,
-    /// Whether any run was measured.
-    has_measured: bool,
-    pace: Pace,
-    limits: GuardLimits,
-    queue: WaitQueue,
-    /// Start times of running calls, by number, oldest first.
-    running: BTreeMap<u64, u64>,
-    next_run: u64,
-}
+/// How long after a target began to leave a call that was waiting there may still begin, in µs: such a
+/// target gets nothing new after seconds, and ends what it runs not long after.
+const DRAIN_START_MAX_US: u64 = 1_000_000;
+/// How far the wait of a call that is held beyond its useful time is extended at once, in µs.
+const HOLD_EXTENSION_US: u64 = 10_000;
 
 /// The gate before one target.
 #[derive(Debug)]
 pub struct Guard {
     clock: Clock,
     state: Mutex<State>,
-    is_draining: AtomicBool,
+    /// Since when nothing new is admitted, in µs of the clock; 0 while calls are admitted.
+    draining_since_us: AtomicU64,
     idle: Notify,
+    report_wanted: Notify,
 }
 
 impl Guard {
     /// A guard that takes calls at once.
     pub fn new(limits: GuardLimits, clock: Clock) -> Arc<Self> {
-        let state = State {
-            limit: LimitSearch::new(limits.slots, limits.slots_start_percent, limits.slots_floor_percent),
-            recent_us: RECENT_START_US,
-            has_measured: false,
-            pace: Pace::default(),
-            limits,
-            queue: WaitQueue::default(),
-            running: BTreeMap::new(),
-            next_run: 0,
-        };
         Arc::new(Self {
             clock,
-            state: Mutex::new(state),
-            is_draining: AtomicBool::new(false),
+            state: Mutex::new(State::new(limits)),
+            draining_since_us: AtomicU64::new(0),
             idle: Notify::new(),
+            report_wanted: Notify::new(),
         })
     }
 
     /// Puts new limits in force; calls that run or wait stay.
     pub fn set_limits(&self, limits: GuardLimits) {
         let mut state = self.lock();
-        state.limits = limits;
-        state.limit.set_slots(limits.slots, limits.slots_start_percent, limits.slots_floor_percent);
-        state.admit_waiting();
+        state.set_limits(limits);
+        state.admit_waiting(self.clock.now_us());
+    }
+
+    /// Says whether the target can be asked how fast it works; see [`Guard::report_wanted`].
+    pub fn set_can_look(&self, can_look: bool) {
+        let mut state = self.lock();
+        match (can_look, state.looks) {
+            (true, Looks::Impossible) => state.looks = Looks::NotBefore(0),
+            (false, _) => state.looks = Looks::Impossible,
+            _ => {}
+        }
     }
 
     /// Starts or ends draining: while it drains, nothing new is admitted.
     pub fn set_draining(&self, is_draining: bool) {
-        self.is_draining.store(is_draining, Ordering::SeqCst);
+        let since_us = if is_draining { self.clock.now_us() } else { 0 };
+        let keep_earlier = |known_us: u64| (known_us == 0 || !is_draining).then_some(since_us);
+        // An error says that the guard has been draining for longer: that stays.
+        let _ = self.draining_since_us.fetch_update(Ordering::SeqCst, Ordering::SeqCst, keep_earlier);
     }
 
     /// Whether nothing new is admitted.
     pub fn is_draining(&self) -> bool {
-        self.is_draining.load(Ordering::SeqCst)
+        self.draining_since_us.load(Ordering::SeqCst) != 0
     }
 
     /// Waits until nothing runs and nothing waits.
@@ -184,16 +172,24 @@
     ///
     /// A [`Refusal`]: the target has not seen a byte of the call.
     pub async fn admit(self: &Arc<Self>, ask: Ask) -> Result<Permit, Refusal> {
-        let (mut waiting, wait_until, is_patience) = match self.enter(&ask)? {
+        let mut wait = match self.enter(&ask)? {
             Entered::Running(permit) => return Ok(permit),
-            Entered::Waiting { waiting, wait_until, is_patience } => (waiting, wait_until, is_patience),
+            Entered::Waiting(wait) => wait,
         };
-        let woken = timeout_at(wait_until, &mut waiting.woken).await;
-        match woken {
-            Ok(Ok(())) => self.start_woken(waiting, &ask),
-            // The sender was dropped: a more important call took this place.
-            Ok(Err(_)) => Err(self.refusal(RefusalReason::QueueFull)),
-            Err(_) => self.leave_queue(waiting, &ask, is_patience),
+        self.report_wanted.notify_one();
+        loop {
+            match timeout_at(wait.until, &mut wait.waiting.woken).await {
+                Ok(Ok(Wake::Start)) => return self.start_woken(wait.waiting, &ask),
+                Ok(Ok(Wake::Refused(reason))) => {
+                    wait.waiting.is_in_queue = false;
+                    self.notify_if_idle();
+                    return Err(self.refusal(reason));
+                }
+                // The sender was dropped: a more important call took this place.
+                Ok(Err(_)) => return Err(self.refusal(RefusalReason::QueueFull)),
+                Err(_) if self.extend_hold(&mut wait, &ask) => {}
+                Err(_) => return self.leave_queue(wait.waiting, &ask, wait.is_patience),
+            }
         }
     }
 
@@ -205,13 +201,44 @@
     /// Learns how long work takes at the target now, in percent of the usual.
     pub fn note_slowness(&self, slowness_percent: u32) {
         let now_us = self.clock.now_us();
-        self.lock().pace.note(slowness_percent, now_us);
+        let mut state = self.lock();
+        state.pace.note(slowness_percent, now_us);
+        state.admit_waiting(now_us);
     }
 
-    /// Age of the target's last word on how long work takes, in µs; none when there was none.
-    pub fn pace_age_us(&self) -> Option<u64> {
+    /// Learns that the target did not tell its pace when it was asked.
+    pub fn note_look_failed(&self) {
         let now_us = self.clock.now_us();
-        self.lock().pace.age_us(now_us)
+        let mut state = self.lock();
+        state.note_look_failed(now_us);
+        state.admit_waiting(now_us);
+    }
+
+    /// Waits until a report of the target's pace would help to decide on a call that waits for a slot.
+    ///
+    /// Meanwhile, calls that are held without a way to ask the target are decided anew as their last
+    /// report grows old.
+    pub async fn report_wanted(&self) {
+        loop {
+            let changed = self.report_wanted.notified();
+            let now_us = self.clock.now_us();
+            let due_us = {
+                let mut state = self.lock();
+                state.admit_waiting(now_us);
+                if state.is_report_wanted(now_us) {
+                    return;
+                }
+                state.recheck_us(now_us)
+            };
+            match due_us {
+                None => changed.await,
+                Some(due_us) => {
+                    let due = self.clock.instant_of(due_us);
+                    // Either way the waiting calls are decided anew.
+                    let _ = timeout_at(due, changed).await;
+                }
+            }
+        }
     }
 
     fn enter(self: &Arc<Self>, ask: &Ask) -> Result<Entered, Refusal> {
@@ -223,16 +250,15 @@
         if ask.deadline_us <= now_us {
             return Err(Refusal::new(RefusalReason::Deadline));
         }
-        let slowness_percent = state.pace.slowness_percent(now_us);
-        if ask.slow_from_percent.is_some_and(|from_percent| slowness_percent >= from_percent) {
-            return Err(Refusal { slowness_percent, ..Refusal::new(RefusalReason::Slow) });
-        }
-        if state.is_wasted(ask, now_us) {
-            drop(state);
-            return Err(self.refusal(RefusalReason::Busy));
-        }
-        if state.queue.is_empty() && state.has_slot() {
-            return Ok(Entered::Running(self.start(&mut state, ask, now_us)));
+        let awaits_report = state.has_slot() && state.awaits_report(ask, now_us);
+        if !awaits_report {
+            if let Some(reason) = state.refused_for(ask, now_us) {
+                drop(state);
+                return Err(self.refusal(reason));
+            }
+            if state.may_begin(ask, now_us) {
+                return Ok(Entered::Running(self.start(&mut state, ask, now_us)));
+            }
         }
         let wait_max_us = state.wait_max_us(ask, now_us);
         let expected_us = state.expected_wait_us(ask, now_us);
@@ -250,13 +276,31 @@
             drop(state);
             return Err(self.refusal(RefusalReason::QueueFull));
         }
-        let (place, woken) = state.queue.push(ask.rank, ask.deadline_us);
+        let (place, woken) = state.queue.push(ask, !awaits_report);
+        state.admit_waiting(now_us);
         let patience_us = state.patience_us(wait_max_us) << ask.hand_backs.min(6);
         let is_patience = ask.may_hand_back && patience_us < wait_max_us;
         let wait_us = if is_patience { patience_us } else { wait_max_us };
-        let wait_until: Instant = self.clock.instant_of(now_us + wait_us);
+        let until = self.clock.instant_of(now_us + wait_us);
         let waiting = Waiting { guard: self.clone(), place, woken, is_in_queue: true };
-        Ok(Entered::Waiting { waiting, wait_until, is_patience })
+        Ok(Entered::Waiting(Wait { waiting, until, is_patience }))
+    }
+
+    /// Lets a call wait on that has no other slot to go to but a held one, as long as it can be served.
+    fn extend_hold(&self, wait: &mut Wait, ask: &Ask) -> bool {
+        let now_us = self.clock.now_us();
+        let mut state = self.lock();
+        if wait.is_patience || !state.has_slot() {
+            return false;
+        }
+        let run_us = state.service_us(now_us);
+        let left_us = ask.deadline_us.saturating_sub(now_us);
+        if left_us <= run_us {
+            return false;
+        }
+        wait.until = self.clock.instant_of(now_us + HOLD_EXTENSION_US.min(left_us - run_us).max(1));
+        state.admit_waiting(now_us);
+        true
     }
 
     fn start(self: &Arc<Self>, state: &mut State, ask: &Ask, now_us: u64) -> Permit {
@@ -288,9 +332,19 @@
             permit.release_uncounted();
             return Err(Refusal::new(RefusalReason::Deadline));
         }
+        if self.is_drain_old(permit.start_us) {
+            permit.release_uncounted();
+            return Err(Refusal::new(RefusalReason::Draining));
+        }
         Ok(permit)
     }
 
+    /// Whether the target has been leaving for so long that nothing that waited may begin there.
+    fn is_drain_old(&self, now_us: u64) -> bool {
+        let since_us = self.draining_since_us.load(Ordering::SeqCst);
+        since_us != 0 && now_us.saturating_sub(since_us) > DRAIN_START_MAX_US
+    }
+
     fn leave_queue(
         self: &Arc<Self>,
         mut waiting: Waiting,
@@ -299,9 +353,9 @@
     ) -> Result<Permit, Refusal> {
         let was_waiting = self.lock().queue.remove(&waiting.place);
         waiting.is_in_queue = false;
-        if !was_waiting && waiting.woken.try_recv().is_ok() {
+        if !was_waiting && waiting.woken.try_recv() == Ok(Wake::Start) {
             // Woken in the very instant it gave up: the slot is its own.
-            return Ok(self.start_reserved(ask));
+            return self.start_woken(waiting, ask);
         }
         self.notify_if_idle();
         let reason = if is_patience { RefusalReason::HandedBack } else { RefusalReason::QueueFull };
@@ -324,17 +378,19 @@
         let run_us = now_us.saturating_sub(permit.start_us) as f64;
         let usual_us = run_us * f64::from(USUAL_PERCENT) / f64::from(slowness_percent);
         if permit.is_counted {
-            let weight = if state.has_measured { RECENT_WEIGHT } else { 1.0 };
-            state.recent_us += weight * (usual_us - state.recent_us);
-            state.has_measured = true;
+            state.note_run(usual_us);
         }
         let is_measured = permit.is_counted && permit.slowness_percent == slowness_percent;
         let measured_us = is_measured.then_some(usual_us);
         let limit_before = state.limit.settled();
         state.limit.note_end(permit.class, permit.measure, measured_us, now_us);
         let limit = state.limit.settled();
-        state.admit_waiting();
+        state.admit_waiting(now_us);
+        let is_deciding = !state.queue.is_empty();
         drop(state);
+        if is_deciding {
+            self.report_wanted.notify_one();
+        }
         if limit != limit_before {
             log::info!("limit on concurrency: {limit} after {limit_before}, by a trial");
         }
@@ -345,7 +401,7 @@
     fn release_reserved(&self) {
         let mut state = self.lock();
         state.drop_reserved();
-        state.admit_waiting();
+        state.admit_waiting(self.clock.now_us());
     }
 
     fn notify_if_idle(&self) {
@@ -358,120 +414,3 @@
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
-
-impl State {
-    fn has_slot(&self) -> bool {
-        self.running.len() < self.limit.limit() as usize
-    }
-
-    fn start(&mut self, now_us: u64) -> u64 {
-        let number = self.next_run;
-        self.next_run += 1;
-        self.running.insert(number, now_us);
-        number
-    }
-
-    /// Gives up a slot that is reserved for a woken call.
-    fn drop_reserved(&mut self) {
-        let reserved = self.running.iter().find(|(_, start)| **start == RESERVED).map(|(number, _)| *number);
-        let number = reserved.expect("a woken call has a reserved slot");
-        self.running.remove(&number);
-    }
-
-    fn admit_waiting(&mut self) {
-        while self.has_slot() && self.queue.wake_first() {
-            self.start(RESERVED);
-        }
-    }
-
-    /// Whether the call would take a slot that others need, and come too late all the same.
-    fn is_wasted(&self, ask: &Ask, now_us: u64) -> bool {
-        let Some(run_us) = self.limit.times().mean_us(ask.class) else { return false };
-        let run_us = run_us * f64::from(self.pace.slowness_percent(now_us)) / f64::from(USUAL_PERCENT);
-        let useful_us = ask.useful_until_us.saturating_sub(now_us) as f64;
-        run_us > useful_us && 2 * self.running.len() as u32 >= self.limit.limit()
-    }
-
-    /// Longest that a call may wait: so that its answer still has its full worth.
-    fn wait_max_us(&self, ask: &Ask, now_us: u64) -> u64 {
-        let run_us = self.limit.times().mean_us(ask.class).unwrap_or(self.recent_us);
-        let run_us = run_us * f64::from(self.pace.slowness_percent(now_us)) / f64::from(USUAL_PERCENT);
-        let useful_us = ask.useful_until_us.saturating_sub(now_us).saturating_sub(run_us as u64);
-        useful_us.min(self.limits.queue_wait_max_ms * 1_000)
-    }
-
-    /// How long a call waits before it is first handed back, in µs.
-    fn patience_us(&self, wait_max_us: u64) -> u64 {
-        if !self.has_measured {
-            return (wait_max_us / UNMEASURED_PATIENCE).max(PATIENCE_MIN_US);
-        }
-        (self.recent_us as u64).max(PATIENCE_MIN_US)
-    }
-
-    /// How long a call runs at the target's present pace, in µs.
-    fn service_us(&self, now_us: u64) -> u64 {
-        let slowness_percent = f64::from(self.pace.slowness_percent(now_us));
-        (self.recent_us * slowness_percent / f64::from(USUAL_PERCENT)) as u64
-    }
-
-    fn expected_wait_us(&self, ask: &Ask, now_us: u64) -> u64 {
-        let ahead = self.queue.ahead_of(ask.rank, ask.deadline_us) as u64;
-        let limit = u64::from(self.limit.limit().max(1));
-        ahead * self.service_us(now_us) / limit
-    }
-}
-
-/// Start time of a slot that is reserved for a woken call.
-const RESERVED: u64 = u64::MAX;
-
-enum Entered {
-    Running(Permit),
-    Waiting { waiting: Waiting, wait_until: Instant, is_patience: bool },
-}
-
-/// A call in the queue; dropping it takes it out, or gives back a slot it was woken for.
-struct Waiting {
-    guard: Arc<Guard>,
-    place: Place,
-    woken: oneshot::Receiver<()>,
-    is_in_queue: bool,
-}
-
-impl Drop for Waiting {
-    fn drop(&mut self) {
-        if !self.is_in_queue {
-            return;
-        }
-        let was_waiting = self.guard.lock().queue.remove(&self.place);
-        if !was_waiting && self.woken.try_recv().is_ok() {
-            self.guard.release_reserved();
-        }
-        self.guard.notify_if_idle();
-    }
-}
-
-/// The right to run one call at the target; dropping it frees the slot.
-#[derive(Debug)]
-pub struct Permit {
-    guard: Arc<Guard>,
-    number: u64,
-    start_us: u64,
-    class: CallClass,
-    measure: Measure,
-    /// The target's pace when the call started.
-    slowness_percent: u32,
-    is_counted: bool,
-}
-
-impl Permit {
-    /// Frees the slot without learning a service time, for a call that did not run to its end.
-    pub fn release_uncounted(mut self) {
-        self.is_counted = false;
-    }
-}
-
-impl Drop for Permit {
-    fn drop(&mut self) {
-        self.guard.release(self);
-    }
-}
--- /dev/null
+++ b/crates/laurelstall_guard/src/guard/state.rs
@@ -0,0 +1,281 @@
+//! What a guard knows, and to whom it gives slots.
+
+use super::{Ask, GuardLimits};
+use crate::{
+    limit_search::LimitSearch,
+    pace::Pace,
+    refusal::RefusalReason,
+    start_decision::{SlotDemand, StartDecision, StartOutlook, Starter},
+    wait_queue::{WaitQueue, Wake},
+};
+use laurelstall_balance::hint::USUAL_PERCENT;
+use std::collections::BTreeMap;
+
+/// Assumed run time before the first call, in µs.
+const RECENT_START_US: f64 = 5_000.0;
+/// Weight of a new run in the recent run time.
+const RECENT_WEIGHT: f64 = 0.15;
+/// Patience before any run was measured: the longest wait over this.
+const UNMEASURED_PATIENCE: u64 = 4;
+/// Smallest patience before a call is handed back, in µs.
+const PATIENCE_MIN_US: u64 = 1_000;
+/// Pause after a look that brought no report, in µs: a target that does not answer it is not asked often.
+const PAUSE_AFTER_FAILURE_US: u64 = 1_000_000;
+/// How often held calls are decided anew when no report comes, in µs: a small part of the phases that
+/// are worth to be waited for.
+const RECHECK_US: u64 = 5_000;
+/// What a look costs, in answers: it takes the target and its guard about a hundredth of the time of a
+/// short run, and the calls wait for it.
+const LOOK_COST: f64 = 0.06;
+/// Age of a report from which it is never worth to be looked up anew, in µs.
+const REPORT_FRESH_US: u64 = 5_000;
+/// Chance that the target is in the phase of its last report from which calls are sent elsewhere by it:
+/// where it may be quick again, the way to another target is not worth its time.
+const SAME_PHASE_CHANCE_MIN: f64 = 0.8;
+/// Start time of a slot that is reserved for a woken call.
+const RESERVED: u64 = u64::MAX;
+
+/// Whether the guard can ask the target for a report.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum Looks {
+    /// The target tells its load nowhere but on its answers.
+    Impossible,
+    /// It may be asked, but not before this time in µs of the guard's clock.
+    NotBefore(u64),
+}
+
+/// What to do with a call for which there is a slot.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Judgement {
+    /// It begins.
+    Begin,
+    /// It waits for the target to be quick again.
+    Hold,
+    /// It is refused.
+    Refuse(RefusalReason),
+}
+
+#[derive(Debug)]
+pub(super) struct State {
+    pub(super) limit: LimitSearch,
+    /// Recent run time in µs at the target's usual pace.
+    pub(super) recent_us: f64,
+    /// Whether any run was measured.
+    pub(super) has_measured: bool,
+    pub(super) pace: Pace,
+    pub(super) looks: Looks,
+    pub(super) limits: GuardLimits,
+    pub(super) queue: WaitQueue,
+    /// Start times of running calls, by number, oldest first.
+    pub(super) running: BTreeMap<u64, u64>,
+    next_run: u64,
+}
+
+impl State {
+    pub(super) fn new(limits: GuardLimits) -> Self {
+        Self {
+            limit: LimitSearch::new(limits.slots, limits.slots_start_percent, limits.slots_floor_percent),
+            recent_us: RECENT_START_US,
+            has_measured: false,
+            pace: Pace::default(),
+            looks: Looks::Impossible,
+            limits,
+            queue: WaitQueue::default(),
+            running: BTreeMap::new(),
+            next_run: 0,
+        }
+    }
+
+    pub(super) fn set_limits(&mut self, limits: GuardLimits) {
+        self.limits = limits;
+        self.limit.set_slots(limits.slots, limits.slots_start_percent, limits.slots_floor_percent);
+    }
+
+    pub(super) fn has_slot(&self) -> bool {
+        self.running.len() < self.limit.limit() as usize
+    }
+
+    pub(super) fn start(&mut self, now_us: u64) -> u64 {
+        let number = self.next_run;
+        self.next_run += 1;
+        self.running.insert(number, now_us);
+        number
+    }
+
+    /// Gives up a slot that is reserved for a woken call.
+    pub(super) fn drop_reserved(&mut self) {
+        let reserved = self.running.iter().find(|(_, start)| **start == RESERVED).map(|(number, _)| *number);
+        let number = reserved.expect("a woken call has a reserved slot");
+        self.running.remove(&number);
+    }
+
+    /// Gives free slots to waiting calls, the first ones first, as far as it is better for each to begin
+    /// now than to be held; calls that waited for nothing but a report are refused if it speaks against them.
+    pub(super) fn admit_waiting(&mut self, now_us: u64) {
+        if !self.has_slot() || self.is_report_wanted(now_us) {
+            return;
+        }
+        let judged =
+            self.queue.iter().map(|(place, ask, is_accepted)| (*place, self.judge(ask, is_accepted, now_us)));
+        for (place, judgement) in judged.collect::<Vec<_>>() {
+            match judgement {
+                Judgement::Begin if !self.has_slot() => break,
+                Judgement::Begin if self.queue.wake(&place, Wake::Start) => drop(self.start(RESERVED)),
+                Judgement::Refuse(reason) => drop(self.queue.wake(&place, Wake::Refused(reason))),
+                Judgement::Begin | Judgement::Hold => {}
+            }
+        }
+        self.queue.accept_all();
+    }
+
+    /// What to do with a waiting call for which there is a slot.
+    fn judge(&self, ask: &Ask, is_accepted: bool, now_us: u64) -> Judgement {
+        let refused = if is_accepted { None } else { self.refused_for(ask, now_us) };
+        match refused {
+            Some(reason) => Judgement::Refuse(reason),
+            None if self.begins(ask, now_us) => Judgement::Begin,
+            None => Judgement::Hold,
+        }
+    }
+
+    /// Why a call that comes is refused, by the pace of the target; none when it is not.
+    pub(super) fn refused_for(&self, ask: &Ask, now_us: u64) -> Option<RefusalReason> {
+        if self.is_left(ask, now_us) {
+            return Some(RefusalReason::Slow);
+        }
+        self.is_wasted(ask, now_us).then_some(RefusalReason::Busy)
+    }
+
+    /// Whether a call that finds a free slot and nobody waiting begins at once.
+    pub(super) fn may_begin(&self, ask: &Ask, now_us: u64) -> bool {
+        self.queue.is_empty() && self.has_slot() && self.begins(ask, now_us)
+    }
+
+    /// Whether a call that has a choice is to try another target, since this one is slow beside them.
+    fn is_left(&self, ask: &Ask, now_us: u64) -> bool {
+        let Some(from_percent) = ask.slow_from_percent else { return false };
+        let slowness_percent = self.pace.slowness_percent(now_us);
+        slowness_percent >= from_percent && self.pace.same_phase_chance(now_us) >= SAME_PHASE_CHANCE_MIN
+    }
+
+    /// What is expected of a call that could begin now or be held.
+    fn outlook(&self, ask: &Ask, now_us: u64) -> StartOutlook {
+        StartOutlook::of(&self.starter(ask, now_us), &self.pace.outlook(now_us), &self.demand())
+    }
+
+    fn starter(&self, ask: &Ask, now_us: u64) -> Starter {
+        Starter {
+            run_us: self.class_run_us(ask),
+            useful_us: ask.useful_until_us.saturating_sub(now_us) as f64,
+            budget_us: ask.deadline_us.saturating_sub(now_us) as f64,
+        }
+    }
+
+    fn demand(&self) -> SlotDemand {
+        // The call that is decided on counts along, whether it is in the queue yet or not.
+        let wanted = self.running.len() + self.queue.len().max(1);
+        let load = (wanted as f64 / f64::from(self.limit.limit().max(1))).min(1.0);
+        SlotDemand { load, run_us: self.recent_us }
+    }
+
+    fn begins(&self, ask: &Ask, now_us: u64) -> bool {
+        !self.limits.may_hold || self.outlook(ask, now_us).decision == StartDecision::Begin
+    }
+
+    /// Whether the target is to be asked for a report before a slot is given to the call.
+    pub(super) fn awaits_report(&self, ask: &Ask, now_us: u64) -> bool {
+        if !self.can_look(now_us) {
+            return false;
+        }
+        let Some(age_us) = self.pace.age_us(now_us) else { return true };
+        if age_us < REPORT_FRESH_US {
+            return false;
+        }
+        let has_choice = ask.slow_from_percent.is_some();
+        let outlook = self.pace.outlook(now_us);
+        let gain =
+            StartOutlook::report_gain(&self.starter(ask, now_us), &outlook, &self.demand(), has_choice);
+        gain * self.startable() as f64 > LOOK_COST
+    }
+
+    /// Whether the target is to be asked for a report now.
+    pub(super) fn is_report_wanted(&self, now_us: u64) -> bool {
+        self.has_slot() && self.queue.first().is_some_and(|ask| self.awaits_report(ask, now_us))
+    }
+
+    fn can_look(&self, now_us: u64) -> bool {
+        matches!(self.looks, Looks::NotBefore(at_us) if now_us >= at_us)
+    }
+
+    /// Calls that could begin at once.
+    fn startable(&self) -> usize {
+        let free = (self.limit.limit() as usize).saturating_sub(self.running.len());
+        self.queue.len().clamp(1, free.max(1))
+    }
+
+    /// When waiting calls are to be decided anew, in µs; none while there is nothing to decide.
+    pub(super) fn recheck_us(&self, now_us: u64) -> Option<u64> {
+        (!self.queue.is_empty() && self.has_slot()).then_some(now_us + RECHECK_US)
+    }
+
+    /// Learns that the target brought no report when it was asked.
+    pub(super) fn note_look_failed(&mut self, now_us: u64) {
+        if self.looks != Looks::Impossible {
+            self.looks = Looks::NotBefore(now_us + PAUSE_AFTER_FAILURE_US);
+        }
+    }
+
+    /// Whether the call would take a slot that others need, and come too late all the same.
+    fn is_wasted(&self, ask: &Ask, now_us: u64) -> bool {
+        if self.limit.times().mean_us(ask.class).is_none() {
+            return false;
+        }
+        let useful_us = ask.useful_until_us.saturating_sub(now_us) as f64;
+        let done_us = self.outlook(ask, now_us).done_us;
+        done_us > useful_us && 2 * self.running.len() as u32 >= self.limit.limit()
+    }
+
+    /// Longest that a call may wait: so that its answer still has its full worth.
+    pub(super) fn wait_max_us(&self, ask: &Ask, now_us: u64) -> u64 {
+        let done_us = self.outlook(ask, now_us).done_us as u64;
+        let useful_us = ask.useful_until_us.saturating_sub(now_us).saturating_sub(done_us);
+        useful_us.min(self.limits.queue_wait_max_ms * 1_000)
+    }
+
+    /// How long a call waits before it is first handed back, in µs.
+    pub(super) fn patience_us(&self, wait_max_us: u64) -> u64 {
+        if !self.has_measured {
+            return (wait_max_us / UNMEASURED_PATIENCE).max(PATIENCE_MIN_US);
+        }
+        (self.recent_us as u64).max(PATIENCE_MIN_US)
+    }
+
+    /// How long a call runs that begins outside of a slow phase, in µs.
+    pub(super) fn service_us(&self, now_us: u64) -> u64 {
+        (self.recent_us * self.quick_factor(now_us)) as u64
+    }
+
+    pub(super) fn expected_wait_us(&self, ask: &Ask, now_us: u64) -> u64 {
+        let limit = u64::from(self.limit.limit().max(1));
+        // Calls ahead that have a free slot wait for nothing but a report, or are held.
+        let free = limit.saturating_sub(self.running.len() as u64);
+        let ahead = (self.queue.ahead_of(ask.rank, ask.deadline_us) as u64).saturating_sub(free);
+        ahead * self.service_us(now_us) / limit
+    }
+
+    pub(super) fn note_run(&mut self, usual_us: f64) {
+        let weight = if self.has_measured { RECENT_WEIGHT } else { 1.0 };
+        self.recent_us += weight * (usual_us - self.recent_us);
+        self.has_measured = true;
+    }
+
+    /// How long calls of this class run at the usual pace, in µs.
+    fn class_run_us(&self, ask: &Ask) -> f64 {
+        self.limit.times().mean_us(ask.class).unwrap_or(self.recent_us)
+    }
+
+    /// How long work takes outside of slow phases, relative to the usual.
+    fn quick_factor(&self, now_us: u64) -> f64 {
+        f64::from(self.pace.quick_percent(now_us)) / f64::from(USUAL_PERCENT)
+    }
+}
--- a/crates/laurelstall_guard/src/lib.rs
+++ b/crates/laurelstall_guard/src/lib.rs
@@ -10,7 +10,9 @@
 pub mod ledger;
 pub mod limit_search;
 pub mod pace;
+pub mod phase_times;
 pub mod refusal;
+pub mod start_decision;
 pub mod ticket;
 pub mod wait_queue;
 
--- a/crates/laurelstall_guard/src/wait_queue.rs
+++ b/crates/laurelstall_guard/src/wait_queue.rs
@@ -1,5 +1,6 @@
 //! Calls that wait at a guard, the most important and most urgent first.
 
+use crate::{guard::Ask, refusal::RefusalReason};
 use std::{cmp::Reverse, collections::BTreeMap};
 use tokio::sync::oneshot;
 
@@ -35,31 +36,60 @@
     }
 }
 
-/// A bounded queue of calls, each with the way to wake it.
+/// What a waiting call is woken for.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Wake {
+    /// A slot is reserved for it.
+    Start,
+    /// It is refused after all, for this reason.
+    Refused(RefusalReason),
+}
+
+/// A waiting call: what it asks, and the way to wake it.
+#[derive(Debug)]
+struct Waiter {
+    ask: Ask,
+    /// Whether it was decided that the call may wait here.
+    is_accepted: bool,
+    wake: oneshot::Sender<Wake>,
+}
+
+/// A bounded queue of calls.
 #[derive(Debug, Default)]
 pub struct WaitQueue {
-    waiting: BTreeMap<Place, oneshot::Sender<()>>,
+    waiting: BTreeMap<Place, Waiter>,
     next_number: u64,
 }
 
 impl WaitQueue {
-    /// Puts a call in the queue.
-    pub fn push(&mut self, rank: Rank, deadline_us: u64) -> (Place, oneshot::Receiver<()>) {
+    /// Puts a call in the queue; one that is not `is_accepted` may still be refused.
+    pub fn push(&mut self, ask: &Ask, is_accepted: bool) -> (Place, oneshot::Receiver<Wake>) {
         let (wake, woken) = oneshot::channel();
-        let place = Place::new(rank, deadline_us, self.next_number);
+        let place = Place::new(ask.rank, ask.deadline_us, self.next_number);
         self.next_number += 1;
-        self.waiting.insert(place, wake);
+        self.waiting.insert(place, Waiter { ask: *ask, is_accepted, wake });
         (place, woken)
     }
 
-    /// Takes the first call out and wakes it; false when nobody waits any more.
-    pub fn wake_first(&mut self) -> bool {
-        while let Some((_, wake)) = self.waiting.pop_first() {
-            if wake.send(()).is_ok() {
-                return true;
-            }
-        }
-        false
+    /// What the first call asks.
+    pub fn first(&self) -> Option<&Ask> {
+        self.waiting.first_key_value().map(|(_, waiter)| &waiter.ask)
+    }
+
+    /// Place, wish, and whether it was accepted, of each call, the first ones first.
+    pub fn iter(&self) -> impl Iterator<Item = (&Place, &Ask, bool)> {
+        self.waiting.iter().map(|(place, waiter)| (place, &waiter.ask, waiter.is_accepted))
+    }
+
+    /// Accepts all calls that are in the queue now.
+    pub fn accept_all(&mut self) {
+        self.waiting.values_mut().for_each(|waiter| waiter.is_accepted = true);
+    }
+
+    /// Takes a call out and wakes it; false when it waits no more.
+    pub fn wake(&mut self, place: &Place, wake: Wake) -> bool {
+        let waiter = self.waiting.remove(place);
+        waiter.is_some_and(|waiter| waiter.wake.send(wake).is_ok())
     }
 
     /// Takes a call out that gave up waiting; false when it was woken already.
--- a/crates/laurelstall_guard/tests/admission.rs
+++ b/crates/laurelstall_guard/tests/admission.rs
@@ -22,6 +22,7 @@
     slots_floor_percent: 100,
     queue_length: 3,
     queue_wait_max_ms: 1_000,
+    may_hold: true,
 };
 
 fn guard() -> (Arc<Guard>, Clock) {
--- a/crates/laurelstall_node/src/counters.rs
+++ b/crates/laurelstall_node/src/counters.rs
@@ -63,6 +63,8 @@
     tickets_kept,
     /// Probes sent.
     probes,
+    /// Times that the own target was asked how fast it works.
+    pace_looks,
     /// Lines of the decision log dropped.
     decisions_dropped,
     /// Runs of a program that failed.
--- a/crates/laurelstall_node/src/node.rs
+++ b/crates/laurelstall_node/src/node.rs
@@ -311,6 +311,8 @@
         let probe_observer = observer.clone();
         background.spawn(async move { probe_observer.probe_loop(&services, &probe_client).await });
         background.spawn(close_idle(client));
+        let watched = guard.clone();
+        background.spawn(async move { watched.watch_pace().await });
         let sender = MetricSender::new(log.statsd_address, &host);
         let interval = Duration::from_millis(log.metrics_interval_ms);
         background.spawn(send_metrics(sender, interval, counters.clone(), guard.clone(), meter));
--- a/crates/laurelstall_node/src/target_guard.rs
+++ b/crates/laurelstall_node/src/target_guard.rs
@@ -7,7 +7,7 @@
     dialect::{AttemptFacts, HeaderDialect},
     metrics::{Latencies, observe_us},
     observer::Observer,
-    pace_look::{Looker, PaceLook},
+    pace_look::PaceLook,
     running_requests::RunningRequests,
     target_http::{TargetClient, TargetError, target_request},
     target_pool::UsedConnection,
@@ -75,7 +75,6 @@
     client: Option<TargetClient>,
     dialect: Arc<dyn HeaderDialect>,
     running: Arc<RunningRequests>,
-    pace_look: PaceLook,
     active: Arc<Active>,
     observer: Arc<Observer>,
     pub(crate) counters: Arc<Counters>,
@@ -124,6 +123,7 @@
             slots_floor_percent: 100,
             queue_length: 0,
             queue_wait_max_ms: 0,
+            may_hold: false,
         };
         let client = options.settings.as_ref().map(TargetClient::new);
         let inner = Inner {
@@ -139,7 +139,6 @@
             client,
             dialect: options.dialect,
             running: options.running,
-            pace_look: PaceLook::default(),
             active: options.active,
             observer: options.observer,
             counters: options.counters,
@@ -159,6 +158,7 @@
         self.note_own_target(own.map(|(_, target)| target.name.as_str()), &in_force);
         let Some((service, target)) = own else { return };
         let limits = &service.limits;
+        self.inner.guard.set_can_look(!service.load_path.is_empty() && !self.inner.is_plain);
         self.inner.ledger().set_tickets_max(limits.tickets_max);
         self.inner.guard.set_limits(if self.inner.is_plain {
             GuardLimits {
@@ -167,6 +167,7 @@
                 slots_floor_percent: 100,
                 queue_length: PLAIN_QUEUE_LENGTH,
                 queue_wait_max_ms: 600_000,
+                may_hold: false,
             }
         } else {
             GuardLimits {
@@ -175,6 +176,7 @@
                 slots_floor_percent: limits.slots_floor_percent,
                 queue_length: target.slots as usize * limits.queue_per_slot as usize,
                 queue_wait_max_ms: limits.queue_wait_max_ms,
+                may_hold: limits.may_hold,
             }
         });
     }
@@ -203,6 +205,16 @@
         self.apply_drains();
     }
 
+    /// Asks the target how fast it works whenever that helps to give a slot away, until dropped.
+    pub async fn watch_pace(&self) {
+        let inner = &self.inner;
+        let (Some(settings), Some(client)) = (&inner.settings, &inner.client) else { return };
+        loop {
+            inner.guard.report_wanted().await;
+            inner.look_at_pace(client, settings).await;
+        }
+    }
+
     /// The admission behind this guard.
     pub fn guard(&self) -> &Arc<Guard> {
         &self.inner.guard
@@ -227,7 +239,9 @@
     pub fn give_tickets(&self, request: &TicketsRequest) -> PeerAnswer {
         let in_force = self.inner.active.load();
         let own = self.inner.own_target(&in_force);
-        let Some((service, _)) = own.filter(|(_, target)| self.inner.is_named(target, request)) else {
+        let Some((service, _)) = own.filter(|(_, target)| {
+            self.inner.is_own_service(&request.service) && target.name == request.target
+        }) else {
             return PeerAnswer::Refused(Refusal::new(RefusalReason::OtherTarget));
         };
         if self.inner.guard.is_draining() {
@@ -293,9 +307,19 @@
         Some((service, target))
     }
 
-    fn is_named(&self, target: &Target, request: &TicketsRequest) -> bool {
-        let service = self.settings.as_ref().map_or("", |settings| &settings.service);
-        service == request.service && target.name == request.target
+    fn is_named(&self, target: &Target, head: &AttemptHead) -> bool {
+        self.is_own_service(&head.service) && target.name == head.target
+    }
+
+    fn is_own_service(&self, service: &str) -> bool {
+        self.settings.as_ref().is_some_and(|settings| settings.service == service)
+    }
+
+    /// Whether the target that an attempt was meant for is still here by the configuration in force: what
+    /// is known from before a wait may be out of date.
+    fn is_still_named(&self, head: &AttemptHead) -> bool {
+        let in_force = self.active.load();
+        self.own_target(&in_force).is_some_and(|(_, target)| self.is_named(target, head))
     }
 
     fn hint(&self) -> Hint {
@@ -315,21 +339,13 @@
         let Attempt { head, body } = attempt;
         let in_force = self.active.load();
         let own = self.own_target(&in_force);
-        let is_own = |(_, target): &(&Service, &Target)| {
-            let request =
-                TicketsRequest { service: head.service.clone(), target: head.target.clone(), count: 0 };
-            self.is_named(target, &request)
-        };
-        let Some((service, _)) = own.filter(is_own) else {
+        let Some((service, _)) = own.filter(|(_, target)| self.is_named(target, &head)) else {
             return refused(RefusalReason::OtherTarget, Some(body));
         };
         let now_us = self.clock.now_us();
         let deadline_us = now_us + head.budget_us;
         let useful_until_us = now_us + head.useful_us.min(head.budget_us);
         let limits = service.limits;
-        if head.slow_from_percent.is_some() && !service.load_path.is_empty() {
-            self.refresh_pace(&service.load_path).await;
-        }
         let ticket = head.ticket;
         let run = Run { head, body, admission, deadline_us, useful_until_us, limits };
         match ticket {
@@ -338,11 +354,16 @@
         }
     }
 
-    async fn refresh_pace(&self, path: &str) {
-        let (Some(settings), Some(client)) = (&self.settings, &self.client) else { return };
-        let looker =
-            Looker { clock: self.clock, guard: &self.guard, settings, client, dialect: &*self.dialect };
-        self.pace_look.refresh(looker, path).await;
+    /// Asks the target once how fast it works.
+    async fn look_at_pace(&self, client: &TargetClient, settings: &TargetSettings) {
+        let in_force = self.active.load();
+        let path = self.own_target(&in_force).map_or("", |(service, _)| &service.load_path);
+        let look = PaceLook { settings, client, dialect: &*self.dialect };
+        count(&self.counters.pace_looks);
+        match look.load(path).await {
+            Some(load) => self.guard.note_slowness(load.slowness_percent),
+            None => self.guard.note_look_failed(),
+        }
     }
 
     pub(crate) async fn run_once(self: &Arc<Self>, run: Run) -> AttemptAnswer {
@@ -357,6 +378,10 @@
         };
         let asked_us = self.clock.now_us();
         match self.guard.admit(ask).await {
+            Ok(permit) if !self.is_still_named(&run.head) => {
+                permit.release_uncounted();
+                refused(RefusalReason::OtherTarget, Some(run.body))
+            }
             Ok(permit) => {
                 let admitted_us = self.clock.now_us();
                 observe_us(&self.latencies.waits, admitted_us - asked_us);
