--- a/crates/laurelstall_guard/src/guard.rs
+++ b/crates/laurelstall_guard/src/guard.rs
@@ -53,7 +53,8 @@
     pub may_hand_back: bool,
     /// Times it was handed back before; each doubles its patience.
     pub hand_backs: u32,
-    /// Slowness of the target from which the call is refused, in percent of the usual; none for never.
+    /// Slowness of the target from which the call is refused, in percent of the usual, since it has another
+    /// choice; none when it has none.
     pub slow_from_percent: Option<u32>,
 }
 
--- a/crates/laurelstall_node/src/admin.rs
+++ b/crates/laurelstall_node/src/admin.rs
@@ -2,6 +2,7 @@
 
 use crate::{
     active::{Active, check_document},
+    background::gauges,
     body::{Collected, collect, whole},
     counters::Counters,
     decision_log::Decision,
@@ -9,7 +10,6 @@
     listener::Responder,
     logging::set_level,
     metrics,
-    node::gauges,
     target_guard::TargetGuard,
 };
 use arc_swap::ArcSwap;
--- /dev/null
+++ b/crates/laurelstall_node/src/background.rs
@@ -0,0 +1,72 @@
+//! What a node does in the background, and what it measures of itself.
+
+use crate::{
+    active::Active,
+    caller_rules::CallerRules,
+    counters::{Counters, MetricSender},
+    metrics::Gauges,
+    observer::Observer,
+    target_guard::TargetGuard,
+};
+use laurelstall_peer::{client::PeerClient, meter::Meter};
+use std::sync::{Arc, atomic::Ordering};
+use tokio::time::{Duration, sleep};
+
+/// Pause between two closings of idle connections.
+const HOUSEKEEPING_INTERVAL: Duration = Duration::from_secs(5);
+
+/// Puts each configuration that comes in force at the guard, the observer and the callers' rules, until dropped.
+pub async fn follow_configuration(
+    active: Arc<Active>,
+    guard: TargetGuard,
+    observer: Arc<Observer>,
+    rules: Arc<CallerRules>,
+) {
+    let mut changes = active.changes();
+    loop {
+        let in_force = active.load();
+        observer.set_limits(in_force.configuration.system.observe);
+        rules.set_published(in_force.configuration.system.callers);
+        guard.update();
+        tokio::select! {
+            changed = changes.changed() => if changed.is_err() { return },
+            () = active.drop_lapsed() => {}
+        }
+    }
+}
+
+/// Closes connections to other nodes that nothing uses, until dropped.
+pub async fn close_idle(client: PeerClient) {
+    loop {
+        sleep(HOUSEKEEPING_INTERVAL).await;
+        client.pool().close_idle();
+    }
+}
+
+/// Pushes counts and gauges at a steady interval, until dropped.
+pub async fn send_metrics(
+    mut sender: MetricSender,
+    interval: Duration,
+    counters: Arc<Counters>,
+    guard: TargetGuard,
+    meter: Arc<Meter>,
+) {
+    loop {
+        sleep(interval).await;
+        let gauges = gauges(&guard, &meter);
+        sender.send(&counters, &gauges);
+    }
+}
+
+/// What is measured at the moment when it is asked for.
+pub fn gauges(guard: &TargetGuard, meter: &Meter) -> Gauges {
+    let load = guard.guard().load();
+    vec![
+        ("in_flight", u64::from(load.in_flight)),
+        ("queued", u64::from(load.queued)),
+        ("limit", u64::from(load.limit)),
+        ("slowness_percent", u64::from(load.slowness_percent)),
+        ("control_bytes", meter.control_bytes.load(Ordering::Relaxed)),
+        ("peer_connections", meter.open.load(Ordering::Relaxed)),
+    ]
+}
--- a/crates/laurelstall_node/src/lib.rs
+++ b/crates/laurelstall_node/src/lib.rs
@@ -3,6 +3,7 @@
 
 pub mod active;
 pub mod admin;
+pub mod background;
 pub mod body;
 pub mod call;
 pub mod call_request;
--- a/crates/laurelstall_node/src/node.rs
+++ b/crates/laurelstall_node/src/node.rs
@@ -3,6 +3,7 @@
 use crate::{
     active::Active,
     admin::Admin,
+    background::{close_idle, follow_configuration, send_metrics},
     call::CallContext,
     caller_rules::CallerRules,
     counters::{Counters, MetricSender},
@@ -11,7 +12,7 @@
     entry::Entry,
     listener::HttpListener,
     logging,
-    metrics::{Gauges, Latencies},
+    metrics::Latencies,
     observer::Observer,
     platform_http::HttpPlatform,
     running_requests::RunningRequests,
@@ -50,9 +51,6 @@
     time::{Duration, sleep, timeout},
 };
 
-/// Pause between two closings of idle connections.
-const HOUSEKEEPING_INTERVAL: Duration = Duration::from_secs(5);
-
 quick_error! {
     /// A node that could not start.
     #[derive(Debug)]
@@ -453,56 +451,3 @@
     let listener = converted.map_err(|error| NodeError::Listen(address, error))?;
     Ok((listener, address))
 }
-
-async fn follow_configuration(
-    active: Arc<Active>,
-    guard: TargetGuard,
-    observer: Arc<Observer>,
-    rules: Arc<CallerRules>,
-) {
-    let mut changes = active.changes();
-    loop {
-        let in_force = active.load();
-        observer.set_limits(in_force.configuration.system.observe);
-        rules.set_published(in_force.configuration.system.callers);
-        guard.update();
-        tokio::select! {
-            changed = changes.changed() => if changed.is_err() { return },
-            () = active.drop_lapsed() => {}
-        }
-    }
-}
-
-async fn close_idle(client: PeerClient) {
-    loop {
-        sleep(HOUSEKEEPING_INTERVAL).await;
-        client.pool().close_idle();
-    }
-}
-
-async fn send_metrics(
-    mut sender: MetricSender,
-    interval: Duration,
-    counters: Arc<Counters>,
-    guard: TargetGuard,
-    meter: Arc<Meter>,
-) {
-    loop {
-        sleep(interval).await;
-        let gauges = gauges(&guard, &meter);
-        sender.send(&counters, &gauges);
-    }
-}
-
-/// What is measured at the moment when it is asked for.
-pub fn gauges(guard: &TargetGuard, meter: &Meter) -> Gauges {
-    let load = guard.guard().load();
-    vec![
-        ("in_flight", u64::from(load.in_flight)),
-        ("queued", u64::from(load.queued)),
-        ("limit", u64::from(load.limit)),
-        ("slowness_percent", u64::from(load.slowness_percent)),
-        ("control_bytes", meter.control_bytes.load(Ordering::Relaxed)),
-        ("peer_connections", meter.open.load(Ordering::Relaxed)),
-    ]
-}
