A guard's word that it drains is believed for a second

A node that stops for a restart says that it drains. Entries believed it until the next report, which comes on answers and on probes over open connections: without calls there is neither. A rolling restart left services of two or three targets without any, for single entries and for seconds (480 calls refused as no-target in eight seconds, their callers' calls failing with them).

Ruled out: targets really gone (others called them meanwhile), ejection (its lines came after, and for the callers' service), the published list (it had both).

Change: the word counts for a second; then a call tries, and a refusal renews it. Test on the balancer, which failed before.

--- a/crates/laurelstall_balance/src/service_balancer.rs
+++ b/crates/laurelstall_balance/src/service_balancer.rs
@@ -231,6 +231,12 @@
         self.targets[index].note_slowness(percent, self.usual_us, now_us);
     }
 
+    /// Learns from a refusal that a target drains.
+    pub fn note_draining(&mut self, index: usize, name: &str, now_us: u64) {
+        let Some(index) = self.place_of(index, name) else { return };
+        self.targets[index].note_draining(self.usual_us, now_us);
+    }
+
     /// Slowness from which a target is slow beside the others, in percent of the usual.
     ///
     /// Where all targets are slow, as after a start of the whole fleet, none is to be avoided for it.
--- a/crates/laurelstall_balance/src/target_view.rs
+++ b/crates/laurelstall_balance/src/target_view.rs
@@ -18,6 +18,12 @@
 /// Age at which the service time of a hint counts half, in µs.
 pub const SERVICE_HALF_AGE_US: f64 = 100_000.0;
 
+/// How long a guard's word that it drains is believed, in µs.
+///
+/// A node that stops for a restart says so, and then nothing more: without calls there is no connection
+/// over which it could say that it is back. A try too early costs a refusal, one second after the last.
+const DRAINING_AGE_MAX_US: u64 = 1_000_000;
+
 /// One entry's view of one target.
 #[derive(Debug, Clone)]
 pub struct TargetView {
@@ -154,12 +160,21 @@
 
     /// Whether a new call may go here at all.
     pub fn is_eligible(&self, now_us: u64) -> bool {
-        self.is_live && !self.is_draining() && !self.ejection.is_out(now_us)
+        self.is_live && !self.is_draining(now_us) && !self.ejection.is_out(now_us)
+    }
+
+    /// Whether its guard said lately that it drains.
+    pub fn is_draining(&self, now_us: u64) -> bool {
+        let hint = self.hint(now_us).filter(|(_, age_us)| *age_us <= DRAINING_AGE_MAX_US);
+        hint.is_some_and(|(hint, _)| hint.state == TargetState::Draining)
     }
 
-    /// Whether its guard said that it drains.
-    pub fn is_draining(&self) -> bool {
-        self.hint.is_some_and(|(hint, _)| hint.state == TargetState::Draining)
+    /// Learns from a refusal that the target drains.
+    pub fn note_draining(&mut self, usual_us: f64, now_us: u64) {
+        let known = self.hint.map(|(hint, _)| hint);
+        let hint = known.unwrap_or(self.assumed_hint(usual_us));
+        self.hint = Some((Hint { state: TargetState::Draining, ..hint }, now_us));
+        self.in_flight_at_hint = self.in_flight;
     }
 
     /// The last hint and its age in µs.
--- a/crates/laurelstall_balance/tests/decisions.rs
+++ b/crates/laurelstall_balance/tests/decisions.rs
@@ -73,6 +73,17 @@
     assert_eq!(choose(&mut balancer, START_US + 5 * SECOND_US), Some(1));
 }
 
+#[test]
+fn a_target_that_drained_for_a_restart_is_tried_again_after_a_second() {
+    let mut balancer = balancer(1, ServiceLimits::default());
+    balancer.take_hint(0, "t-0", Hint { state: TargetState::Draining, ..hint(0, 0) }, START_US);
+    assert_eq!(choose(&mut balancer, START_US + SECOND_US / 2), None);
+    let later_us = START_US + SECOND_US + SECOND_US / 2;
+    assert_eq!(choose(&mut balancer, later_us), Some(0), "no connection tells that it is back");
+    balancer.note_draining(0, "t-0", later_us);
+    assert_eq!(choose(&mut balancer, later_us + SECOND_US / 2), None, "it refused: it still drains");
+}
+
 #[test]
 fn draining_and_leaving_targets_get_nothing() {
     let mut balancer = balancer(3, ServiceLimits::default());
--- a/crates/laurelstall_node/src/call/notes.rs
+++ b/crates/laurelstall_node/src/call/notes.rs
@@ -49,6 +49,10 @@
                 balancer.note_slow(index, &destination.name, refusal.slowness_percent, now_us);
                 return;
             }
+            RefusalReason::Draining => {
+                self.service.balancer().note_draining(destination.choice.index, &destination.name, now_us);
+                return;
+            }
             _ => return,
         };
         let mut balancer = self.service.balancer();
