A target is asked for its pace at most fifty times a second

Cause: read as a newcomer, nothing bounded the questions that a guard has its target asked while calls are held, but the age of the last report: 166 a second in a test, where the observing budget promises a bound that holds whatever happens.

Ruled out: a token bucket; one question at a time at least 20 ms after the last one is the same bound with less.

Change: a state of the question (possible, under way, not before), one entry for what came of it. The test fails without the bound.

--- a/crates/laurelstall_guard/examples/phases.rs
+++ b/crates/laurelstall_guard/examples/phases.rs
@@ -133,7 +133,7 @@
         loop {
             watched.report_wanted().await;
             sleep(LOOK).await;
-            watched.note_slowness(seen.percent(clock.now_us()));
+            watched.note_look(Some(seen.percent(clock.now_us())));
         }
     });
     let gap_us = run_ms * 1_000.0 / (LOAD * f64::from(SLOTS));
--- a/crates/laurelstall_guard/src/guard.rs
+++ b/crates/laurelstall_guard/src/guard.rs
@@ -209,16 +209,22 @@
         state.admit_waiting(now_us);
     }
 
-    /// Learns that the target did not tell its pace when it was asked.
-    pub fn note_look_failed(&self) {
+    /// Learns what came of the question that [`Guard::report_wanted`] asked for: how long work takes at the
+    /// target now, in percent of the usual; none when it did not tell.
+    pub fn note_look(&self, slowness_percent: Option<u32>) {
         let now_us = self.clock.now_us();
         let mut state = self.lock();
-        state.note_look_failed(now_us);
+        state.note_look_ended(slowness_percent.is_some(), now_us);
+        if let Some(slowness_percent) = slowness_percent {
+            state.pace.note(slowness_percent, now_us);
+        }
         state.admit_waiting(now_us);
     }
 
     /// Waits until a report of the target's pace would help to decide on a call that waits for a slot.
     ///
+    /// Whoever waited asks the target and says what came of it with [`Guard::note_look`]: calls wait for that.
+    ///
     /// Meanwhile, calls that are held without a way to ask the target are decided anew as their last
     /// report grows old.
     pub async fn report_wanted(&self) {
@@ -229,6 +235,7 @@
                 let mut state = self.lock();
                 state.admit_waiting(now_us);
                 if state.is_report_wanted(now_us) {
+                    state.note_look_begun();
                     return;
                 }
                 state.recheck_us(now_us)
--- a/crates/laurelstall_guard/src/guard/state.rs
+++ b/crates/laurelstall_guard/src/guard/state.rs
@@ -32,6 +32,9 @@
 /// What a look costs, in answers: it takes the target and its guard about a hundredth of the time of a
 /// short run, and the calls wait for it.
 const LOOK_COST: f64 = 0.06;
+/// Shortest time from one look to the next, in µs: it bounds what observing costs a target to 50 looks a
+/// second, whatever happens; fewer are worth their cost.
+const LOOK_GAP_MIN_US: u64 = 20_000;
 /// Age of a report from which it is never worth to be looked up anew, in µs.
 const REPORT_FRESH_US: u64 = 5_000;
 /// Chance that the target is in the phase of its last report from which calls are sent elsewhere by it:
@@ -47,6 +50,8 @@
     Impossible,
     /// It may be asked, but not before this time in µs of the guard's clock.
     NotBefore(u64),
+    /// It is being asked.
+    UnderWay,
 }
 
 /// What to do with a call for which there is a slot.
@@ -216,7 +221,11 @@
     }
 
     fn can_look(&self, now_us: u64) -> bool {
-        matches!(self.looks, Looks::NotBefore(at_us) if now_us >= at_us)
+        match self.looks {
+            Looks::Impossible => false,
+            Looks::NotBefore(at_us) => now_us >= at_us,
+            Looks::UnderWay => true,
+        }
     }
 
     /// Calls that could begin at once.
@@ -230,10 +239,18 @@
         (!self.queue.is_empty() && self.has_slot()).then_some(now_us + RECHECK_US)
     }
 
-    /// Learns that the target brought no report when it was asked.
-    pub(super) fn note_look_failed(&mut self, now_us: u64) {
+    /// Notes that the target is asked for a report.
+    pub(super) fn note_look_begun(&mut self) {
+        if self.looks != Looks::Impossible {
+            self.looks = Looks::UnderWay;
+        }
+    }
+
+    /// Notes that the target was asked, and whether it brought a report.
+    pub(super) fn note_look_ended(&mut self, is_answered: bool, now_us: u64) {
+        let pause_us = if is_answered { LOOK_GAP_MIN_US } else { PAUSE_AFTER_FAILURE_US };
         if self.looks != Looks::Impossible {
-            self.looks = Looks::NotBefore(now_us + PAUSE_AFTER_FAILURE_US);
+            self.looks = Looks::NotBefore(now_us + pause_us);
         }
     }
 
--- a/crates/laurelstall_guard/tests/held_calls.rs
+++ b/crates/laurelstall_guard/tests/held_calls.rs
@@ -6,7 +6,10 @@
     refusal::{Refusal, RefusalReason},
     wait_queue::Rank,
 };
-use std::sync::Arc;
+use std::sync::{
+    Arc,
+    atomic::{AtomicU32, Ordering},
+};
 use tokio::{
     task::{JoinHandle, yield_now},
     time::{Duration, advance, timeout},
@@ -92,7 +95,7 @@
     let first = waiting(&guard, ask(&clock)).await;
     timeout(Duration::from_millis(1), guard.report_wanted()).await.expect("the last report is old");
     assert!(!first.is_finished());
-    guard.note_look_failed();
+    guard.note_look(None);
     yield_now().await;
     let begun = timeout(Duration::from_millis(400), first).await.expect("in time for its answer");
     let permit = begun.expect("no panic").expect("no report is to be had");
@@ -188,3 +191,39 @@
     }
     assert!(guard.is_idle());
 }
+
+#[tokio::test(start_paused = true)]
+async fn a_target_is_asked_at_most_fifty_times_a_second_however_long_it_is_slow() {
+    let (guard, clock) = slow_guard().await;
+    guard.set_can_look(true);
+    // Phases of some 10 ms make each report old at once.
+    for turn in 0..200 {
+        advance(Duration::from_millis(10)).await;
+        guard.note_slowness(if turn % 2 == 0 { 100 } else { 500 });
+    }
+    let (watched, looks) = (guard.clone(), Arc::new(AtomicU32::new(0)));
+    let counted = looks.clone();
+    let watch = tokio::spawn(async move {
+        loop {
+            watched.report_wanted().await;
+            counted.fetch_add(1, Ordering::SeqCst);
+            watched.note_look(Some(500));
+        }
+    });
+    let mut calls = Vec::new();
+    let mut before = 0;
+    let mut most = 0;
+    for _second in 0..5 {
+        for _ in 0..200 {
+            calls.push(waiting(&guard, ask(&clock)).await);
+            advance(Duration::from_millis(5)).await;
+            yield_now().await;
+        }
+        let now = looks.load(Ordering::SeqCst);
+        most = most.max(now - before);
+        before = now;
+    }
+    assert!((20..=50).contains(&most), "{most} looks in a second");
+    watch.abort();
+    calls.iter().for_each(JoinHandle::abort);
+}
--- a/crates/laurelstall_node/src/target_guard.rs
+++ b/crates/laurelstall_node/src/target_guard.rs
@@ -362,10 +362,8 @@
         let path = self.own_target(&in_force).map_or("", |(service, _)| &service.load_path);
         let look = PaceLook { settings, client, dialect: &*self.dialect };
         count(&self.counters.pace_looks);
-        match look.load(path).await {
-            Some(load) => self.guard.note_slowness(load.slowness_percent),
-            None => self.guard.note_look_failed(),
-        }
+        let load = look.load(path).await;
+        self.guard.note_look(load.map(|load| load.slowness_percent));
     }
 
     pub(crate) async fn run_once(self: &Arc<Self>, run: Run) -> AttemptAnswer {
