A target's own word that it is another is told apart from its guard's in logs and counts

Cause: both were written other-target, so the logs could not say whether a request had reached a target. Change: reason `replaced`, counts target_arrivals, target_sheds, target_denials, retries_free.

--- a/crates/laurelstall_guard/src/refusal.rs
+++ b/crates/laurelstall_guard/src/refusal.rs
@@ -17,7 +17,7 @@
     Deadline,
     /// The call waited a usual service time and another target may be quicker.
     HandedBack,
-    /// This guard does not guard the target that was named.
+    /// This guard does not guard the target that was named: nothing was sent to any target.
     OtherTarget,
     /// The head's version or a field of it is not known here.
     Unreadable,
@@ -35,6 +35,8 @@
     Slow,
     /// The call would wait so long that its answer had no full worth any more.
     Busy,
+    /// The target itself said that it is another than the one that was named: the request has reached it.
+    Replaced,
 }
 
 impl RefusalReason {
@@ -45,7 +47,10 @@
 
     /// Whether trying elsewhere costs no target anything, so that no retry budget is needed.
     pub fn is_free_to_retry(self) -> bool {
-        matches!(self, Self::Draining | Self::NoConnection | Self::OtherTarget | Self::Unreadable)
+        matches!(
+            self,
+            Self::Draining | Self::NoConnection | Self::OtherTarget | Self::Unreadable | Self::Replaced
+        )
     }
 
     /// The word used in logs, headers and metrics.
@@ -64,6 +69,7 @@
             Self::TicketVoid => "ticket-void",
             Self::Slow => "slow",
             Self::Busy => "busy",
+            Self::Replaced => "replaced",
         }
     }
 }
--- a/crates/laurelstall_node/src/call.rs
+++ b/crates/laurelstall_node/src/call.rs
@@ -396,7 +396,11 @@
             return Next::End(self.give_up(refusal.reason));
         }
         self.excluded.push(destination.choice.index);
-        if refusal.reason.is_free_to_retry() || self.may_try_again(Some(refusal)) {
+        if refusal.reason.is_free_to_retry() {
+            count(&self.context.counters.retries_free);
+            return Next::Again;
+        }
+        if self.may_try_again(Some(refusal)) {
             return Next::Again;
         }
         Next::End(self.give_up(refusal.reason))
@@ -455,6 +459,7 @@
                 refusal.reason,
                 RefusalReason::NoConnection
                     | RefusalReason::OtherTarget
+                    | RefusalReason::Replaced
                     | RefusalReason::Unreadable
                     | RefusalReason::Stranger
             )
--- a/crates/laurelstall_node/src/counters.rs
+++ b/crates/laurelstall_node/src/counters.rs
@@ -45,6 +45,8 @@
     retries,
     /// Further attempts that were wanted but not in the retry budget.
     retries_refused,
+    /// Further attempts after a refusal that is taken to have cost no target anything.
+    retries_free,
     /// Calls handed back by a guard while they waited.
     hand_backs,
     /// Second attempts that ran beside the first.
@@ -57,6 +59,12 @@
     guard_refused,
     /// Attempts whose outcome at the target is unknown.
     guard_unknown,
+    /// Requests that were sent to the own target.
+    target_arrivals,
+    /// Answers of the own target that it has no room.
+    target_sheds,
+    /// Answers of the own target that it is another one than was named.
+    target_denials,
     /// Tickets given out by this node's guard.
     tickets,
     /// Repeats of a ticket that got the kept answer.
--- a/crates/laurelstall_node/src/target_guard.rs
+++ b/crates/laurelstall_node/src/target_guard.rs
@@ -429,7 +429,11 @@
         };
         let _running = self.running.enter(self.dialect.request_id(&headers), useful_until_us);
         let deadline = self.clock.instant_of(deadline_us);
-        match timeout_at(deadline, client.send(request, head.may_repeat)).await {
+        let sent = timeout_at(deadline, client.send(request, head.may_repeat)).await;
+        if !matches!(sent, Ok(Err(TargetError::NoConnection))) {
+            count(&self.counters.target_arrivals);
+        }
+        match sent {
             Err(_) => unknown("time budget spent at the target"),
             Ok(Ok((response, connection))) => {
                 let answered = Answered { request: headers, response, connection, permit };
--- a/crates/laurelstall_node/src/target_guard/answers.rs
+++ b/crates/laurelstall_node/src/target_guard/answers.rs
@@ -41,7 +41,7 @@
         let refusal = match self.dialect.answer_kind(&request, status, &headers, limits.shed_status) {
             AnswerKind::Ran => None,
             AnswerKind::Shed => Some(RefusalReason::Shed),
-            AnswerKind::OtherTarget => Some(RefusalReason::OtherTarget),
+            AnswerKind::OtherTarget => Some(RefusalReason::Replaced),
             AnswerKind::Foreign => {
                 permit.release_uncounted();
                 return unknown("the target answered another request");
@@ -50,8 +50,12 @@
         if let Some(reason) = refusal {
             permit.release_uncounted();
             if reason == RefusalReason::Shed {
+                count(&self.counters.target_sheds);
                 self.guard.note_shed();
             }
+            if reason == RefusalReason::Replaced {
+                count(&self.counters.target_denials);
+            }
             return refused(reason, None);
         }
         strip_hop_by_hop(&mut headers);
