What has reached a target is paid for, and a guard keeps who its target is

Cause: the proof that nothing ran was taken for proof that nothing had arrived. A target's own answer that it is another instance came back as a guard's free refusal; entries did not pay, did not learn, and the guard asked again under the same name. Change: one table says what follows from each reason of a refusal, and the entry asks nothing else; a guard keeps which instance stands beside it: denials lead to a question at the load path, to single tries with doubling pauses, and to refusals before any wait; the first word after the node's start names the target while the list lags (setting target.address_reuse_s). Entries leave an absent target alone and tell callers the earliest time. The test of every reason on the wire takes all of them.

--- a/crates/laurelstall_balance/src/ejection.rs
+++ b/crates/laurelstall_balance/src/ejection.rs
@@ -29,6 +29,11 @@
         now_us < self.until_us
     }
 
+    /// Until when the target is out, in µs; past or 0 when it is in.
+    pub fn until_us(&self) -> u64 {
+        self.until_us
+    }
+
     /// Ejects the target, each time for twice as long as before up to a bound.
     pub fn eject(&mut self, now_us: u64, first_us: u64) {
         let out_us = first_us << self.times.min(EJECTION_GROWTH_MAX);
--- a/crates/laurelstall_balance/src/service_balancer.rs
+++ b/crates/laurelstall_balance/src/service_balancer.rs
@@ -47,6 +47,13 @@
 /// Share of the targets that are taken to work at the usual pace: one in so many.
 const USUAL_PACE_SHARE: usize = 4;
 
+/// Run times after which a call comes back that found all targets busy.
+const RETRY_AFTER_RUNS: f64 = 4.0;
+/// Shortest time that a caller is told to stay away when no target can take its call, in ms.
+const RETRY_AFTER_MIN_MS: u64 = 100;
+/// Longest such time in ms: what is known of targets is out of date after it.
+const RETRY_AFTER_MAX_MS: u64 = 5_000;
+
 /// How an attempt ended, as far as it tells something of the target.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum AttemptResult {
@@ -237,6 +244,12 @@
         self.targets[index].note_draining(self.usual_us, now_us);
     }
 
+    /// Learns from a refusal that no target of this name is to be had there for `wait_ms`.
+    pub fn note_absent(&mut self, index: usize, name: &str, wait_ms: u32, now_us: u64) {
+        let Some(index) = self.place_of(index, name) else { return };
+        self.targets[index].note_absent(u64::from(wait_ms) * 1_000, now_us);
+    }
+
     /// Slowness from which a target is slow beside the others, in percent of the usual.
     ///
     /// Where all targets are slow, as after a start of the whole fleet, none is to be avoided for it.
@@ -296,10 +309,16 @@
         Some(ties[self.rng.random_range(0..ties.len())].0)
     }
 
-    /// When to come back, in ms, for a call that no target can take now.
-    pub fn retry_after_ms(&self) -> u64 {
-        let queue = self.usual_us / 1_000.0 * 4.0;
-        (queue as u64).clamp(100, 5_000)
+    /// When to come back, in ms, for a call that no target can take now: when the first target that is out,
+    /// absent or leaving may be called again, or else after some run times.
+    pub fn retry_after_ms(&self, now_us: u64) -> u64 {
+        let live = self.targets.iter().filter(|view| view.is_live);
+        let free_us = live.map(|view| view.free_from_us(now_us).saturating_sub(now_us)).min();
+        let wait_ms = match free_us {
+            Some(free_us) if free_us > 0 => free_us.div_ceil(1_000),
+            _ => (self.usual_us / 1_000.0 * RETRY_AFTER_RUNS) as u64,
+        };
+        wait_ms.clamp(RETRY_AFTER_MIN_MS, RETRY_AFTER_MAX_MS)
     }
 
     /// The targets, for decisions written down and for operators.
--- a/crates/laurelstall_balance/src/target_view.rs
+++ b/crates/laurelstall_balance/src/target_view.rs
@@ -24,6 +24,12 @@
 /// over which it could say that it is back. A try too early costs a refusal, one second after the last.
 const DRAINING_AGE_MAX_US: u64 = 1_000_000;
 
+/// How long a target is taken for absent when its guard guards another one and cannot tell for how long, in µs:
+/// lists differ between nodes for less.
+const ABSENT_US: u64 = 1_000_000;
+/// Longest time that a guard's word on its target's absence is believed, in µs: above the guard's own pauses.
+const ABSENT_MAX_US: u64 = 5_000_000;
+
 /// One entry's view of one target.
 #[derive(Debug, Clone)]
 pub struct TargetView {
@@ -41,6 +47,8 @@
     pub is_live: bool,
     /// Whether it is ejected, and since when it ramps up.
     pub ejection: Ejection,
+    /// Until when its guard said that no target of this name is there, in µs.
+    absent_until_us: u64,
     hint: Option<(Hint, u64)>,
     in_flight: u32,
     in_flight_at_hint: u32,
@@ -62,6 +70,7 @@
             change_percent: 0,
             is_live: true,
             ejection: Ejection::new(now_us),
+            absent_until_us: 0,
             hint: None,
             in_flight: 0,
             in_flight_at_hint: 0,
@@ -160,7 +169,15 @@
 
     /// Whether a new call may go here at all.
     pub fn is_eligible(&self, now_us: u64) -> bool {
-        self.is_live && !self.is_draining(now_us) && !self.ejection.is_out(now_us)
+        self.is_live && now_us >= self.free_from_us(now_us)
+    }
+
+    /// From when on a new call may go here, as far as it is listed as live, in µs; not after now when it may
+    /// go at once.
+    pub fn free_from_us(&self, now_us: u64) -> u64 {
+        let drained_us = self.hint(now_us).filter(|_| self.is_draining(now_us));
+        let drained_us = drained_us.map_or(0, |(_, age_us)| now_us - age_us + DRAINING_AGE_MAX_US + 1);
+        drained_us.max(self.absent_until_us).max(self.ejection.until_us())
     }
 
     /// Whether its guard said lately that it drains.
@@ -169,6 +186,15 @@
         hint.is_some_and(|(hint, _)| hint.state == TargetState::Draining)
     }
 
+    /// Learns from a refusal that no target of this name is to be had here for `wait_us`; a second where the
+    /// guard cannot tell.
+    ///
+    /// The list that names another one ends this view; until then, each entry asks anew when the time is over.
+    pub fn note_absent(&mut self, wait_us: u64, now_us: u64) {
+        let wait_us = if wait_us == 0 { ABSENT_US } else { wait_us.min(ABSENT_MAX_US) };
+        self.absent_until_us = now_us + wait_us;
+    }
+
     /// Learns from a refusal that the target drains.
     pub fn note_draining(&mut self, usual_us: f64, now_us: u64) {
         let known = self.hint.map(|(hint, _)| hint);
--- a/crates/laurelstall_config/src/settings.rs
+++ b/crates/laurelstall_config/src/settings.rs
@@ -66,8 +66,17 @@
     /// Longest time to open a connection in ms.
     #[serde(default = "connect_timeout_ms_default")]
     pub connect_timeout_ms: u64,
+    /// Shortest time in s after which an address whose target has ended is given to another service; 0 when
+    /// nothing says so.
+    ///
+    /// For so long after the node's start, whoever answers at the address belongs to the service above.
+    #[serde(default)]
+    pub address_reuse_s: f64,
 }
 
+/// Longest time that may be given for the reuse of addresses, in s.
+const ADDRESS_REUSE_MAX_S: f64 = 3_600.0;
+
 fn target_http_default() -> TargetHttp {
     TargetHttp::Http1
 }
@@ -260,6 +269,7 @@
             let is_full = target.service.split_once('/').is_some_and(|(t, s)| is_name(t) && is_name(s));
             check.ensure(is_full, "target.service", "must be 'team/service'");
             check.range("target.connect_timeout_ms", target.connect_timeout_ms, 1..=60_000);
+            check.range("target.address_reuse_s", target.address_reuse_s, 0.0..=ADDRESS_REUSE_MAX_S);
         }
         check.range("platform.read_timeout_ms", self.platform.read_timeout_ms, 10..=60_000);
         check.range("platform.watch_wait_ms", self.platform.watch_wait_ms, 100..=300_000);
--- a/crates/laurelstall_guard/src/guard.rs
+++ b/crates/laurelstall_guard/src/guard.rs
@@ -122,6 +122,11 @@
         }
     }
 
+    /// Whether the target can be asked how fast it works.
+    pub fn can_look(&self) -> bool {
+        self.lock().looks != Looks::Impossible
+    }
+
     /// Starts or ends draining: while it drains, nothing new is admitted.
     pub fn set_draining(&self, is_draining: bool) {
         let since_us = if is_draining { self.clock.now_us() } else { 0 };
--- a/crates/laurelstall_guard/src/refusal.rs
+++ b/crates/laurelstall_guard/src/refusal.rs
@@ -1,4 +1,4 @@
-//! Why a guard did not run a call.
+//! Why a call was not run, and what follows from each reason.
 
 use laurelstall_balance::hint::USUAL_PERCENT;
 use serde::{Deserialize, Serialize};
@@ -6,7 +6,8 @@
 
 /// The reason of a refusal. Each is proof that this attempt did not run.
 ///
-/// It travels between nodes by its place in this list: new ones go to the end.
+/// It travels between nodes by its place in this list: new ones go to the end. What follows from a reason is
+/// in [`RefusalReason::facts`] and nowhere else.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub enum RefusalReason {
     /// The target or its node is leaving.
@@ -21,7 +22,7 @@
     OtherTarget,
     /// The head's version or a field of it is not known here.
     Unreadable,
-    /// The target took no connection.
+    /// The target, or the node beside it, took no connection.
     NoConnection,
     /// The target said that it shed the call before running it.
     Shed,
@@ -39,38 +40,120 @@
     Replaced,
 }
 
-impl RefusalReason {
-    /// Whether another target may well take the call.
-    pub fn may_go_elsewhere(self) -> bool {
-        !matches!(self, Self::Deadline | Self::TicketVoid)
+/// Who says that an attempt was not run.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum RefusalSource {
+    /// The entry, which sent nothing or could not send it.
+    Entry,
+    /// The guard, before it sent anything to its target.
+    Guard,
+    /// The target, which the request has reached.
+    Target,
+}
+
+/// What an entry may do with a call after a refusal.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum NextStep {
+    /// Nothing: no target would take it.
+    GiveUp,
+    /// Another target, or the same one, as often as the limits of the service allow hand-backs.
+    HandBack,
+    /// Another target; this one may be asked again and must not refuse for that reason then.
+    PassOver,
+    /// Another target, without paying: no target has had the request.
+    ElsewhereFree,
+    /// Another target, paid from the retry budget.
+    ElsewherePaid,
+}
+
+/// What an entry learns of the target from a refusal.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Lesson {
+    /// Nothing.
+    Nothing,
+    /// Some calls wait there.
+    SomeWait,
+    /// As many calls wait there as may.
+    IsFull,
+    /// It works slowly.
+    IsSlow,
+    /// It leaves.
+    Drains,
+    /// It cannot be reached under this name for now.
+    IsAbsent,
+    /// The attempt failed: a target that refuses at once must not look idle.
+    Fails,
+}
+
+/// What follows from a reason.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct RefusalFacts {
+    /// The word used in logs, headers and metrics.
+    pub word: &'static str,
+    /// Who says so.
+    pub source: RefusalSource,
+    /// What the entry does next.
+    pub next: NextStep,
+    /// What the entry learns of the target.
+    pub lesson: Lesson,
+    /// Whether it proves that a ticket's call never runs: the word of the guard that holds the ticket.
+    pub proves_ticket: bool,
+}
+
+impl RefusalFacts {
+    /// Whether the request has reached a target, so that one more attempt is one more arrival.
+    pub fn has_arrived(&self) -> bool {
+        self.source == RefusalSource::Target
     }
+}
 
-    /// Whether trying elsewhere costs no target anything, so that no retry budget is needed.
-    pub fn is_free_to_retry(self) -> bool {
-        matches!(
-            self,
-            Self::Draining | Self::NoConnection | Self::OtherTarget | Self::Unreadable | Self::Replaced
-        )
+impl RefusalReason {
+    /// All reasons, in the order in which they travel.
+    pub const ALL: [Self; 14] = [
+        Self::Draining,
+        Self::QueueFull,
+        Self::Deadline,
+        Self::HandedBack,
+        Self::OtherTarget,
+        Self::Unreadable,
+        Self::NoConnection,
+        Self::Shed,
+        Self::Stranger,
+        Self::NoTarget,
+        Self::TicketVoid,
+        Self::Slow,
+        Self::Busy,
+        Self::Replaced,
+    ];
+
+    /// What follows from this reason: the one place that says so.
+    #[rustfmt::skip]
+    pub const fn facts(self) -> RefusalFacts {
+        use Lesson as L;
+        use NextStep as N;
+        use RefusalSource as S;
+        let (word, source, next, lesson, proves_ticket) = match self {
+            Self::Draining     => ("draining",      S::Guard,  N::ElsewhereFree, L::Drains,   true),
+            Self::QueueFull    => ("queue-full",    S::Guard,  N::ElsewherePaid, L::IsFull,   true),
+            Self::Deadline     => ("deadline",      S::Guard,  N::GiveUp,        L::Nothing,  true),
+            Self::HandedBack   => ("handed-back",   S::Guard,  N::HandBack,      L::SomeWait, true),
+            Self::OtherTarget  => ("other-target",  S::Guard,  N::ElsewhereFree, L::IsAbsent, false),
+            Self::Unreadable   => ("unreadable",    S::Guard,  N::ElsewhereFree, L::Nothing,  false),
+            Self::NoConnection => ("no-connection", S::Entry,  N::ElsewhereFree, L::Fails,    false),
+            Self::Shed         => ("shed",          S::Target, N::ElsewherePaid, L::Fails,    true),
+            Self::Stranger     => ("stranger",      S::Guard,  N::ElsewherePaid, L::Nothing,  false),
+            Self::NoTarget     => ("no-target",     S::Entry,  N::GiveUp,        L::Nothing,  true),
+            Self::TicketVoid   => ("ticket-void",   S::Guard,  N::GiveUp,        L::Nothing,  true),
+            Self::Slow         => ("slow",          S::Guard,  N::PassOver,      L::IsSlow,   true),
+            Self::Busy         => ("busy",          S::Guard,  N::ElsewherePaid, L::IsFull,   true),
+            Self::Replaced     => ("replaced",      S::Target, N::ElsewherePaid, L::Fails,    false),
+        };
+        RefusalFacts { word, source, next, lesson, proves_ticket }
     }
 
     /// The word used in logs, headers and metrics.
-    pub fn word(self) -> &'static str {
-        match self {
-            Self::Draining => "draining",
-            Self::QueueFull => "queue-full",
-            Self::Deadline => "deadline",
-            Self::HandedBack => "handed-back",
-            Self::OtherTarget => "other-target",
-            Self::Unreadable => "unreadable",
-            Self::NoConnection => "no-connection",
-            Self::Shed => "shed",
-            Self::Stranger => "stranger",
-            Self::NoTarget => "no-target",
-            Self::TicketVoid => "ticket-void",
-            Self::Slow => "slow",
-            Self::Busy => "busy",
-            Self::Replaced => "replaced",
-        }
+    pub const fn word(self) -> &'static str {
+        self.facts().word
     }
 }
 
@@ -96,4 +179,9 @@
     pub fn new(reason: RefusalReason) -> Self {
         Self { reason, retry_after_ms: 0, slowness_percent: USUAL_PERCENT }
     }
+
+    /// The same with when a further try here makes sense.
+    pub fn with_retry_after_ms(self, retry_after_ms: u32) -> Self {
+        Self { retry_after_ms, ..self }
+    }
 }
--- /dev/null
+++ b/crates/laurelstall_guard/tests/refusal.rs
@@ -0,0 +1,40 @@
+//! What follows from the reasons of refusals.
+
+use laurelstall_guard::refusal::{Lesson, NextStep, RefusalReason};
+use std::collections::HashSet;
+
+#[test]
+fn what_has_reached_a_target_is_never_tried_elsewhere_for_nothing() {
+    for reason in RefusalReason::ALL {
+        let facts = reason.facts();
+        let is_paid = matches!(facts.next, NextStep::ElsewherePaid | NextStep::GiveUp);
+        assert!(!facts.has_arrived() || is_paid, "{reason}");
+    }
+}
+
+#[test]
+fn a_target_that_refuses_what_has_reached_it_does_not_look_idle() {
+    for reason in RefusalReason::ALL {
+        let facts = reason.facts();
+        assert!(!facts.has_arrived() || facts.lesson == Lesson::Fails, "{reason}");
+    }
+}
+
+#[test]
+fn whoever_may_be_asked_again_for_nothing_is_bounded_or_left_alone() {
+    for reason in RefusalReason::ALL {
+        let facts = reason.facts();
+        let is_free = facts.next == NextStep::ElsewhereFree;
+        let is_known = facts.lesson != Lesson::Nothing || reason == RefusalReason::Unreadable;
+        assert!(!is_free || is_known, "{reason}: the next call would go there as well");
+    }
+}
+
+#[test]
+fn words_and_places_tell_reasons_apart() {
+    let words = RefusalReason::ALL.map(RefusalReason::word);
+    assert_eq!(words.iter().collect::<HashSet<_>>().len(), RefusalReason::ALL.len());
+    for (place, reason) in RefusalReason::ALL.into_iter().enumerate() {
+        assert_eq!(reason as usize, place, "{reason}");
+    }
+}
--- a/crates/laurelstall_node/src/call.rs
+++ b/crates/laurelstall_node/src/call.rs
@@ -20,7 +20,7 @@
 use laurelstall_config::route::ROUTE_IMPORTANCE_MAX;
 use laurelstall_guard::{
     clock::Clock,
-    refusal::{Refusal, RefusalReason},
+    refusal::{Lesson, NextStep, Refusal, RefusalReason},
 };
 use laurelstall_peer::{
     attempt::{Admission, Attempt, AttemptAnswer, AttemptBody, AttemptHandler, AttemptOutcome},
@@ -383,20 +383,23 @@
     }
 
     fn after_refusal(&mut self, destination: &Destination, refusal: Refusal) -> Next {
-        if refusal.reason == RefusalReason::HandedBack {
-            self.hand_backs += 1;
-            count(&self.context.counters.hand_backs);
-            return Next::Again;
-        }
-        if refusal.reason == RefusalReason::Slow {
-            self.slow.push(destination.choice.index);
-            return Next::Again;
-        }
-        if self.request.ticket.is_some() || !refusal.reason.may_go_elsewhere() {
-            return Next::End(self.give_up(refusal.reason));
+        let index = destination.choice.index;
+        let next = refusal.reason.facts().next;
+        match next {
+            NextStep::HandBack => {
+                self.hand_backs += 1;
+                count(&self.context.counters.hand_backs);
+                return Next::Again;
+            }
+            NextStep::PassOver => {
+                self.slow.push(index);
+                return Next::Again;
+            }
+            _ if self.request.ticket.is_some() => return Next::End(self.give_up(refusal.reason)),
+            NextStep::GiveUp => return Next::End(self.give_up(refusal.reason)),
+            NextStep::ElsewhereFree | NextStep::ElsewherePaid => self.excluded.push(index),
         }
-        self.excluded.push(destination.choice.index);
-        if refusal.reason.is_free_to_retry() {
+        if next == NextStep::ElsewhereFree {
             count(&self.context.counters.retries_free);
             return Next::Again;
         }
@@ -445,8 +448,10 @@
         if refusal.reason == RefusalReason::HandedBack {
             refusal.reason = reason;
         }
-        if refusal.retry_after_ms == 0 {
-            refusal.retry_after_ms = self.service.balancer().retry_after_ms() as u32;
+        let is_of_one_target = refusal.reason.facts().lesson == Lesson::IsAbsent;
+        if refusal.retry_after_ms == 0 || is_of_one_target {
+            let now_us = self.context.clock.now_us();
+            refusal.retry_after_ms = self.service.balancer().retry_after_ms(now_us) as u32;
         }
         CallOutcome::NotRun(refusal)
     }
@@ -454,16 +459,7 @@
     /// Whether *not run* would be no proof: a ticket's call may have been sent before, and only
     /// its guard, by voiding the ticket, can say that it never runs.
     fn is_ticket_unproved(&self) -> bool {
-        let is_guards_word = self.last_refusal.is_some_and(|refusal| {
-            !matches!(
-                refusal.reason,
-                RefusalReason::NoConnection
-                    | RefusalReason::OtherTarget
-                    | RefusalReason::Replaced
-                    | RefusalReason::Unreadable
-                    | RefusalReason::Stranger
-            )
-        });
+        let is_guards_word = self.last_refusal.is_some_and(|refusal| refusal.reason.facts().proves_ticket);
         self.request.ticket.is_some() && !is_guards_word
     }
 
--- a/crates/laurelstall_node/src/call/notes.rs
+++ b/crates/laurelstall_node/src/call/notes.rs
@@ -4,7 +4,7 @@
 use crate::{decision_log::Decision, metrics::observe_us};
 use laurelstall_balance::service_balancer::AttemptResult;
 use laurelstall_config::document::{DocumentName, Version};
-use laurelstall_guard::refusal::{Refusal, RefusalReason};
+use laurelstall_guard::refusal::{Lesson, Refusal};
 use laurelstall_peer::attempt::{AttemptAnswer, AttemptOutcome};
 
 impl Call<'_> {
@@ -24,13 +24,11 @@
                 (AttemptResult::Failed, "error")
             }
             AttemptOutcome::Answered { .. } => (AttemptResult::Good(took_us), "answered"),
-            AttemptOutcome::NotRun(refusal) => match refusal.reason {
-                // A target that sheds or takes no connection is to be avoided like one that fails.
-                RefusalReason::NoConnection | RefusalReason::Shed => {
-                    (AttemptResult::Failed, refusal.reason.word())
-                }
-                reason => (AttemptResult::NotRun, reason.word()),
-            },
+            AttemptOutcome::NotRun(refusal) => {
+                let facts = refusal.reason.facts();
+                let is_failure = facts.lesson == Lesson::Fails;
+                (if is_failure { AttemptResult::Failed } else { AttemptResult::NotRun }, facts.word)
+            }
             AttemptOutcome::Unknown(_) => (AttemptResult::Failed, "unknown"),
         };
         observe_us(&self.context.latencies.attempts, took_us);
@@ -40,23 +38,18 @@
 
     /// A refusal tells of the target's queue, without any byte of the budget for observing.
     fn note_refusal(&self, destination: &Destination, refusal: &Refusal, now_us: u64) {
-        let is_full = match refusal.reason {
-            RefusalReason::QueueFull | RefusalReason::Busy => true,
-            RefusalReason::HandedBack => false,
-            RefusalReason::Slow => {
-                let mut balancer = self.service.balancer();
-                let index = destination.choice.index;
-                balancer.note_slow(index, &destination.name, refusal.slowness_percent, now_us);
-                return;
-            }
-            RefusalReason::Draining => {
-                self.service.balancer().note_draining(destination.choice.index, &destination.name, now_us);
-                return;
-            }
-            _ => return,
-        };
+        let index = destination.choice.index;
+        let name = &destination.name;
         let mut balancer = self.service.balancer();
-        balancer.note_queueing(destination.choice.index, &destination.name, is_full, now_us);
+        match refusal.reason.facts().lesson {
+            Lesson::IsFull => balancer.note_queueing(index, name, true, now_us),
+            Lesson::SomeWait => balancer.note_queueing(index, name, false, now_us),
+            Lesson::IsSlow => balancer.note_slow(index, name, refusal.slowness_percent, now_us),
+            Lesson::Drains => balancer.note_draining(index, name, now_us),
+            Lesson::IsAbsent => balancer.note_absent(index, name, refusal.retry_after_ms, now_us),
+            // A failure is noted with the result of the attempt.
+            Lesson::Fails | Lesson::Nothing => {}
+        }
     }
 
     pub(super) fn note(&self, destination: &Destination, result: AttemptResult) {
--- a/crates/laurelstall_node/src/counters.rs
+++ b/crates/laurelstall_node/src/counters.rs
@@ -73,6 +73,8 @@
     probes,
     /// Times that the own target was asked how fast it works.
     pace_looks,
+    /// Times that the own target was asked who it is.
+    identity_looks,
     /// Lines of the decision log dropped.
     decisions_dropped,
     /// Runs of a program that failed.
--- a/crates/laurelstall_node/src/dialect.rs
+++ b/crates/laurelstall_node/src/dialect.rs
@@ -105,6 +105,9 @@
         shed_status: u16,
     ) -> AnswerKind;
 
+    /// The name that a target gives itself where it tells its load.
+    fn instance<'a>(&self, answer: &'a HeaderMap) -> Option<&'a str>;
+
     /// How busy the target says it is.
     fn load(&self, answer: &HeaderMap) -> Option<TargetLoad>;
 
@@ -165,6 +168,10 @@
         if is_shed { AnswerKind::Shed } else { AnswerKind::Ran }
     }
 
+    fn instance<'a>(&self, _answer: &'a HeaderMap) -> Option<&'a str> {
+        None
+    }
+
     fn load(&self, _answer: &HeaderMap) -> Option<TargetLoad> {
         None
     }
--- a/crates/laurelstall_node/src/target_guard.rs
+++ b/crates/laurelstall_node/src/target_guard.rs
@@ -7,7 +7,6 @@
     dialect::{AttemptFacts, HeaderDialect},
     metrics::{Latencies, observe_us},
     observer::Observer,
-    pace_look::PaceLook,
     running_requests::RunningRequests,
     target_http::{TargetClient, TargetError, target_request},
     target_pool::UsedConnection,
@@ -28,6 +27,7 @@
     guard::{Ask, Guard, GuardLimits, Permit},
     ledger::Ledger,
     refusal::{Refusal, RefusalReason},
+    target_identity::TargetIdentity,
     wait_queue::Rank,
 };
 use laurelstall_peer::{
@@ -40,9 +40,13 @@
     Arc, Mutex, MutexGuard, PoisonError,
     atomic::{AtomicBool, Ordering},
 };
-use tokio::time::{Duration, timeout, timeout_at};
+use tokio::{
+    sync::Mutex as AsyncMutex,
+    time::{Duration, timeout, timeout_at},
+};
 
 mod answers;
+mod instance;
 
 /// Queue of a guard that stands in for none at all, behind a plain balancer.
 const PLAIN_QUEUE_LENGTH: usize = 100_000;
@@ -71,6 +75,10 @@
     ledger: Mutex<Ledger>,
     /// Name of the target that the configuration lists here; empty for none.
     own_name: Mutex<String>,
+    /// Which instance of it stands here.
+    identity: Mutex<TargetIdentity>,
+    /// Held by whoever asks the target who it is: the others wait for the answer.
+    asking_identity: AsyncMutex<()>,
     drains: Drains,
     client: Option<TargetClient>,
     dialect: Arc<dyn HeaderDialect>,
@@ -126,6 +134,8 @@
             may_hold: false,
         };
         let client = options.settings.as_ref().map(TargetClient::new);
+        let address_reuse_s = options.settings.as_ref().map_or(0.0, |settings| settings.address_reuse_s);
+        let first_word_until_us = options.clock.now_us() + (address_reuse_s * 1e6) as u64;
         let inner = Inner {
             clock: options.clock,
             host: options.host,
@@ -135,6 +145,8 @@
             guard: Guard::new(limits, options.clock),
             ledger: Mutex::new(Ledger::new(options.incarnation, 0)),
             own_name: Mutex::default(),
+            identity: Mutex::new(TargetIdentity::new(first_word_until_us)),
+            asking_identity: AsyncMutex::default(),
             drains: Drains::default(),
             client,
             dialect: options.dialect,
@@ -191,6 +203,7 @@
         let version = in_force.configuration.version(&DocumentName::Fleet);
         log::info!("own target: '{name}' after '{known}', by version {version} of the fleet");
         name.clone_into(&mut known);
+        self.inner.identity().follow_list(name);
     }
 
     /// Starts or ends draining at an operator's wish.
@@ -208,10 +221,9 @@
     /// Asks the target how fast it works whenever that helps to give a slot away, until dropped.
     pub async fn watch_pace(&self) {
         let inner = &self.inner;
-        let (Some(settings), Some(client)) = (&inner.settings, &inner.client) else { return };
         loop {
             inner.guard.report_wanted().await;
-            inner.look_at_pace(client, settings).await;
+            inner.look_at_pace().await;
         }
     }
 
@@ -309,7 +321,8 @@
     }
 
     fn is_named(&self, target: &Target, head: &AttemptHead) -> bool {
-        self.is_own_service(&head.service) && target.name == head.target
+        let is_called = || target.name == head.target || self.identity().is_called(&head.target);
+        self.is_own_service(&head.service) && is_called()
     }
 
     fn is_own_service(&self, service: &str) -> bool {
@@ -344,6 +357,9 @@
             return refused(RefusalReason::OtherTarget, Some(body));
         };
         let now_us = self.clock.now_us();
+        if let Some(wait_us) = self.identity().refused_for_us(now_us) {
+            return not_run(instance::absent(wait_us), Some(body));
+        }
         let deadline_us = now_us + head.budget_us;
         let useful_us = head.useful_us.min(head.budget_us);
         let useful_until_us = now_us + useful_us;
@@ -356,16 +372,6 @@
         }
     }
 
-    /// Asks the target once how fast it works.
-    async fn look_at_pace(&self, client: &TargetClient, settings: &TargetSettings) {
-        let in_force = self.active.load();
-        let path = self.own_target(&in_force).map_or("", |(service, _)| &service.load_path);
-        let look = PaceLook { settings, client, dialect: &*self.dialect };
-        count(&self.counters.pace_looks);
-        let load = look.load(path).await;
-        self.guard.note_look(load.map(|load| load.slowness_percent));
-    }
-
     pub(crate) async fn run_once(self: &Arc<Self>, run: Run) -> AttemptAnswer {
         let ask = Ask {
             rank: Rank { importance: run.head.importance, is_return: run.head.is_return },
@@ -402,6 +408,13 @@
             return refused(RefusalReason::Deadline, Some(body));
         }
         let budget_ms = ((deadline_us - now_us) / 1_000).max(1);
+        let target = match self.claim_instance().await {
+            Ok(target) => target,
+            Err(refusal) => {
+                permit.release_uncounted();
+                return not_run(refusal, Some(body));
+            }
+        };
         let (Some(settings), Some(client)) = (&self.settings, &self.client) else {
             permit.release_uncounted();
             return refused(RefusalReason::OtherTarget, Some(body));
@@ -410,7 +423,7 @@
             permit.release_uncounted();
             return refused(RefusalReason::Unreadable, None);
         };
-        self.dialect.write_attempt(&mut headers, &AttemptFacts { budget_ms, target: &head.target });
+        self.dialect.write_attempt(&mut headers, &AttemptFacts { budget_ms, target: &target });
         admission.grant();
         let body = match body {
             AttemptBody::Stream(body) if head.body == BodyKind::OnGo => match wait_for_go(body).await {
@@ -436,7 +449,7 @@
         match sent {
             Err(_) => unknown("time budget spent at the target"),
             Ok(Ok((response, connection))) => {
-                let answered = Answered { request: headers, response, connection, permit };
+                let answered = Answered { request: headers, target, response, connection, permit };
                 let read = timeout_at(deadline, self.read_response(answered, &limits)).await;
                 read.unwrap_or_else(|_| unknown("time budget spent at the target"))
             }
@@ -457,6 +470,8 @@
 /// A target's answer with what was held for it.
 struct Answered {
     request: HeaderMap,
+    /// Name that the request was sent under.
+    target: String,
     response: Response<Incoming>,
     connection: Option<UsedConnection>,
     permit: Permit,
--- a/crates/laurelstall_node/src/target_guard/answers.rs
+++ b/crates/laurelstall_node/src/target_guard/answers.rs
@@ -31,7 +31,7 @@
         answered: Answered,
         limits: &ServiceLimits,
     ) -> AttemptAnswer {
-        let Answered { request, response, connection, permit } = answered;
+        let Answered { request, target, response, connection, permit } = answered;
         let (parts, body) = response.into_parts();
         let status = parts.status;
         let mut headers = parts.headers;
@@ -39,7 +39,10 @@
             self.guard.note_slowness(load.slowness_percent);
         }
         let refusal = match self.dialect.answer_kind(&request, status, &headers, limits.shed_status) {
-            AnswerKind::Ran => None,
+            AnswerKind::Ran => {
+                self.note_ran(&target);
+                None
+            }
             AnswerKind::Shed => Some(RefusalReason::Shed),
             AnswerKind::OtherTarget => Some(RefusalReason::Replaced),
             AnswerKind::Foreign => {
@@ -54,7 +57,7 @@
                 self.guard.note_shed();
             }
             if reason == RefusalReason::Replaced {
-                count(&self.counters.target_denials);
+                self.note_denied(&target);
             }
             return refused(reason, None);
         }
--- a/crates/laurelstall_peer/tests/messages.rs
+++ b/crates/laurelstall_peer/tests/messages.rs
@@ -52,21 +52,7 @@
 
 #[test]
 fn every_reason_travels() {
-    use RefusalReason as R;
-    let reasons = [
-        R::Draining,
-        R::QueueFull,
-        R::Deadline,
-        R::HandedBack,
-        R::OtherTarget,
-        R::Unreadable,
-        R::NoConnection,
-        R::Shed,
-        R::Stranger,
-        R::NoTarget,
-        R::TicketVoid,
-    ];
-    for reason in reasons {
+    for reason in RefusalReason::ALL {
         let refusal = Refusal { reason, retry_after_ms: 9, slowness_percent: 400 };
         let answer = PeerAnswer::Refused(refusal);
         assert_eq!(decode::<PeerAnswer>(&encode(&answer)[PREFIX_BYTES..]).expect("it is whole"), answer);
--- a/crates/laurelstall_standin/src/harness.rs
+++ b/crates/laurelstall_standin/src/harness.rs
@@ -465,6 +465,7 @@
             address: host.target_address,
             http: TargetHttp::Http1,
             connect_timeout_ms: 1_000,
+            address_reuse_s: 0.0,
         }),
         platform: PlatformSettings {
             address: sockets.admin.1,
