The retry budgets of all entries together stay within one bound

Cause: each entry saved up to 20 retries a service and started with 10, whatever the size of the fleet; after a calm time thirteen entries could spend 260 at once and 130 more after a restart. Calls that repeated runs make were not counted at all. Ruled out: the share itself (10 % of successes, half of the bound). Change: what is saved is bounded by the calls of the last ten seconds; the reserve is one for all nodes, each has its part twice, before and after a restart; a call made by a repeated run is paid for at the service it goes to, in any case, and what is owed holds later retries back.

--- a/crates/laurelstall_balance/src/lib.rs
+++ b/crates/laurelstall_balance/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod hint;
 pub mod least_wait;
 pub mod observe_budget;
+pub mod recent_count;
 pub mod service_balancer;
 pub mod share_budget;
 pub mod target_view;
--- a/crates/laurelstall_balance/src/service_balancer.rs
+++ b/crates/laurelstall_balance/src/service_balancer.rs
@@ -85,12 +85,22 @@
     pub now_us: u64,
 }
 
+/// Times that an entry may spend its part of the reserve for retries in a window: before and after a restart.
+const RESERVE_SPENDINGS: f64 = 2.0;
+
+/// One entry's part of the retries that all entries together may make beyond what they earn.
+fn retry_part(limits: &ServiceLimits, entries: usize) -> f64 {
+    f64::from(limits.retry_reserve) / (RESERVE_SPENDINGS * entries.max(1) as f64)
+}
+
 /// What an entry knows and decides of one service.
 pub struct ServiceBalancer {
     targets: Vec<TargetView>,
     /// Own calls in flight at all targets together.
     in_flight: u32,
     limits: ServiceLimits,
+    /// Entries that share the reserve for retries.
+    entries: usize,
     chooser: Box<dyn Chooser>,
     retries: ShareBudget,
     hedges: ShareBudget,
@@ -108,8 +118,9 @@
             targets: Vec::new(),
             in_flight: 0,
             limits,
+            entries: 1,
             chooser,
-            retries: ShareBudget::new(limits.retry_percent, f64::from(limits.retry_reserve)),
+            retries: ShareBudget::new(limits.retry_percent, retry_part(&limits, 1)),
             hedges: ShareBudget::new(limits.hedge_percent, HEDGE_RESERVE),
             usual_us: USUAL_START_US,
             usual_load: 0.5,
@@ -141,8 +152,24 @@
         }
         self.in_flight = self.targets.iter().map(TargetView::in_flight).sum();
         self.limits = limits;
-        self.retries.set_percent(limits.retry_percent);
-        self.hedges.set_percent(limits.hedge_percent);
+        self.set_entries(self.entries);
+        self.hedges.set_limits(limits.hedge_percent, HEDGE_RESERVE);
+    }
+
+    /// Takes the number of entries that share the reserve for retries.
+    pub fn set_entries(&mut self, entries: usize) {
+        self.entries = entries;
+        self.retries.set_limits(self.limits.retry_percent, retry_part(&self.limits, entries));
+    }
+
+    /// Notes a call to the service, before its first attempt; `is_repeat` says whether the run that makes it is a
+    /// repeat, so that its target gets once more what another run of the same request has sent.
+    pub fn note_call(&mut self, is_repeat: bool, now_us: u64) {
+        self.retries.note_call(now_us);
+        self.hedges.note_call(now_us);
+        if is_repeat {
+            self.retries.charge(now_us);
+        }
     }
 
     /// Chooses a target for one attempt; none when no target may take it.
@@ -201,8 +228,8 @@
                 let slowness = view.slowness_percent(now_us) / f64::from(USUAL_PERCENT);
                 self.times.note(class, latency_us as f64 / slowness);
                 self.usual_us += USUAL_WEIGHT * (latency_us as f64 - self.usual_us);
-                self.retries.earn();
-                self.hedges.earn();
+                self.retries.earn(now_us);
+                self.hedges.earn(now_us);
             }
             AttemptResult::Failed => view.note_result(true, 0, now_us),
             AttemptResult::NotRun | AttemptResult::Cancelled => return None,
@@ -272,13 +299,13 @@
     }
 
     /// Whether a further attempt may be made after a proved *not run* or a repeatable failure.
-    pub fn may_retry(&mut self) -> bool {
-        self.retries.try_spend()
+    pub fn may_retry(&mut self, now_us: u64) -> bool {
+        self.retries.try_spend(now_us)
     }
 
     /// Whether a hedge may be sent: there is budget, and the service as a whole is not queueing.
     pub fn may_hedge(&mut self, now_us: u64) -> bool {
-        !self.is_queueing(now_us) && self.hedges.try_spend()
+        !self.is_queueing(now_us) && self.hedges.try_spend(now_us)
     }
 
     /// Whether two thirds of the live targets said lately that half a wave of calls waits.
--- a/crates/laurelstall_balance/tests/decisions.rs
+++ b/crates/laurelstall_balance/tests/decisions.rs
@@ -191,13 +191,15 @@
 fn retries_stay_within_their_share() {
     let mut budget = ShareBudget::new(10, 0.0);
     let mut granted = 0;
-    for _ in 0..10_000 {
-        budget.earn();
-        granted += u32::from(budget.try_spend()) + u32::from(budget.try_spend());
+    for call in 0..10_000 {
+        let now_us = call * 1_000;
+        budget.note_call(now_us);
+        budget.earn(now_us);
+        granted += u32::from(budget.try_spend(now_us)) + u32::from(budget.try_spend(now_us));
     }
     assert!(granted <= 1_000, "{granted}");
     assert!(granted >= 900, "{granted}");
-    assert!(!ShareBudget::new(0, 10.0).try_spend());
+    assert!(!ShareBudget::new(0, 10.0).try_spend(0));
 }
 
 #[test]
--- a/crates/laurelstall_config/src/team.rs
+++ b/crates/laurelstall_config/src/team.rs
@@ -41,7 +41,7 @@
     pub slow_start_ms: u64,
     /// Retries as a share of successful calls, in percent.
     pub retry_percent: u32,
-    /// Retries that a node may make before it has earned any.
+    /// Retries that all nodes together may make in ten seconds beyond that share.
     pub retry_reserve: u32,
     /// Hedges as a share of calls, in percent.
     pub hedge_percent: u32,
@@ -68,7 +68,7 @@
             ejection_ms: 1_000,
             slow_start_ms: 2_000,
             retry_percent: 10,
-            retry_reserve: 10,
+            retry_reserve: 40,
             hedge_percent: 3,
             shed_status: 503,
             tickets_max: 20_000,
@@ -89,7 +89,7 @@
         check.range("limits.ejection_ms", self.ejection_ms, 10..=600_000);
         check.range("limits.slow_start_ms", self.slow_start_ms, 0..=600_000);
         check.range("limits.retry_percent", self.retry_percent, 0..=100);
-        check.range("limits.retry_reserve", self.retry_reserve, 0..=20);
+        check.range("limits.retry_reserve", self.retry_reserve, 0..=10_000);
         check.range("limits.hedge_percent", self.hedge_percent, 0..=50);
         let is_status = self.shed_status == 0 || (400..=599).contains(&self.shed_status);
         check.ensure(is_status, "limits.shed_status", "must be 0 or 400 to 599");
--- a/crates/laurelstall_node/src/call.rs
+++ b/crates/laurelstall_node/src/call.rs
@@ -141,6 +141,8 @@
 
     /// Runs the call to the answer its caller gets.
     pub async fn run(mut self) -> CallOutcome {
+        let now_us = self.context.clock.now_us();
+        self.service.balancer().note_call(self.request.is_of_repeat, now_us);
         loop {
             let now_us = self.context.clock.now_us();
             if now_us >= self.request.deadline_us {
@@ -282,6 +284,7 @@
             class: self.request.class,
             importance: self.importance(),
             is_return: self.request.is_return,
+            is_repeat: self.tries > 0 || self.request.is_of_repeat,
             may_repeat: self.request.route.may_repeat,
             may_hand_back,
             hand_backs: self.hand_backs,
@@ -425,7 +428,7 @@
         if self.request.ticket.is_some() {
             return false;
         }
-        let is_granted = self.service.balancer().may_retry();
+        let is_granted = self.service.balancer().may_retry(self.context.clock.now_us());
         count(if is_granted {
             &self.context.counters.retries
         } else {
--- a/crates/laurelstall_node/src/call_request.rs
+++ b/crates/laurelstall_node/src/call_request.rs
@@ -25,6 +25,8 @@
     pub route: Route,
     /// Whether another call waits for this one.
     pub is_nested: bool,
+    /// Whether the run that makes this call is a repeat: the service called may have had this call before.
+    pub is_of_repeat: bool,
     /// Whether it comes back after an earlier attempt of its caller.
     pub is_return: bool,
     /// The class of the call.
--- a/crates/laurelstall_node/src/entry/reading.rs
+++ b/crates/laurelstall_node/src/entry/reading.rs
@@ -6,6 +6,7 @@
     call_request::CallRequest,
     dialect::CallFacts,
     headers::{read_number, strip_request, text_value},
+    running_requests::RunFacts,
 };
 use http::{StatusCode, request::Parts};
 use http_body_util::BodyExt;
@@ -32,12 +33,13 @@
         let budget_ms = self.budget_ms(&parts, &route)?;
         let now_us = self.context.clock.now_us();
         let deadline_us = now_us + budget_ms * 1_000;
-        let parent_useful_until_us = self.parent_useful_until_us(&parts);
-        let is_nested = depth > 0 || parent_useful_until_us.is_some();
+        let parent = self.parent(&parts);
+        let is_nested = depth > 0 || parent.is_some();
         let is_return = !is_nested && self.is_return(&parts, &route)?;
+        let parent_useful_until_us = parent.map_or(0, |parent| parent.useful_until_us);
         let objective_ms = route.latency_objective_ms;
-        let useful_until_us = objective_ms
-            .map(|ms| (now_us + ms * 1_000).max(parent_useful_until_us.unwrap_or(0)).min(deadline_us));
+        let useful_until_us =
+            objective_ms.map(|ms| (now_us + ms * 1_000).max(parent_useful_until_us).min(deadline_us));
         let body = self.read_body(&parts, body, ticket.is_some()).await?;
         let is_whole = matches!(body, AttemptBody::Whole(_));
         strip_request(&mut parts.headers, is_whole);
@@ -57,6 +59,7 @@
             body,
             class: route.class,
             is_nested,
+            is_of_repeat: parent.is_some_and(|parent| parent.is_repeat),
             is_return,
             route,
             deadline_us,
@@ -65,11 +68,10 @@
         })
     }
 
-    /// Until when the answer to the request has its full worth that the own target runs and makes
-    /// this call for; none when it makes it for none.
-    fn parent_useful_until_us(&self, parts: &Parts) -> Option<u64> {
+    /// The request that the own target runs and makes this call for; none when it makes it for none.
+    fn parent(&self, parts: &Parts) -> Option<RunFacts> {
         let parent = self.context.dialect.parent_request_id(&parts.headers)?;
-        self.running.useful_until_us(parent)
+        self.running.facts(parent)
     }
 
     fn budget_ms(&self, parts: &Parts, route: &Route) -> Result<u64, Rejection> {
--- a/crates/laurelstall_node/src/running_requests.rs
+++ b/crates/laurelstall_node/src/running_requests.rs
@@ -16,28 +16,34 @@
 struct Runs {
     /// More than one when a request was repeated.
     count: u32,
+    /// What is known of the latest run.
+    facts: RunFacts,
+}
+
+/// What is known of a run, for the calls that it makes.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct RunFacts {
     /// Until when an answer has its full worth, in µs of the node's clock.
-    useful_until_us: u64,
+    pub useful_until_us: u64,
+    /// Whether a target may have run the request before.
+    pub is_repeat: bool,
 }
 
 impl RunningRequests {
     /// Notes that a request runs, for as long as the result lives; none when it has no id.
-    ///
-    /// Its answer has its full worth until `useful_until_us`, in µs of the node's clock.
-    pub fn enter(self: &Arc<Self>, request_id: Option<&str>, useful_until_us: u64) -> Option<RunningRequest> {
+    pub fn enter(self: &Arc<Self>, request_id: Option<&str>, facts: RunFacts) -> Option<RunningRequest> {
         let request_id = request_id?.to_owned();
         let mut runs = self.lock();
         let entry = runs.entry(request_id.clone()).or_default();
         entry.count += 1;
-        entry.useful_until_us = useful_until_us;
+        entry.facts = facts;
         drop(runs);
         Some(RunningRequest { requests: self.clone(), request_id })
     }
 
-    /// Until when the answer to a request that runs has its full worth, in µs of the node's clock;
-    /// none when no request with this id runs.
-    pub fn useful_until_us(&self, request_id: &str) -> Option<u64> {
-        self.lock().get(request_id).map(|runs| runs.useful_until_us)
+    /// What is known of the request with this id, if it runs here.
+    pub fn facts(&self, request_id: &str) -> Option<RunFacts> {
+        self.lock().get(request_id).map(|runs| runs.facts)
     }
 
     fn leave(&self, request_id: &str) {
--- a/crates/laurelstall_node/src/services.rs
+++ b/crates/laurelstall_node/src/services.rs
@@ -76,7 +76,9 @@
             }
         }
         *self.addresses.lock().unwrap_or_else(PoisonError::into_inner) = addresses;
-        self.balancer().set_targets(service.limits, views);
+        let mut balancer = self.balancer();
+        balancer.set_targets(service.limits, views);
+        balancer.set_entries(configuration.fleet.hosts.len());
     }
 }
 
--- a/crates/laurelstall_node/src/target_guard.rs
+++ b/crates/laurelstall_node/src/target_guard.rs
@@ -7,7 +7,7 @@
     dialect::{AttemptFacts, HeaderDialect},
     metrics::{Latencies, observe_us},
     observer::Observer,
-    running_requests::RunningRequests,
+    running_requests::{RunFacts, RunningRequests},
     target_http::{TargetClient, TargetError, target_request},
     target_pool::UsedConnection,
 };
@@ -440,7 +440,10 @@
             permit.release_uncounted();
             return refused(RefusalReason::Unreadable, None);
         };
-        let _running = self.running.enter(self.dialect.request_id(&headers), useful_until_us);
+        let _running = self.running.enter(
+            self.dialect.request_id(&headers),
+            RunFacts { useful_until_us, is_repeat: head.is_repeat },
+        );
         let deadline = self.clock.instant_of(deadline_us);
         let sent = timeout_at(deadline, client.send(request, head.may_repeat)).await;
         if !matches!(sent, Ok(Err(TargetError::NoConnection))) {
--- a/crates/laurelstall_peer/src/message.rs
+++ b/crates/laurelstall_peer/src/message.rs
@@ -46,6 +46,9 @@
     pub importance: u8,
     /// Whether the call comes back after an earlier attempt of its caller.
     pub is_return: bool,
+    /// Whether a target may have run it before, or a run that makes it is such a repeat: the calls that this run makes
+    /// are repeats as well.
+    pub is_repeat: bool,
     /// Whether the call may run more than once.
     pub may_repeat: bool,
     /// Whether the guard may hand the call back while it waits.
--- a/crates/laurelstall_peer/tests/messages.rs
+++ b/crates/laurelstall_peer/tests/messages.rs
@@ -20,6 +20,7 @@
         uri: "/x".to_owned(),
         headers: vec![("host".to_owned(), b"a".to_vec())],
         budget_us: 1,
+        is_repeat: false,
         may_repeat: false,
         useful_us: 1,
         class: 7,
--- a/crates/laurelstall_peer/tests/on_go.rs
+++ b/crates/laurelstall_peer/tests/on_go.rs
@@ -134,6 +134,7 @@
         class: 0,
         importance: 5,
         is_return: false,
+        is_repeat: false,
         may_repeat: false,
         may_hand_back: false,
         hand_backs: 0,
