A test that shows that nobody follows readers that are lost; it fails

Cause: who reads the platform is computed from the list, which still names the lost; others read when their news is 6 s old. Ruled out: the way of news in the mesh (a node that reads it has it everywhere within 0.3 s).

--- a/crates/laurelstall_peer/src/partners.rs
+++ b/crates/laurelstall_peer/src/partners.rs
@@ -13,14 +13,16 @@
 /// Rendezvous hashing over the live hosts: each node decides alike from the same list, and a
 /// host that comes or goes moves at most one reader.
 pub fn is_reader(fleet: &Fleet, host: &str, data_centre: &str, count: usize) -> bool {
-    if fleet.host(host).is_none() {
-        return false;
-    }
+    fleet.host(host).is_some() && hosts_ahead(fleet, host, data_centre).len() < count
+}
+
+/// The live hosts of a data centre that come before `host` in the order in which they read the platform.
+pub fn hosts_ahead<'a>(fleet: &'a Fleet, host: &str, data_centre: &str) -> Vec<&'a Host> {
     let own = weight(host);
     let is_ahead = |other: &&Host| {
         other.data_centre == data_centre && other.state == HostState::Live && weight(&other.name) > own
     };
-    fleet.hosts.iter().filter(is_ahead).count() < count
+    fleet.hosts.iter().filter(is_ahead).collect()
 }
 
 /// Hosts to exchange versions with: half of the own data centre, half of others.
--- a/crates/laurelstall_peer/tests/lost_nodes.rs
+++ b/crates/laurelstall_peer/tests/lost_nodes.rs
@@ -27,6 +27,7 @@
     link::Link,
     message::{Exchange, PeerAnswer, PeerRequest},
     meter::Meter,
+    partners::hosts_ahead,
     platform::{Listing, PlatformError, PlatformSource},
     pool::Pool,
     server::{PeerHandler, PeerServer},
@@ -37,12 +38,16 @@
 use std::{
     collections::HashSet,
     net::{IpAddr, SocketAddr},
-    sync::{Arc, Mutex, PoisonError},
+    sync::{
+        Arc, Mutex, PoisonError,
+        atomic::{AtomicU64, Ordering},
+    },
 };
 use tokio::{
     net::TcpListener,
+    sync::Notify,
     task::JoinSet,
-    time::{Duration, Instant, sleep},
+    time::{Duration, Instant, sleep, timeout},
 };
 
 /// Hosts that are dark: nothing passes to or from them.
@@ -95,17 +100,66 @@
     }
 }
 
-/// A platform that nobody reaches.
+/// A platform with one document, which refuses some hosts.
+#[derive(Debug, Default)]
+struct Platform {
+    version: AtomicU64,
+    refused: Darkness,
+    calls: AtomicU64,
+    changed: Notify,
+}
+
+impl Platform {
+    fn publish(&self, number: u64) {
+        self.version.store(number, Ordering::Relaxed);
+        self.changed.notify_waiters();
+    }
+
+    fn refuse(&self, address: SocketAddr) {
+        self.refused.add(address);
+        self.changed.notify_waiters();
+    }
+}
+
+/// The platform as one host reaches it; what is dark hears nothing.
 #[derive(Debug)]
-struct Away;
+struct WayToPlatform {
+    own: SocketAddr,
+    platform: Arc<Platform>,
+    darkness: Arc<Darkness>,
+}
 
-impl PlatformSource for Away {
-    fn watch(&self, _: Option<u64>) -> BoxFuture<'_, Result<Listing, PlatformError>> {
-        async { Err(PlatformError::Unreachable("away".to_owned())) }.boxed()
+impl WayToPlatform {
+    async fn check(&self) -> Result<u64, PlatformError> {
+        self.platform.calls.fetch_add(1, Ordering::Relaxed);
+        if self.darkness.is_dark(self.own) {
+            sleep(WATCH_WAIT + READ_TIMEOUT).await;
+            return Err(PlatformError::Unreachable("no answer in time".to_owned()));
+        }
+        let version = self.platform.version.load(Ordering::Relaxed);
+        if version == 0 || self.platform.refused.is_dark(self.own) {
+            return Err(PlatformError::Unreachable("refused".to_owned()));
+        }
+        Ok(version)
+    }
+}
+
+impl PlatformSource for WayToPlatform {
+    fn watch(&self, after: Option<u64>) -> BoxFuture<'_, Result<Listing, PlatformError>> {
+        async move {
+            let changed = self.platform.changed.notified();
+            if self.check().await? == after.unwrap_or(0) {
+                // Without a change, the watch ends with what is known.
+                let _ = timeout(WATCH_WAIT, changed).await;
+            }
+            let sequence = self.check().await?;
+            Ok(Listing { sequence, versions: vec![(DocumentName::System, sequence)] })
+        }
+        .boxed()
     }
 
     fn read(&self, _: DocumentName) -> BoxFuture<'_, Result<Document, PlatformError>> {
-        async { Err(PlatformError::Unreachable("away".to_owned())) }.boxed()
+        async move { Ok(version(self.check().await?)) }.boxed()
     }
 }
 
@@ -151,6 +205,8 @@
 struct Mesh {
     nodes: Vec<(SocketAddr, Arc<Spread>)>,
     darkness: Arc<Darkness>,
+    fleet: Arc<Fleet>,
+    platform: Arc<Platform>,
     /// Ends with the mesh.
     _tasks: JoinSet<()>,
 }
@@ -174,18 +230,21 @@
         let hosts = listeners.iter().enumerate().map(host).collect();
         let fleet = Arc::new(Fleet { hosts, ..Fleet::default() });
         let darkness = Arc::<Darkness>::default();
+        let platform = Arc::<Platform>::default();
         let mut tasks = JoinSet::new();
         let mut nodes = Vec::new();
         for (number, listener) in listeners.into_iter().enumerate() {
             let own = address(&listener);
-            let spread = node(&fleet, number, seed, Arc::new(HostLink { own, darkness: darkness.clone() }));
+            let link = Arc::new(HostLink { own, darkness: darkness.clone() });
+            let way = WayToPlatform { own, platform: platform.clone(), darkness: darkness.clone() };
+            let spread = node(&fleet, number, seed, link, Arc::new(way));
             spread.take(version(1));
             let handler = Arc::new(Handler { spread: spread.clone(), target: NoTarget });
             tasks.spawn(PeerServer::new(handler, Arc::default()).serve(listener));
             tasks.spawn(spread.clone().run());
             nodes.push((own, spread));
         }
-        Self { nodes, darkness, _tasks: tasks }
+        Self { nodes, darkness, fleet, platform, _tasks: tasks }
     }
 
     /// Waits until all that are not dark hold this version; for how long.
@@ -205,7 +264,13 @@
     }
 }
 
-fn node(fleet: &Arc<Fleet>, number: usize, seed: u64, link: Arc<dyn Link>) -> Arc<Spread> {
+fn node(
+    fleet: &Arc<Fleet>,
+    number: usize,
+    seed: u64,
+    link: Arc<dyn Link>,
+    platform: Arc<dyn PlatformSource>,
+) -> Arc<Spread> {
     let host = &fleet.hosts[number];
     let options = SpreadOptions {
         host: host.name.clone(),
@@ -217,7 +282,7 @@
     let clock = Clock::new();
     let client = PeerClient::new(Arc::new(Pool::new(clock, Arc::new(Meter::default()), link)));
     let view = Arc::new(View(fleet.clone()));
-    Spread::new(options, clock, client, Arc::new(Away), Arc::new(AcceptAll), view)
+    Spread::new(options, clock, client, platform, Arc::new(AcceptAll), view)
 }
 
 /// Time from the moment at which one node takes a version, while half of the others go dark, until all
@@ -266,6 +331,42 @@
     longest
 }
 
+/// What becomes of the readers of each data centre when they are lost.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Loss {
+    /// All go dark.
+    Dark,
+    /// The first goes dark, the platform refuses the others.
+    DarkAndRefused,
+    /// The platform refuses all.
+    Refused,
+}
+
+/// Time from a publication until all that are left hold it, when all readers were lost `before`, and in each
+/// data centre so many more that would have followed them.
+async fn time_without_readers(seed: u64, loss: Loss, followers: usize, before: Duration) -> Duration {
+    let mesh = Mesh::start(18, seed).await;
+    mesh.platform.publish(1);
+    sleep(Duration::from_secs(10)).await;
+    let count = SpreadLimits::default().readers_per_data_centre;
+    for host in &mesh.fleet.hosts {
+        let ahead = hosts_ahead(&mesh.fleet, &host.name, &host.data_centre).len();
+        match loss {
+            _ if ahead >= count + followers => {}
+            Loss::Dark => mesh.darkness.add(host.node_address),
+            Loss::DarkAndRefused if ahead == 0 => mesh.darkness.add(host.node_address),
+            Loss::DarkAndRefused | Loss::Refused => mesh.platform.refuse(host.node_address),
+        }
+    }
+    sleep(before).await;
+    mesh.platform.publish(2);
+    mesh.time_to_all(2).await
+}
+
+/// Longest that the platform lets a watch wait.
+const WATCH_WAIT: Duration = Duration::from_millis(2_500);
+/// Longest that a read waits for an answer.
+const READ_TIMEOUT: Duration = Duration::from_secs(1);
 /// Longest that a run is waited for.
 const LONGEST: Duration = Duration::from_secs(30);
 /// Time in which a version is to be in force on all nodes that anybody in the mesh reaches.
@@ -283,6 +384,36 @@
     assert!(took <= BOUND, "{took:?}");
 }
 
+#[tokio::test(start_paused = true)]
+async fn others_read_the_platform_when_the_readers_of_all_data_centres_are_lost() {
+    for loss in [Loss::Dark, Loss::DarkAndRefused, Loss::Refused] {
+        for (followers, before_ms) in [(0, 400), (1, 400), (0, 0)] {
+            let mut longest = Duration::ZERO;
+            for seed in 0..6 {
+                let before = Duration::from_millis(before_ms);
+                longest = longest.max(time_without_readers(seed, loss, followers, before).await);
+            }
+            let bound = if before_ms > 0 { BOUND } else { BOUND * 3 / 2 };
+            assert!(longest <= bound, "{loss:?}, {followers} more, {before_ms} ms before: {longest:?}");
+        }
+    }
+}
+
+#[tokio::test(start_paused = true)]
+async fn calls_to_the_platform_do_not_grow_with_the_fleet_while_nodes_stand_by() {
+    let mut spent = Vec::new();
+    for count in [15, 60] {
+        let mesh = Mesh::start(count, 1).await;
+        mesh.platform.publish(1);
+        sleep(Duration::from_secs(5)).await;
+        let before = mesh.platform.calls.load(Ordering::Relaxed);
+        sleep(Duration::from_secs(30)).await;
+        spent.push(mesh.platform.calls.load(Ordering::Relaxed) - before);
+    }
+    // Six readers whose watches end every 2.5 s; each is checked at its start and its end.
+    assert!(spent.iter().all(|calls| *calls <= 6 * 2 * 13), "{spent:?}");
+}
+
 #[tokio::test(start_paused = true)]
 async fn a_reader_that_is_lost_after_its_offers_does_not_hold_up_those_that_heard_them() {
     let mut longest = Duration::ZERO;
