Hosts that stand by read the platform in place of readers that are lost

Cause: readers are computed from the list, which names the lost for seconds; nobody followed them until news was 6 s old. Ruled out: reading sooner by the age of news (2.5 s and gossip in calm times), every node asking the readers (grows with the fleet). Change: the next three hosts of each data centre's order ask those ahead of them every 0.4 s whether they can read, and read while fewer than two can; substitutes pause longer while nobody can. One function says who comes before whom.

--- a/crates/laurelstall_node/src/node.rs
+++ b/crates/laurelstall_node/src/node.rs
@@ -200,6 +200,7 @@
                     self.spread.note_offer(from, address, &news, versions);
                     PeerAnswer::Noted
                 }
+                PeerRequest::CanRead => self.spread.answer_can_read(),
                 PeerRequest::Attempt(_) => PeerAnswer::Refused(Refusal::new(RefusalReason::Unreadable)),
             }
         }
--- a/crates/laurelstall_peer/src/message.rs
+++ b/crates/laurelstall_peer/src/message.rs
@@ -186,6 +186,8 @@
     Offer(SocketAddr, Exchange, Vec<(DocumentName, Version)>),
     /// Send documents newer than these.
     Pull(Vec<PullItem>),
+    /// Say whether you can read the platform.
+    CanRead,
 }
 
 /// What a node answers.
@@ -241,6 +243,8 @@
     Documents(Vec<Transfer>),
     /// Taken note of.
     Noted,
+    /// Whether the last read of the platform, if there was one, succeeded.
+    CanRead(bool),
     /// Not done, for this reason.
     Refused(Refusal),
 }
--- a/crates/laurelstall_peer/src/partners.rs
+++ b/crates/laurelstall_peer/src/partners.rs
@@ -8,15 +8,11 @@
 /// Seed of the hash that picks readers.
 const READER_SEED: u64 = 0x1a75;
 
-/// Whether `host` is one of the `count` hosts of its data centre that watch the platform.
+/// The live hosts of a data centre that come before `host` in the order in which they read the platform: the
+/// first few do, the next ones stand by.
 ///
 /// Rendezvous hashing over the live hosts: each node decides alike from the same list, and a
 /// host that comes or goes moves at most one reader.
-pub fn is_reader(fleet: &Fleet, host: &str, data_centre: &str, count: usize) -> bool {
-    fleet.host(host).is_some() && hosts_ahead(fleet, host, data_centre).len() < count
-}
-
-/// The live hosts of a data centre that come before `host` in the order in which they read the platform.
 pub fn hosts_ahead<'a>(fleet: &'a Fleet, host: &str, data_centre: &str) -> Vec<&'a Host> {
     let own = weight(host);
     let is_ahead = |other: &&Host| {
--- a/crates/laurelstall_peer/src/spread.rs
+++ b/crates/laurelstall_peer/src/spread.rs
@@ -8,7 +8,7 @@
 use crate::{
     client::{PeerClient, PeerError},
     message::{Exchange, PeerAnswer, PeerRequest, PullItem, Transfer},
-    partners::{is_reader, pick_others, pick_partners},
+    partners::{pick_others, pick_partners},
     platform::{Listing, PlatformError, PlatformSource},
     spread_state::{PartnerState, SpreadCounts},
     store::{Acceptor, Offer, Store},
@@ -22,7 +22,7 @@
 use laurelstall_guard::clock::Clock;
 use rand::{RngExt, SeedableRng, rngs::SmallRng};
 use std::{
-    collections::HashMap,
+    collections::{HashMap, HashSet},
     net::{IpAddr, SocketAddr},
     pin::pin,
     sync::{
@@ -39,6 +39,9 @@
 mod joining;
 mod offering;
 mod platform_news;
+mod standby;
+
+use standby::ReaderRole;
 
 /// Most documents in one pull.
 const PULL_ITEMS_MAX: usize = 64;
@@ -48,6 +51,9 @@
 const PULL_TURN: Duration = Duration::from_millis(300);
 /// First pause after a failed platform read in ms; it doubles up to the limit of the configuration.
 const READ_PAUSE_FIRST_MS: u64 = 200;
+/// How much longer the pauses of a substitute grow after failed reads: while nobody can read, the readers by the
+/// list find out that the platform is back, and all together call it hardly more often.
+const SUBSTITUTE_PAUSE_FACTOR: u64 = 4;
 /// A watch that ends sooner without news did not wait, in µs.
 const WATCH_SHORT_US: u64 = 500_000;
 /// Pause between two looks at who reads, in ms.
@@ -107,6 +113,9 @@
     /// When the versions held were read from the platform, by whichever node, in µs of this node's clock.
     read_us: Mutex<HashMap<DocumentName, u64>>,
     has_changed: Notify,
+    /// Nodes ahead of this one in the order of readers that cannot read.
+    unable_readers: Mutex<HashSet<SocketAddr>>,
+    role_changed: Notify,
     pulling: AsyncMutex<()>,
     is_joined: AtomicBool,
     partner_seed: AtomicU64,
@@ -144,6 +153,8 @@
             changed: Mutex::default(),
             read_us: Mutex::default(),
             has_changed: Notify::new(),
+            unable_readers: Mutex::default(),
+            role_changed: Notify::new(),
             pulling: AsyncMutex::new(()),
             is_joined: AtomicBool::new(false),
             partner_seed,
@@ -166,12 +177,12 @@
 
     /// Whether this node watches the platform now.
     pub fn is_reader(&self) -> bool {
-        let fleet = self.view.fleet();
-        if fleet.hosts.is_empty() {
-            return self.reads_first();
-        }
-        let count = self.view.spread().readers_per_data_centre;
-        is_reader(&fleet, &self.options.host, &self.options.data_centre, count)
+        self.reader_role() != ReaderRole::None
+    }
+
+    /// Answers a node that stands by to read the platform.
+    pub fn answer_can_read(&self) -> PeerAnswer {
+        PeerAnswer::CanRead(self.can_read())
     }
 
     /// Whether this node asked around before it served.
@@ -194,7 +205,7 @@
 
     /// Reads, offers and exchanges until it is dropped.
     pub async fn run(self: Arc<Self>) {
-        tokio::join!(self.read_loop(), self.offer_loop(), self.exchange_loop());
+        tokio::join!(self.read_loop(), self.standby_loop(), self.offer_loop(), self.exchange_loop());
     }
 
     /// Answers a node that compares versions.
@@ -339,7 +350,9 @@
                     }
                     failures += 1;
                     after = None;
-                    let longest_ms = self.view.spread().read_pause_max_ms;
+                    let is_substitute = self.reader_role() == ReaderRole::Substitute;
+                    let factor = if is_substitute { SUBSTITUTE_PAUSE_FACTOR } else { 1 };
+                    let longest_ms = self.view.spread().read_pause_max_ms * factor;
                     sleep(self.jittered(read_pause_ms(failures, longest_ms))).await;
                 }
             }
@@ -353,7 +366,11 @@
     /// Reads once, if nobody seems to have read for long, with a chance that keeps the whole
     /// fleet's reads about constant.
     async fn read_if_cut_off(&self) {
-        sleep(self.jittered(ROLE_CHECK_MS)).await;
+        let is_due = sleep(self.jittered(ROLE_CHECK_MS));
+        tokio::select! {
+            () = is_due => {}
+            () = self.role_changed.notified() => return,
+        }
         let after_ms = self.view.spread().fallback_read_after_ms;
         if self.platform_read_age_ms() < after_ms {
             return;
--- a/crates/laurelstall_peer/tests/lost_nodes.rs
+++ b/crates/laurelstall_peer/tests/lost_nodes.rs
@@ -195,6 +195,7 @@
                 self.spread.note_offer(from, address, &news, versions);
                 PeerAnswer::Noted
             }
+            PeerRequest::CanRead => self.spread.answer_can_read(),
             _ => PeerAnswer::Noted,
         };
         async { answer }.boxed()
