A run that may not be repeated is not broken off when its caller leaves; watches are probed

Cause: when a caller left, its entry's stream ended, the guard's task was dropped with it, and the connection to the target closed in the middle of the run, whatever the run was. Ruled out: calls that wait at another node, and runs that may repeat: both end at once when their caller leaves (tests, passed before). The two readers of platforms open connections the same way, with probes while they rest. That probes end a silent watch sooner is not measured: no test can keep back acknowledgements on loopback.

--- a/crates/laurelstall_node/src/platform_http.rs
+++ b/crates/laurelstall_node/src/platform_http.rs
@@ -41,6 +41,29 @@
     pub version: Version,
 }
 
+/// Rest of a connection to the platform after which it is probed, and pause to the next probe: the shortest that
+/// the system's TCP knows.
+///
+/// A watch rests for seconds, and a way that was cut says nothing: without probes the reader would find out when
+/// the watch is overdue, 3.5 s later on the users' platform, and those that stand by would take it for able.
+const KEEP_ALIVE: Duration = Duration::from_secs(1);
+/// Probes without an answer after which the connection is given up.
+const KEEP_ALIVE_RETRIES: u32 = 1;
+
+/// Opens connections to the platform that end when the way to it is cut.
+pub fn platform_connector(settings: &PlatformSettings) -> HttpConnector {
+    let answer_max = Duration::from_millis(settings.read_timeout_ms);
+    let mut connector = HttpConnector::new();
+    connector.set_nodelay(true);
+    connector.set_connect_timeout(Some(answer_max));
+    connector.set_keepalive(Some(KEEP_ALIVE));
+    connector.set_keepalive_interval(Some(KEEP_ALIVE));
+    connector.set_keepalive_retries(Some(KEEP_ALIVE_RETRIES));
+    #[cfg(target_os = "linux")]
+    connector.set_tcp_user_timeout(Some(answer_max));
+    connector
+}
+
 /// The platform's configuration service over HTTP.
 #[derive(Debug)]
 pub struct HttpPlatform {
@@ -51,8 +74,7 @@
 impl HttpPlatform {
     /// Reads as `settings` say.
     pub fn new(settings: &PlatformSettings) -> Self {
-        let mut connector = HttpConnector::new();
-        connector.set_connect_timeout(Some(Duration::from_millis(settings.read_timeout_ms)));
+        let connector = platform_connector(settings);
         let client = Client::builder(TokioExecutor::new()).pool_max_idle_per_host(1).build(connector);
         Self { settings: settings.clone(), client }
     }
--- a/crates/laurelstall_node/src/target_guard.rs
+++ b/crates/laurelstall_node/src/target_guard.rs
@@ -2,16 +2,14 @@
 
 use crate::{
     active::{Active, InForce},
-    body::{Collected, collect},
     counters::{Counters, count},
-    dialect::{AttemptFacts, HeaderDialect},
+    dialect::HeaderDialect,
     metrics::{Latencies, observe_us},
     observer::Observer,
-    running_requests::{RunFacts, RunningRequests},
-    target_http::{TargetClient, TargetError, target_request},
+    running_requests::RunningRequests,
+    target_http::TargetClient,
     target_pool::UsedConnection,
 };
-use bytes::Bytes;
 use futures_util::future::{BoxFuture, FutureExt};
 use http::{HeaderMap, Response};
 use hyper::body::Incoming;
@@ -32,9 +30,7 @@
 };
 use laurelstall_peer::{
     attempt::{Admission, Attempt, AttemptAnswer, AttemptBody, AttemptHandler, AttemptOutcome},
-    body::AnswerBody,
-    client::headers_from_wire,
-    message::{AttemptHead, BodyKind, PeerAnswer, TicketsRequest},
+    message::{AttemptHead, PeerAnswer, TicketsRequest},
 };
 use std::sync::{
     Arc, Mutex, MutexGuard, PoisonError,
@@ -42,20 +38,16 @@
 };
 use tokio::{
     sync::Mutex as AsyncMutex,
-    time::{Duration, timeout, timeout_at},
+    time::{Duration, timeout},
 };
 
 mod answers;
 mod instance;
+mod sending;
 
 /// Queue of a guard that stands in for none at all, behind a plain balancer.
 const PLAIN_QUEUE_LENGTH: usize = 100_000;
 
-/// Longest body that comes with the word to go, in bytes: as much as an entry may keep of one.
-const GO_BYTES_MAX: usize = 1024 * 1024;
-/// Longest that a reserved slot waits for the word to go.
-const GO_TIMEOUT: Duration = Duration::from_millis(500);
-
 /// Reasons to take nothing new; any one is enough.
 #[derive(Debug, Default)]
 struct Drains {
@@ -399,75 +391,6 @@
             Err(refusal) => not_run(refusal, Some(run.body)),
         }
     }
-
-    async fn send(self: &Arc<Self>, run: Run, permit: Permit) -> AttemptAnswer {
-        let Run { head, body, mut admission, deadline_us, useful_until_us, limits, .. } = run;
-        let now_us = self.clock.now_us();
-        if now_us >= deadline_us {
-            permit.release_uncounted();
-            return refused(RefusalReason::Deadline, Some(body));
-        }
-        let budget_ms = ((deadline_us - now_us) / 1_000).max(1);
-        let target = match self.claim_instance().await {
-            Ok(target) => target,
-            Err(refusal) => {
-                permit.release_uncounted();
-                return not_run(refusal, Some(body));
-            }
-        };
-        let (Some(settings), Some(client)) = (&self.settings, &self.client) else {
-            permit.release_uncounted();
-            return refused(RefusalReason::OtherTarget, Some(body));
-        };
-        let Some(mut headers) = headers_from_wire(&head.headers) else {
-            permit.release_uncounted();
-            return refused(RefusalReason::Unreadable, None);
-        };
-        self.dialect.write_attempt(&mut headers, &AttemptFacts { budget_ms, target: &target });
-        admission.grant();
-        let body = match body {
-            AttemptBody::Stream(body) if head.body == BodyKind::OnGo => match wait_for_go(body).await {
-                Some(bytes) => AttemptBody::Whole(bytes),
-                None => {
-                    permit.release_uncounted();
-                    return refused(RefusalReason::NoConnection, None);
-                }
-            },
-            body => body,
-        };
-        let request = target_request(settings, &head.method, &head.uri, headers.clone(), body);
-        let Some(request) = request else {
-            permit.release_uncounted();
-            return refused(RefusalReason::Unreadable, None);
-        };
-        let _running = self.running.enter(
-            self.dialect.request_id(&headers),
-            RunFacts { useful_until_us, is_repeat: head.is_repeat },
-        );
-        let deadline = self.clock.instant_of(deadline_us);
-        let sent = timeout_at(deadline, client.send(request, head.may_repeat)).await;
-        if !matches!(sent, Ok(Err(TargetError::NoConnection))) {
-            count(&self.counters.target_arrivals);
-        }
-        match sent {
-            Err(_) => unknown("time budget spent at the target"),
-            Ok(Ok((response, connection))) => {
-                let answered = Answered { request: headers, target, response, connection, permit };
-                let read = timeout_at(deadline, self.read_response(answered, &limits)).await;
-                read.unwrap_or_else(|_| unknown("time budget spent at the target"))
-            }
-            Ok(Err(error)) => {
-                permit.release_uncounted();
-                match error {
-                    TargetError::NoConnection => {
-                        self.guard.note_shed();
-                        refused(RefusalReason::NoConnection, None)
-                    }
-                    TargetError::Broken => unknown("connection to the target broke"),
-                }
-            }
-        }
-    }
 }
 
 /// A target's answer with what was held for it.
@@ -480,14 +403,6 @@
     permit: Permit,
 }
 
-/// The body that is the entry's word to go; none when the entry is gone, or the way to it.
-async fn wait_for_go(body: AnswerBody) -> Option<Bytes> {
-    match collect(body, GO_BYTES_MAX, GO_TIMEOUT).await {
-        Ok(Collected::Whole(bytes)) => Some(bytes),
-        Ok(Collected::Partial(_)) | Err(_) => None,
-    }
-}
-
 pub(crate) fn unknown(why: &'static str) -> AttemptAnswer {
     AttemptAnswer::new(AttemptOutcome::Unknown(why))
 }
