Import circles undone: what a call asks of a guard, fault plans, where calls go, the time of day

Cause: types that two modules share stood in one of them. Ruled out: the circle of guard.rs and guard/waiting.rs stays: a permit frees its slot at its guard when it is dropped. Change: ask.rs, guard_limits.rs, guard_load.rs below guard and wait queue; fault_plan.rs below fault and scenario; call_uri.rs below callers, target and harness; wall_clock.rs below logging and decision log. No behaviour changes.

--- a/crates/laurelstall_guard/examples/phases.rs
+++ b/crates/laurelstall_guard/examples/phases.rs
@@ -8,9 +8,10 @@
 //!     cargo run --release -p laurelstall_guard --example phases
 
 use laurelstall_guard::{
+    ask::{Ask, Rank},
     clock::Clock,
-    guard::{Ask, Guard, GuardLimits},
-    wait_queue::Rank,
+    guard::Guard,
+    guard_limits::GuardLimits,
 };
 use rand::{RngExt, SeedableRng, rngs::SmallRng};
 use std::sync::Arc;
--- a/crates/laurelstall_guard/src/guard.rs
+++ b/crates/laurelstall_guard/src/guard.rs
@@ -1,11 +1,14 @@
 //! Admission to one target.
 
 use crate::{
+    ask::Ask,
     clock::Clock,
+    guard_limits::GuardLimits,
+    guard_load::GuardLoad,
     refusal::{Refusal, RefusalReason},
-    wait_queue::{Rank, Wake},
+    wait_queue::Wake,
 };
-use laurelstall_balance::{class_times::CallClass, hint::USUAL_PERCENT};
+use laurelstall_balance::hint::USUAL_PERCENT;
 use state::{Looks, State};
 use std::sync::{
     Arc, Mutex, MutexGuard, PoisonError,
@@ -19,63 +22,6 @@
 
 pub use waiting::Permit;
 
-/// Limits of a guard, from the published configuration.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct GuardLimits {
-    /// Requests the target can run at once.
-    pub slots: u32,
-    /// What the limit on concurrency starts at, in percent of the slots.
-    pub slots_start_percent: u32,
-    /// Floor of that limit in percent of the slots.
-    pub slots_floor_percent: u32,
-    /// Calls that may wait.
-    pub queue_length: usize,
-    /// Longest wait in ms.
-    pub queue_wait_max_ms: u64,
-    /// Whether calls are held while the target is slow.
-    pub may_hold: bool,
-}
-
-/// What a call asks of a guard.
-#[derive(Debug, Clone, Copy)]
-pub struct Ask {
-    /// How much the call matters.
-    pub rank: Rank,
-    /// The class of the call.
-    pub class: CallClass,
-    /// When the call must be done, in µs of the guard's clock.
-    pub deadline_us: u64,
-    /// Until when its answer has its full worth, in µs of the guard's clock; at most the deadline.
-    pub useful_until_us: u64,
-    /// How much time that was when the call came, in µs.
-    pub useful_us: u64,
-    /// Whether the call may be handed back while it waits.
-    pub may_hand_back: bool,
-    /// Times it was handed back before; each doubles its patience.
-    pub hand_backs: u32,
-    /// Slowness of the target from which the call is refused, in percent of the usual, since it has another
-    /// choice; none when it has none.
-    pub slow_from_percent: Option<u32>,
-}
-
-/// What runs and waits at this instant.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct GuardLoad {
-    /// Requests running at the target.
-    pub in_flight: u32,
-    /// Requests waiting.
-    pub queued: u32,
-    /// Requests that may run at once now.
-    pub limit: u32,
-    /// Recent service time at the usual pace in µs, or the age of the oldest running call over 2 if
-    /// that is more.
-    pub service_us: u32,
-    /// How long work takes now, in percent of the usual.
-    pub slowness_percent: u32,
-    /// Whether the guard takes nothing new.
-    pub is_draining: bool,
-}
-
 /// How long after a target began to leave a call that was waiting there may still begin, in µs: such a
 /// target gets nothing new after seconds, and ends what it runs not long after.
 const DRAIN_START_MAX_US: u64 = 1_000_000;
--- a/crates/laurelstall_guard/src/guard/state.rs
+++ b/crates/laurelstall_guard/src/guard/state.rs
@@ -1,7 +1,8 @@
 //! What a guard knows, and to whom it gives slots.
 
-use super::{Ask, GuardLimits};
 use crate::{
+    ask::Ask,
+    guard_limits::GuardLimits,
     limit_search::LimitSearch,
     pace::Pace,
     refusal::RefusalReason,
--- a/crates/laurelstall_guard/src/lib.rs
+++ b/crates/laurelstall_guard/src/lib.rs
@@ -4,9 +4,12 @@
 //! It admits a call, lets it wait for a bounded time, hands it back, or refuses it; until it
 //! admits one, the target has not seen a byte of it, and the guard can prove that it did not run.
 
+pub mod ask;
 pub mod clock;
 
 pub mod guard;
+pub mod guard_limits;
+pub mod guard_load;
 pub mod ledger;
 pub mod limit_search;
 pub mod pace;
@@ -20,8 +23,11 @@
 /// The types most callers need.
 pub mod prelude {
     pub use crate::{
+        ask::{Ask, Rank},
         clock::Clock,
-        guard::{Ask, Guard, GuardLimits, GuardLoad, Permit},
+        guard::{Guard, Permit},
+        guard_limits::GuardLimits,
+        guard_load::GuardLoad,
         ledger::{Begin, KeptAnswer, Ledger},
         limit_search::LimitSearch,
         refusal::{Refusal, RefusalReason},
--- a/crates/laurelstall_guard/src/wait_queue.rs
+++ b/crates/laurelstall_guard/src/wait_queue.rs
@@ -1,21 +1,12 @@
 //! Calls that wait at a guard, the most important and most urgent first.
 
-use crate::{guard::Ask, refusal::RefusalReason};
+use crate::{
+    ask::{Ask, Rank},
+    refusal::RefusalReason,
+};
 use std::{cmp::Reverse, collections::BTreeMap};
 use tokio::sync::oneshot;
 
-/// How much a call matters beside others.
-///
-/// Of two calls of the same importance the one that its caller tries for the first time goes first:
-/// its answer still has its full worth, and a caller that was refused once has seen worse already.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct Rank {
-    /// Importance; more goes first.
-    pub importance: u8,
-    /// Whether the call comes back after an earlier attempt of its caller.
-    pub is_return: bool,
-}
-
 /// Place of a waiting call: importance, then first attempts, then deadline, then arrival.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub struct Place {
--- a/crates/laurelstall_guard/tests/admission.rs
+++ b/crates/laurelstall_guard/tests/admission.rs
@@ -1,10 +1,11 @@
 //! Admission, waiting, handing back, refusing and draining, with time standing still.
 
 use laurelstall_guard::{
+    ask::{Ask, Rank},
     clock::Clock,
-    guard::{Ask, Guard, GuardLimits, Permit},
+    guard::{Guard, Permit},
+    guard_limits::GuardLimits,
     refusal::{Refusal, RefusalReason},
-    wait_queue::Rank,
 };
 use rand::{RngExt, SeedableRng, rngs::SmallRng};
 use std::sync::{
--- a/crates/laurelstall_guard/tests/held_calls.rs
+++ b/crates/laurelstall_guard/tests/held_calls.rs
@@ -1,10 +1,11 @@
 //! Calls that are held while the target is slow, with time standing still.
 
 use laurelstall_guard::{
+    ask::{Ask, Rank},
     clock::Clock,
-    guard::{Ask, Guard, GuardLimits, Permit},
+    guard::{Guard, Permit},
+    guard_limits::GuardLimits,
     refusal::{Refusal, RefusalReason},
-    wait_queue::Rank,
 };
 use std::sync::{
     Arc,
--- a/crates/laurelstall_node/src/decision_log.rs
+++ b/crates/laurelstall_node/src/decision_log.rs
@@ -5,7 +5,7 @@
 
 use crate::{
     counters::{Counters, count},
-    logging::unix_ms,
+    wall_clock::unix_ms,
 };
 use laurelstall_config::{document::Version, settings::DecisionFormat};
 use serde::Serialize;
--- a/crates/laurelstall_node/src/lib.rs
+++ b/crates/laurelstall_node/src/lib.rs
@@ -28,6 +28,7 @@
 pub mod target_http;
 pub mod target_pool;
 mod ticket_runs;
+pub mod wall_clock;
 
 /// The types most callers need.
 pub mod prelude {
--- a/crates/laurelstall_node/src/logging.rs
+++ b/crates/laurelstall_node/src/logging.rs
@@ -3,7 +3,7 @@
 //! A full queue drops lines and counts them; whoever logs never waits. As JSON, all lines go to
 //! standard output; for people, decisions go to standard output and all others to standard error.
 
-use crate::decision_log::DECISION_TARGET;
+use crate::{decision_log::DECISION_TARGET, wall_clock::unix_ms};
 use fern::Dispatch;
 use laurelstall_config::settings::DecisionFormat;
 use log::{LevelFilter, Log, Metadata, Record};
@@ -16,7 +16,7 @@
         mpsc::{Receiver, SyncSender, sync_channel},
     },
     thread,
-    time::{Duration, SystemTime, UNIX_EPOCH},
+    time::Duration,
 };
 
 /// Lines that may wait to be written.
@@ -101,11 +101,6 @@
     text
 }
 
-/// Time of day in ms since 1970, to find lines of several nodes beside each other.
-pub fn unix_ms() -> u64 {
-    SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |since| since.as_millis() as u64)
-}
-
 /// Lines dropped since the start because the queue was full.
 pub fn lines_dropped() -> u64 {
     LINES_DROPPED.load(Ordering::Relaxed)
--- a/crates/laurelstall_node/src/target_guard.rs
+++ b/crates/laurelstall_node/src/target_guard.rs
@@ -21,12 +21,13 @@
     team::{Service, ServiceLimits, Target},
 };
 use laurelstall_guard::{
+    ask::{Ask, Rank},
     clock::Clock,
-    guard::{Ask, Guard, GuardLimits, Permit},
+    guard::{Guard, Permit},
+    guard_limits::GuardLimits,
     ledger::Ledger,
     refusal::{Refusal, RefusalReason},
     target_identity::TargetIdentity,
-    wait_queue::Rank,
 };
 use laurelstall_peer::{
     attempt::{Admission, Attempt, AttemptAnswer, AttemptBody, AttemptHandler, AttemptOutcome},
--- a/crates/laurelstall_standin/src/callers.rs
+++ b/crates/laurelstall_standin/src/callers.rs
@@ -2,7 +2,7 @@
 //! targets' records.
 
 use crate::{
-    harness::CALLER_HOST,
+    call_uri::{CALLER_HOST, uri},
     latency::Latency,
     records::Records,
     target::{ANSWER_BYTES, CHAIN, KEY, NO_WORK, pattern_byte},
@@ -364,15 +364,6 @@
     }
 }
 
-/// Where a service's calls go at an entry.
-///
-/// # Panics
-///
-/// Never for the names of services.
-pub fn uri(address: SocketAddr, service: &str) -> Uri {
-    format!("http://{address}/{service}/x").parse().expect("an address and a name make a URI")
-}
-
 async fn wait_until(at: StdInstant) {
     let left = at.saturating_duration_since(StdInstant::now());
     if left > SPIN {
--- a/crates/laurelstall_standin/src/fault.rs
+++ b/crates/laurelstall_standin/src/fault.rs
@@ -1,11 +1,14 @@
 //! Faults of a scenario, each behind the same trait.
 
 use crate::{
-    callers::Entries, harness::Harness, node_thread::NodeThread, scenario::FaultPlan, target::StandinTarget,
+    callers::Entries,
+    fault_plan::{FaultKind, FaultPlan},
+    harness::Harness,
+    node_thread::NodeThread,
+    target::StandinTarget,
 };
 use futures_util::future::{BoxFuture, FutureExt};
 use laurelstall_config::fleet::HostState;
-use serde::Deserialize;
 use std::sync::{Arc, Mutex, PoisonError};
 use tokio::time::{Duration, sleep};
 
@@ -30,60 +33,30 @@
     fn end<'a>(&'a self, context: &'a FaultContext) -> BoxFuture<'a, ()>;
 }
 
-/// The kinds of fault.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Deserialize)]
-#[serde(rename_all = "snake_case")]
-pub enum FaultKind {
-    /// The target gets slower by `factor`.
-    Slow,
-    /// The target answers nothing.
-    Pause,
-    /// The target answers each call at once with an error.
-    FailFast,
-    /// The target sheds each call.
-    Shed,
-    /// Answers break off.
-    CutAnswers,
-    /// The target starts cold: slow by `factor`, up to speed at the end.
-    ColdStart,
-    /// The node's process is paused.
-    NodePause,
-    /// The node's process is killed, and started again at the end.
-    NodeKill,
-    /// The node is stopped as planned, and started again at the end.
-    NodeDrain,
-    /// The platform lists the host as leaving until the end.
-    HostLeaving,
-    /// A data centre is cut off from the others and from the platform.
-    CutDataCentre,
-    /// The platform is away.
-    PlatformAway,
-    /// The platform shows what it had at the start.
-    PlatformStale,
-}
-
-impl FaultKind {
-    /// The fault itself.
-    pub fn object(self, plan: &FaultPlan) -> Box<dyn Fault> {
-        match self {
-            Self::Slow | Self::Pause | Self::FailFast | Self::Shed | Self::CutAnswers => {
-                Box::new(TargetFault { kind: self, target: plan.target, factor: plan.factor })
-            }
-            Self::ColdStart => {
-                Box::new(ColdStart { target: plan.target, factor: plan.factor, for_ms: plan.for_ms })
-            }
-            Self::NodePause => Box::new(NodePause { target: plan.target, for_ms: plan.for_ms }),
-            Self::NodeKill => {
-                Box::new(NodeStop { target: plan.target, is_planned: false, old: Mutex::default() })
-            }
-            Self::NodeDrain => {
-                Box::new(NodeStop { target: plan.target, is_planned: true, old: Mutex::default() })
-            }
-            Self::HostLeaving => Box::new(HostLeaving { target: plan.target }),
-            Self::CutDataCentre => Box::new(CutDataCentre { number: plan.data_centre }),
-            Self::PlatformAway => Box::new(PlatformFault { is_stale: false }),
-            Self::PlatformStale => Box::new(PlatformFault { is_stale: true }),
+/// The fault that a plan describes.
+pub fn fault_of(plan: &FaultPlan) -> Box<dyn Fault> {
+    match plan.kind {
+        FaultKind::Slow
+        | FaultKind::Pause
+        | FaultKind::FailFast
+        | FaultKind::Shed
+        | FaultKind::CutAnswers => {
+            Box::new(TargetFault { kind: plan.kind, target: plan.target, factor: plan.factor })
+        }
+        FaultKind::ColdStart => {
+            Box::new(ColdStart { target: plan.target, factor: plan.factor, for_ms: plan.for_ms })
+        }
+        FaultKind::NodePause => Box::new(NodePause { target: plan.target, for_ms: plan.for_ms }),
+        FaultKind::NodeKill => {
+            Box::new(NodeStop { target: plan.target, is_planned: false, old: Mutex::default() })
+        }
+        FaultKind::NodeDrain => {
+            Box::new(NodeStop { target: plan.target, is_planned: true, old: Mutex::default() })
         }
+        FaultKind::HostLeaving => Box::new(HostLeaving { target: plan.target }),
+        FaultKind::CutDataCentre => Box::new(CutDataCentre { number: plan.data_centre }),
+        FaultKind::PlatformAway => Box::new(PlatformFault { is_stale: false }),
+        FaultKind::PlatformStale => Box::new(PlatformFault { is_stale: true }),
     }
 }
 
--- a/crates/laurelstall_standin/src/harness.rs
+++ b/crates/laurelstall_standin/src/harness.rs
@@ -1,6 +1,7 @@
 //! Platform, targets and nodes of one deployment, started together on loopback.
 
 use crate::{
+    call_uri::CALLER_HOST,
     cuts::{Cuts, HostLink},
     node_thread::NodeThread,
     platform::{PlatformWay, StandinPlatform},
@@ -30,8 +31,6 @@
 
 /// Team that all stand-in services belong to.
 pub const TEAM: &str = "standin";
-/// Host name that stand-in callers use.
-pub const CALLER_HOST: &str = "standin.example";
 /// Longest wait of a platform watch in ms.
 const WATCH_WAIT_MS: u64 = 10_000;
 
--- a/crates/laurelstall_standin/src/lib.rs
+++ b/crates/laurelstall_standin/src/lib.rs
@@ -3,10 +3,12 @@
 //! Targets, the platform and callers are small fakes that speak the same HTTP as the real ones;
 //! the nodes between them are the real thing over real sockets.
 
+pub mod call_uri;
 pub mod callers;
 pub mod cuts;
 pub mod experiment;
 pub mod fault;
+pub mod fault_plan;
 pub mod fleet_bench;
 pub mod harness;
 pub mod latency;
--- a/crates/laurelstall_standin/src/scenario.rs
+++ b/crates/laurelstall_standin/src/scenario.rs
@@ -1,6 +1,9 @@
 //! Scenario files: a load and the faults that come over it.
 
-use crate::fault::{Fault, FaultKind};
+use crate::{
+    fault::{Fault, fault_of},
+    fault_plan::FaultPlan,
+};
 use laurelstall_config::problem::{Checker, ConfigError};
 use serde::Deserialize;
 
@@ -30,31 +33,6 @@
     pub factor_max: f64,
 }
 
-/// One fault.
-#[derive(Debug, Clone, Deserialize)]
-#[serde(deny_unknown_fields)]
-pub struct FaultPlan {
-    /// When it starts, in ms.
-    pub at_ms: u64,
-    /// How long it lasts in ms.
-    pub for_ms: u64,
-    /// What it is.
-    pub kind: FaultKind,
-    /// Which target, by number from 1 over all services; 0 for none or all.
-    #[serde(default)]
-    pub target: usize,
-    /// Which data centre, by number from 1.
-    #[serde(default)]
-    pub data_centre: usize,
-    /// How much slower, where that applies.
-    #[serde(default = "factor_default")]
-    pub factor: f64,
-}
-
-fn factor_default() -> f64 {
-    10.0
-}
-
 /// A scenario.
 #[derive(Debug, Clone, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -155,6 +133,6 @@
 
     /// The faults as objects.
     pub fn fault_objects(&self) -> Vec<(FaultPlan, Box<dyn Fault>)> {
-        self.faults.iter().map(|plan| (plan.clone(), plan.kind.object(plan))).collect()
+        self.faults.iter().map(|plan| (plan.clone(), fault_of(plan))).collect()
     }
 }
--- a/crates/laurelstall_standin/src/target.rs
+++ b/crates/laurelstall_standin/src/target.rs
@@ -1,6 +1,9 @@
 //! A stand-in for a target: slots, service times, faults, and a record of what it ran.
 
-use crate::{harness::CALLER_HOST, records::Records};
+use crate::{
+    call_uri::{CALLER_HOST, uri},
+    records::Records,
+};
 use bytes::Bytes;
 use http::{HeaderName, HeaderValue, Request, Response, StatusCode, header::HOST};
 use http_body::{Body, Frame};
@@ -251,7 +254,7 @@
         let (next, rest) = chain.split_once(',').unwrap_or((chain, ""));
         let Some(entry) = self.entry.get().filter(|_| !next.is_empty()) else { return true };
         let mut call = Request::new(Empty::new());
-        *call.uri_mut() = crate::callers::uri(*entry, next);
+        *call.uri_mut() = uri(*entry, next);
         let headers = call.headers_mut();
         headers.insert(HOST, HeaderValue::from_static(CALLER_HOST));
         for name in [KEY, BUDGET, DEPTH] {
--- a/crates/laurelstall_standin/tests/large_bodies.rs
+++ b/crates/laurelstall_standin/tests/large_bodies.rs
@@ -10,7 +10,7 @@
     client::legacy::{Client, connect::HttpConnector},
     rt::TokioExecutor,
 };
-use laurelstall_standin::{harness::CALLER_HOST, process::memory_bytes};
+use laurelstall_standin::{call_uri::CALLER_HOST, process::memory_bytes};
 use std::convert::Infallible;
 use support::{entry, plan, start};
 
--- a/crates/laurelstall_standin/tests/support/mod.rs
+++ b/crates/laurelstall_standin/tests/support/mod.rs
@@ -10,7 +10,10 @@
     rt::TokioExecutor,
 };
 use laurelstall_config::settings::DecisionFormat;
-use laurelstall_standin::harness::{CALLER_HOST, Harness, HarnessPlan};
+use laurelstall_standin::{
+    call_uri::CALLER_HOST,
+    harness::{Harness, HarnessPlan},
+};
 use std::net::SocketAddr;
 
 /// A deployment of one service with `targets` targets that work for about a ms.
