--- a/crates/laurelstall_guard/tests/refusal.rs
+++ b/crates/laurelstall_guard/tests/refusal.rs
@@ -1,6 +1,6 @@
 //! What follows from the reasons of refusals.
 
-use laurelstall_guard::refusal::{Lesson, NextStep, RefusalReason};
+use laurelstall_guard::refusal::{Lesson, NextStep, RefusalReason, RefusalSource};
 use std::collections::HashSet;
 
 #[test]
@@ -38,3 +38,40 @@
         assert_eq!(reason as usize, place, "{reason}");
     }
 }
+
+#[test]
+fn the_page_says_what_the_code_does() {
+    let page = include_str!("../../../docs/REFUSALS.md");
+    for reason in RefusalReason::ALL {
+        let facts = reason.facts();
+        let yes_or_no = |is_true: bool| if is_true { "yes" } else { "no" };
+        let source = match facts.source {
+            RefusalSource::Entry => "entry",
+            RefusalSource::Guard => "guard",
+            RefusalSource::Target => "target",
+        };
+        let next = match facts.next {
+            NextStep::GiveUp => "give up",
+            NextStep::HandBack => "hand back",
+            NextStep::PassOver => "pass over",
+            NextStep::ElsewhereFree => "elsewhere, free",
+            NextStep::ElsewherePaid => "elsewhere, paid",
+        };
+        let lesson = match facts.lesson {
+            Lesson::Nothing => "nothing",
+            Lesson::SomeWait => "some wait",
+            Lesson::IsFull => "it is full",
+            Lesson::IsSlow => "it is slow",
+            Lesson::Drains => "it drains",
+            Lesson::IsAbsent => "it is absent",
+            Lesson::Fails => "it fails",
+        };
+        let row = format!(
+            "| `{}` | {source} | {} | {next} | {lesson} | {} |",
+            facts.word,
+            yes_or_no(facts.has_arrived()),
+            yes_or_no(facts.proves_ticket),
+        );
+        assert!(page.contains(&row), "{row}");
+    }
+}
--- a/crates/laurelstall_peer/src/spread/standby.rs
+++ b/crates/laurelstall_peer/src/spread/standby.rs
@@ -16,7 +16,7 @@
     net::SocketAddr,
     sync::{PoisonError, atomic::Ordering},
 };
-use tokio::time::{Duration, timeout};
+use tokio::time::{Duration, sleep, timeout};
 
 /// Hosts of each data centre that stand by: with two readers, all of a data centre of five, and chances that all
 /// are lost with more than half of the fleet below one in a hundred in three data centres.
@@ -63,7 +63,7 @@
     /// Asks the hosts ahead of this one whether they can read, as long as it stands by.
     pub(super) async fn standby_loop(&self) {
         loop {
-            tokio::time::sleep(self.jittered(ROUND_MS)).await;
+            sleep(self.jittered(ROUND_MS)).await;
             let count = self.view.spread().readers_per_data_centre;
             let ahead = self.addresses_ahead().unwrap_or_default();
             let stands_by = (count..count + STANDBYS).contains(&ahead.len());
