What an instance says at its load path shuts nothing out alone

Cause: a guard that was told another name by its target refused all calls until the list changed; a load path that gives a wrong name would have shut a sound target out for good. Ruled out: trying each time (a replaced target would get a call every few seconds for nothing). Change: a word of another name lets one call find out; when it runs, the word is not heeded until the list changes; when it is denied, nothing is sent. A denied first word gives way to the listed name.

--- a/crates/laurelstall_guard/src/target_identity.rs
+++ b/crates/laurelstall_guard/src/target_identity.rs
@@ -27,9 +27,12 @@
     },
 }
 
-/// The instance denied the name that a request was sent under.
+/// The instance denied the name that a request was sent under, or says that it has another one.
 #[derive(Debug, Clone, Copy)]
 struct Doubt {
+    /// Whether the present name was denied: what an instance says of itself at its load path may be wrong, and
+    /// shuts nothing out alone.
+    is_denied: bool,
     /// Denials in a row.
     denials: u32,
     /// Until when nothing is sent, in µs of the guard's clock.
@@ -38,6 +41,12 @@
     is_tried: bool,
 }
 
+impl Doubt {
+    fn new(is_denied: bool, now_us: u64) -> Self {
+        Self { is_denied, denials: 0, until_us: now_us, is_tried: false }
+    }
+}
+
 /// What a guard knows of the instance beside it.
 #[derive(Debug)]
 pub struct TargetIdentity {
@@ -49,6 +58,8 @@
     successor: Option<String>,
     /// Whether the instance has said or shown who it is since the start.
     has_spoken: bool,
+    /// Whether it ran requests under a name that it said is not its own.
+    is_word_wrong: bool,
     doubt: Option<Doubt>,
 }
 
@@ -59,7 +70,14 @@
     /// were made for its start, and an address is not given to another service so soon. Later only the list
     /// can tell to which service an instance belongs.
     pub fn new(first_word_until_us: u64) -> Self {
-        Self { first_word_until_us, listed: String::new(), successor: None, has_spoken: false, doubt: None }
+        Self {
+            first_word_until_us,
+            listed: String::new(),
+            successor: None,
+            has_spoken: false,
+            is_word_wrong: false,
+            doubt: None,
+        }
     }
 
     /// Takes the name in the list; a new one makes the instance's own words out of date.
@@ -69,6 +87,7 @@
         }
         listed.clone_into(&mut self.listed);
         self.successor = None;
+        self.is_word_wrong = false;
         self.doubt = None;
     }
 
@@ -107,8 +126,13 @@
         if is_first && now_us < self.first_word_until_us && !self.is_called(name) {
             self.successor = Some(name.to_owned());
         }
-        if self.name() != name && self.refused_for_us(now_us).is_none() {
-            self.note_other(now_us);
+        if self.name() == name || self.is_word_wrong || self.refused_for_us(now_us).is_some() {
+            return;
+        }
+        match self.doubt {
+            None => self.doubt = Some(Doubt::new(false, now_us)),
+            Some(doubt) if doubt.is_denied => self.note_other(now_us),
+            Some(_) => {}
         }
     }
 
@@ -127,11 +151,17 @@
         if self.name() != name {
             return;
         }
+        let was_successor = self.successor.take().is_some();
         match &mut self.doubt {
+            // The listed name was not denied yet.
+            _ if was_successor => self.doubt = Some(Doubt::new(false, now_us)),
             // It is asked before the next call.
-            None => self.doubt = Some(Doubt { denials: 0, until_us: now_us, is_tried: false }),
-            Some(doubt) if doubt.is_tried => self.note_other(now_us),
-            Some(_) => {}
+            None => self.doubt = Some(Doubt::new(true, now_us)),
+            Some(doubt) if doubt.is_tried => {
+                doubt.is_denied = true;
+                self.note_other(now_us);
+            }
+            Some(doubt) => doubt.is_denied = true,
         }
     }
 
@@ -139,6 +169,7 @@
     pub fn note_ran(&mut self, name: &str) {
         if self.name() == name {
             self.has_spoken = true;
+            self.is_word_wrong |= self.doubt.is_some_and(|doubt| !doubt.is_denied);
             self.doubt = None;
         }
     }
@@ -159,9 +190,10 @@
 
     /// The instance is another than the one in the list: nothing is sent for a while.
     fn note_other(&mut self, now_us: u64) {
-        let denials = self.doubt.map_or(0, |doubt| doubt.denials);
-        let until_us = now_us + pause_us(denials);
-        self.doubt = Some(Doubt { denials: denials.saturating_add(1), until_us, is_tried: false });
+        let Some(doubt) = &mut self.doubt else { return };
+        doubt.until_us = now_us + pause_us(doubt.denials);
+        doubt.denials = doubt.denials.saturating_add(1);
+        doubt.is_tried = false;
     }
 }
 
--- a/crates/laurelstall_guard/tests/target_identity.rs
+++ b/crates/laurelstall_guard/tests/target_identity.rs
@@ -107,6 +107,49 @@
     }
 }
 
+#[test]
+fn a_wrong_word_at_the_load_path_shuts_nothing_out() {
+    // It gives another name than it runs requests under, from the start on or later.
+    let mut identity = started();
+    assert_eq!(word(&mut identity, Some("wrong"), START_US), send_as("wrong"));
+    identity.note_denied("wrong", START_US);
+    assert_eq!(identity.claim(true, START_US), Claim::Ask);
+    assert_eq!(
+        word(&mut identity, Some("wrong"), START_US),
+        send_as("old"),
+        "the list's word was not denied"
+    );
+    assert!(matches!(identity.claim(true, START_US), Claim::Refuse { .. }), "one call finds out");
+    identity.note_ran("old");
+    identity.note_word(Some("wrong"), LATE_US);
+    assert_eq!(identity.claim(true, LATE_US), send_as("old"));
+
+    let mut identity = running();
+    identity.note_word(Some("wrong"), LATE_US);
+    assert_eq!(identity.claim(true, LATE_US), Claim::Ask);
+    assert_eq!(word(&mut identity, Some("wrong"), LATE_US), send_as("old"));
+    identity.note_ran("old");
+    identity.note_word(Some("wrong"), LATE_US);
+    assert!(!identity.is_in_doubt(), "its word is known to be wrong");
+}
+
+#[test]
+fn a_word_of_another_name_costs_one_call_before_nothing_is_sent_any_more() {
+    let mut identity = running();
+    identity.note_word(Some("new"), LATE_US);
+    assert_eq!(word(&mut identity, Some("new"), LATE_US), send_as("old"));
+    identity.note_denied("old", LATE_US + 1_000);
+    let mut sent = 0;
+    for now_us in (LATE_US + 1_000..LATE_US + 10_000_000).step_by(1_000) {
+        let mut claim = identity.claim(true, now_us);
+        if claim == Claim::Ask {
+            claim = word(&mut identity, Some("new"), now_us);
+        }
+        sent += u32::from(matches!(claim, Claim::SendAs(_)));
+    }
+    assert_eq!(sent, 0);
+}
+
 #[test]
 fn many_denials_of_calls_that_were_under_way_count_as_one() {
     let mut identity = running();
--- a/crates/laurelstall_node/src/target_guard/instance.rs
+++ b/crates/laurelstall_node/src/target_guard/instance.rs
@@ -98,9 +98,7 @@
         }
         if is_in_doubt && !was_in_doubt {
             let said = name.unwrap_or_default();
-            log::warn!(
-                "own target: it says that it is '{said}', not '{after}': it gets nothing until a list says so"
-            );
+            log::warn!("own target: it says that it is '{said}', not '{after}': one call finds out");
         }
     }
 
