Retry budgets that hold for the fleet and work for hundreds of entries; a stop ends within the grace that is given

Cause: an entry's part of the reserve was 40 over twice the entries, whatever the platform allows, and what it earned came from successes alone: with 300 entries it never reached one attempt, and in a time of refusals nothing was earned. Refusals of guards, which have reached no target, were paid from the same purse. Change: a share of all calls is earned; the platform's own bounds are read from the settings; a part of an attempt is staked, and a draw with just that chance decides; calls below the most important ones of their service leave half of what can be saved; what a guard refused for its load is not paid but asked of three guards at most; a nested call counts as what waits for it. A stop takes nine tenths of the grace time at most. Conclusion: the bound holds and the budget is used, but not yet where it is worth most: runs that are repeated make their lookups again, and these take the refusing service's budget.

--- a/crates/laurelstall_balance/src/lib.rs
+++ b/crates/laurelstall_balance/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod chooser;
 pub mod class_times;
 pub mod ejection;
+pub mod foremost_calls;
 pub mod hint;
 pub mod least_wait;
 pub mod observe_budget;
--- a/crates/laurelstall_balance/src/service_balancer.rs
+++ b/crates/laurelstall_balance/src/service_balancer.rs
@@ -4,16 +4,17 @@
     chooser::{Candidate, Choice, Chooser, ChoosingContext},
     class_times::{CallClass, ClassTimes},
     ejection::Ejection,
+    foremost_calls::ForemostCalls,
     hint::{Hint, USUAL_PERCENT},
-    share_budget::ShareBudget,
+    share_budget::{ShareBudget, SpendingClass},
     target_view::TargetView,
 };
 use laurelstall_config::team::ServiceLimits;
 use rand::{RngExt, SeedableRng, rngs::SmallRng};
 use std::fmt;
 
-/// Hedges that a quiet service may make before it has earned any.
-const HEDGE_RESERVE: f64 = 1.0;
+/// Hedges that a quiet service may make in ten seconds beyond what it earns: it starts with one.
+const HEDGE_RESERVE: f64 = 2.5;
 /// Attempts before errors or latency may eject a target.
 const EJECTION_SAMPLES_MIN: u32 = 5;
 /// Share of failed attempts from which a target may be ejected.
@@ -85,12 +86,9 @@
     pub now_us: u64,
 }
 
-/// Times that an entry may spend its part of the reserve for retries in a window: before and after a restart.
-const RESERVE_SPENDINGS: f64 = 2.0;
-
 /// One entry's part of the retries that all entries together may make beyond what they earn.
 fn retry_part(limits: &ServiceLimits, entries: usize) -> f64 {
-    f64::from(limits.retry_reserve) / (RESERVE_SPENDINGS * entries.max(1) as f64)
+    f64::from(limits.retry_reserve) / entries.max(1) as f64
 }
 
 /// What an entry knows and decides of one service.
@@ -103,6 +101,7 @@
     entries: usize,
     chooser: Box<dyn Chooser>,
     retries: ShareBudget,
+    foremost: ForemostCalls,
     hedges: ShareBudget,
     usual_us: f64,
     usual_load: f64,
@@ -121,6 +120,7 @@
             entries: 1,
             chooser,
             retries: ShareBudget::new(limits.retry_percent, retry_part(&limits, 1)),
+            foremost: ForemostCalls::default(),
             hedges: ShareBudget::new(limits.hedge_percent, HEDGE_RESERVE),
             usual_us: USUAL_START_US,
             usual_load: 0.5,
@@ -162,9 +162,12 @@
         self.retries.set_limits(self.limits.retry_percent, retry_part(&self.limits, entries));
     }
 
-    /// Notes a call to the service, before its first attempt; `is_repeat` says whether the run that makes it is a
+    /// Notes a call to the service, before its first attempt.
+    ///
+    /// `importance` is that of what its caller waits for. `is_repeat` says whether the run that makes it is a
     /// repeat, so that its target gets once more what another run of the same request has sent.
-    pub fn note_call(&mut self, is_repeat: bool, now_us: u64) {
+    pub fn note_call(&mut self, importance: u8, is_repeat: bool, now_us: u64) {
+        self.foremost.note(importance, now_us);
         self.retries.note_call(now_us);
         self.hedges.note_call(now_us);
         if is_repeat {
@@ -228,8 +231,6 @@
                 let slowness = view.slowness_percent(now_us) / f64::from(USUAL_PERCENT);
                 self.times.note(class, latency_us as f64 / slowness);
                 self.usual_us += USUAL_WEIGHT * (latency_us as f64 - self.usual_us);
-                self.retries.earn(now_us);
-                self.hedges.earn(now_us);
             }
             AttemptResult::Failed => view.note_result(true, 0, now_us),
             AttemptResult::NotRun | AttemptResult::Cancelled => return None,
@@ -298,14 +299,17 @@
             .map_or(USUAL_PERCENT, |percent| (*percent).max(USUAL_PERCENT))
     }
 
-    /// Whether a further attempt may be made after a proved *not run* or a repeatable failure.
-    pub fn may_retry(&mut self, now_us: u64) -> bool {
-        self.retries.try_spend(now_us)
+    /// Whether a further attempt of a call of this importance may be made after one that reached a target.
+    pub fn may_retry(&mut self, importance: u8, now_us: u64) -> bool {
+        let class = self.foremost.class_of(importance, now_us);
+        let draw = self.rng.random::<f64>();
+        self.retries.try_spend(class, draw, now_us)
     }
 
     /// Whether a hedge may be sent: there is budget, and the service as a whole is not queueing.
     pub fn may_hedge(&mut self, now_us: u64) -> bool {
-        !self.is_queueing(now_us) && self.hedges.try_spend(now_us)
+        let draw = self.rng.random::<f64>();
+        !self.is_queueing(now_us) && self.hedges.try_spend(SpendingClass::Foremost, draw, now_us)
     }
 
     /// Whether two thirds of the live targets said lately that half a wave of calls waits.
--- a/crates/laurelstall_balance/tests/decisions.rs
+++ b/crates/laurelstall_balance/tests/decisions.rs
@@ -5,7 +5,7 @@
     least_wait::LeastWait,
     observe_budget::{ObserveBudget, ObserveCost},
     service_balancer::{AttemptResult, Choosing, ServiceBalancer},
-    share_budget::ShareBudget,
+    share_budget::{ShareBudget, SpendingClass},
     target_view::TargetView,
     usual_budgets::UsualBudgets,
 };
@@ -190,16 +190,17 @@
 #[test]
 fn retries_stay_within_their_share() {
     let mut budget = ShareBudget::new(10, 0.0);
+    let mut rng = SmallRng::seed_from_u64(3);
     let mut granted = 0;
     for call in 0..10_000 {
         let now_us = call * 1_000;
         budget.note_call(now_us);
-        budget.earn(now_us);
-        granted += u32::from(budget.try_spend(now_us)) + u32::from(budget.try_spend(now_us));
+        let mut spend = || u32::from(budget.try_spend(SpendingClass::Foremost, rng.random(), now_us));
+        granted += spend() + spend();
     }
     assert!(granted <= 1_000, "{granted}");
     assert!(granted >= 900, "{granted}");
-    assert!(!ShareBudget::new(0, 10.0).try_spend(0));
+    assert!(!ShareBudget::new(0, 10.0).try_spend(SpendingClass::Foremost, 0.0, 0));
 }
 
 #[test]
--- a/crates/laurelstall_config/src/settings.rs
+++ b/crates/laurelstall_config/src/settings.rs
@@ -32,6 +32,23 @@
     /// Longest a planned stop may take in ms.
     #[serde(default = "stop_max_ms_default")]
     pub stop_max_ms: u64,
+    /// Time after which a process that was told to stop is killed, in s; a stop ends within nine tenths of it,
+    /// whatever `stop_max_ms` says. 0 when nothing says so.
+    #[serde(default)]
+    pub stop_grace_s: f64,
+}
+
+/// Share of the time until it is killed that a stopping process may use: the rest is for its own end.
+const STOP_GRACE_SHARE: f64 = 0.9;
+
+impl NodeSettings {
+    /// Longest a planned stop may take in ms, by this node's own limit and by the time until it is killed.
+    pub fn stop_limit_ms(&self) -> u64 {
+        if self.stop_grace_s <= 0.0 {
+            return self.stop_max_ms;
+        }
+        self.stop_max_ms.min((self.stop_grace_s * 1_000.0 * STOP_GRACE_SHARE) as u64)
+    }
 }
 
 fn stop_linger_ms_default() -> u64 {
@@ -97,6 +114,25 @@
     /// How long a watch waits for a change in ms.
     #[serde(default = "watch_wait_ms_default")]
     pub watch_wait_ms: u64,
+    /// What all nodes together may send to targets more than once.
+    #[serde(default)]
+    pub repeats: RepeatBounds,
+}
+
+/// Bound of the platform on what targets of a service get more than once, from all nodes together.
+#[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct RepeatBounds {
+    /// As a share of the calls of any ten seconds, 0 to 1.
+    pub share: f64,
+    /// Besides, in any ten seconds.
+    pub reserve: u32,
+}
+
+impl Default for RepeatBounds {
+    fn default() -> Self {
+        Self { share: 0.2, reserve: 54 }
+    }
 }
 
 fn read_timeout_ms_default() -> u64 {
@@ -265,6 +301,7 @@
         check.ensure(is_name(&self.node.data_centre), "node.data_centre", "is not a name");
         check.range("node.stop_linger_ms", self.node.stop_linger_ms, 0..=self.node.stop_max_ms);
         check.range("node.stop_max_ms", self.node.stop_max_ms, 0..=600_000);
+        check.range("node.stop_grace_s", self.node.stop_grace_s, 0.0..=600.0);
         if let Some(target) = &self.target {
             let is_full = target.service.split_once('/').is_some_and(|(t, s)| is_name(t) && is_name(s));
             check.ensure(is_full, "target.service", "must be 'team/service'");
@@ -273,6 +310,8 @@
         }
         check.range("platform.read_timeout_ms", self.platform.read_timeout_ms, 10..=60_000);
         check.range("platform.watch_wait_ms", self.platform.watch_wait_ms, 100..=300_000);
+        check.range("platform.repeats.share", self.platform.repeats.share, 0.0..=2.0);
+        check.range("platform.repeats.reserve", self.platform.repeats.reserve, 0..=10_000);
         for token in &self.tokens {
             let is_long = token.secret.len() >= SECRET_LENGTH_MIN;
             check.ensure(is_long, "token.secret", "must have at least 16 characters");
--- a/crates/laurelstall_guard/src/refusal.rs
+++ b/crates/laurelstall_guard/src/refusal.rs
@@ -62,7 +62,10 @@
     PassOver,
     /// Another target, without paying: no target has had the request.
     ElsewhereFree,
-    /// Another target, paid from the retry budget.
+    /// Another target, without paying, but only a few times for one call: no target has had the request, and the
+    /// others may be as full.
+    ElsewhereFew,
+    /// Another target, paid from the retry budget: the request has reached a target.
     ElsewherePaid,
 }
 
@@ -134,18 +137,18 @@
         use RefusalSource as S;
         let (word, source, next, lesson, proves_ticket) = match self {
             Self::Draining     => ("draining",      S::Guard,  N::ElsewhereFree, L::Drains,   true),
-            Self::QueueFull    => ("queue-full",    S::Guard,  N::ElsewherePaid, L::IsFull,   true),
+            Self::QueueFull    => ("queue-full",    S::Guard,  N::ElsewhereFew,  L::IsFull,   true),
             Self::Deadline     => ("deadline",      S::Guard,  N::GiveUp,        L::Nothing,  true),
             Self::HandedBack   => ("handed-back",   S::Guard,  N::HandBack,      L::SomeWait, true),
             Self::OtherTarget  => ("other-target",  S::Guard,  N::ElsewhereFree, L::IsAbsent, false),
             Self::Unreadable   => ("unreadable",    S::Guard,  N::ElsewhereFree, L::Nothing,  false),
             Self::NoConnection => ("no-connection", S::Entry,  N::ElsewhereFree, L::Fails,    false),
             Self::Shed         => ("shed",          S::Target, N::ElsewherePaid, L::Fails,    true),
-            Self::Stranger     => ("stranger",      S::Guard,  N::ElsewherePaid, L::Nothing,  false),
+            Self::Stranger     => ("stranger",      S::Guard,  N::ElsewhereFew,  L::Nothing,  false),
             Self::NoTarget     => ("no-target",     S::Entry,  N::GiveUp,        L::Nothing,  true),
             Self::TicketVoid   => ("ticket-void",   S::Guard,  N::GiveUp,        L::Nothing,  true),
             Self::Slow         => ("slow",          S::Guard,  N::PassOver,      L::IsSlow,   true),
-            Self::Busy         => ("busy",          S::Guard,  N::ElsewherePaid, L::IsFull,   true),
+            Self::Busy         => ("busy",          S::Guard,  N::ElsewhereFew,  L::IsFull,   true),
             Self::Replaced     => ("replaced",      S::Target, N::ElsewherePaid, L::Fails,    false),
         };
         RefusalFacts { word, source, next, lesson, proves_ticket }
--- a/crates/laurelstall_guard/tests/refusal.rs
+++ b/crates/laurelstall_guard/tests/refusal.rs
@@ -20,6 +20,14 @@
     }
 }
 
+#[test]
+fn only_what_has_reached_a_target_is_paid_for() {
+    for reason in RefusalReason::ALL {
+        let facts = reason.facts();
+        assert!(facts.next != NextStep::ElsewherePaid || facts.has_arrived(), "{reason}");
+    }
+}
+
 #[test]
 fn whoever_may_be_asked_again_for_nothing_is_bounded_or_left_alone() {
     for reason in RefusalReason::ALL {
@@ -55,6 +63,7 @@
             NextStep::HandBack => "hand back",
             NextStep::PassOver => "pass over",
             NextStep::ElsewhereFree => "elsewhere, free",
+            NextStep::ElsewhereFew => "elsewhere, few",
             NextStep::ElsewherePaid => "elsewhere, paid",
         };
         let lesson = match facts.lesson {
--- a/crates/laurelstall_node/src/call.rs
+++ b/crates/laurelstall_node/src/call.rs
@@ -39,6 +39,10 @@
 /// Most targets that may refuse one call for being slow: after so many, one more would hardly help.
 const SLOW_REFUSALS_MAX: usize = 8;
 
+/// Most guards that may refuse one call for their load: in an overload the others are as full, and each question
+/// costs two nodes a message.
+const FULL_REFUSALS_MAX: u32 = 3;
+
 /// Importance of a call that another one waits for: above all others, since the work that was done
 /// for that one is lost without it.
 const NESTED_IMPORTANCE: u8 = ROUTE_IMPORTANCE_MAX + 1;
@@ -96,7 +100,7 @@
     attempts: u32,
     /// Attempts that reached a target, or may have.
     tries: u32,
-    /// Refusals that were taken from the retry budget.
+    /// Guards and targets that refused the call for their load.
     refusals: u32,
     hand_backs: u32,
     /// Targets that refused the call for being slow.
@@ -142,7 +146,8 @@
     /// Runs the call to the answer its caller gets.
     pub async fn run(mut self) -> CallOutcome {
         let now_us = self.context.clock.now_us();
-        self.service.balancer().note_call(self.request.is_of_repeat, now_us);
+        let request = &self.request;
+        self.service.balancer().note_call(request.awaited_importance, request.is_of_repeat, now_us);
         loop {
             let now_us = self.context.clock.now_us();
             if now_us >= self.request.deadline_us {
@@ -400,23 +405,35 @@
             }
             _ if self.request.ticket.is_some() => return Next::End(self.give_up(refusal.reason)),
             NextStep::GiveUp => return Next::End(self.give_up(refusal.reason)),
-            NextStep::ElsewhereFree | NextStep::ElsewherePaid => self.excluded.push(index),
+            NextStep::ElsewhereFree | NextStep::ElsewhereFew | NextStep::ElsewherePaid => {
+                self.excluded.push(index);
+            }
         }
-        if next == NextStep::ElsewhereFree {
-            count(&self.context.counters.retries_free);
-            return Next::Again;
+        let may_go_on = match next {
+            NextStep::ElsewhereFew => self.may_ask_another_guard(),
+            NextStep::ElsewherePaid => self.may_try_again(Some(refusal)),
+            _ => true,
+        };
+        if !may_go_on {
+            return Next::End(self.give_up(refusal.reason));
         }
-        if self.may_try_again(Some(refusal)) {
-            return Next::Again;
+        if next != NextStep::ElsewherePaid {
+            count(&self.context.counters.retries_free);
         }
-        Next::End(self.give_up(refusal.reason))
+        Next::Again
+    }
+
+    /// Whether one more guard may be asked after one that has no room.
+    fn may_ask_another_guard(&mut self) -> bool {
+        self.refusals += 1;
+        self.refusals < FULL_REFUSALS_MAX
     }
 
     /// Whether one more attempt may be made: after a refusal always safe, else only if the
     /// request may repeat; within the tries of the program and the service's retry budget.
     fn may_try_again(&mut self, refusal: Option<Refusal>) -> bool {
         let is_safe = refusal.is_some() || self.request.route.may_repeat;
-        // What a guard refused was sent to no target; it is counted apart.
+        // What a target refused did not run there; it is counted apart.
         let counted = if refusal.is_some() { &mut self.refusals } else { &mut self.tries };
         *counted += 1;
         if !is_safe || *counted >= self.request.route.tries {
@@ -428,7 +445,10 @@
         if self.request.ticket.is_some() {
             return false;
         }
-        let is_granted = self.service.balancer().may_retry(self.context.clock.now_us());
+        let is_granted = {
+            let now_us = self.context.clock.now_us();
+            self.service.balancer().may_retry(self.request.awaited_importance, now_us)
+        };
         count(if is_granted {
             &self.context.counters.retries
         } else {
--- a/crates/laurelstall_node/src/call_request.rs
+++ b/crates/laurelstall_node/src/call_request.rs
@@ -25,6 +25,8 @@
     pub route: Route,
     /// Whether another call waits for this one.
     pub is_nested: bool,
+    /// Importance of what waits for the answer: of the call itself, or of the one whose run makes it.
+    pub awaited_importance: u8,
     /// Whether the run that makes this call is a repeat: the service called may have had this call before.
     pub is_of_repeat: bool,
     /// Whether it comes back after an earlier attempt of its caller.
--- a/crates/laurelstall_node/src/entry/reading.rs
+++ b/crates/laurelstall_node/src/entry/reading.rs
@@ -59,6 +59,7 @@
             body,
             class: route.class,
             is_nested,
+            awaited_importance: parent.map_or(route.importance, |parent| parent.importance),
             is_of_repeat: parent.is_some_and(|parent| parent.is_repeat),
             is_return,
             route,
--- a/crates/laurelstall_node/src/running_requests.rs
+++ b/crates/laurelstall_node/src/running_requests.rs
@@ -25,6 +25,8 @@
 pub struct RunFacts {
     /// Until when an answer has its full worth, in µs of the node's clock.
     pub useful_until_us: u64,
+    /// Its importance.
+    pub importance: u8,
     /// Whether a target may have run the request before.
     pub is_repeat: bool,
 }
--- a/crates/laurelstall_node/src/target_guard/sending.rs
+++ b/crates/laurelstall_node/src/target_guard/sending.rs
@@ -80,7 +80,7 @@
             permit.release_uncounted();
             return refused(RefusalReason::Unreadable, None);
         };
-        let facts = RunFacts { useful_until_us, is_repeat: head.is_repeat };
+        let facts = RunFacts { useful_until_us, importance: head.importance, is_repeat: head.is_repeat };
         let may_repeat = head.may_repeat;
         let handed = HandOver { request, headers, target, may_repeat, deadline_us, facts, limits, permit };
         self.run_at_target(handed).await
--- a/crates/laurelstall_peer/src/platform.rs
+++ b/crates/laurelstall_peer/src/platform.rs
@@ -1,6 +1,6 @@
 //! The border to the platform's configuration service, which can only be read.
 
-use futures_util::future::BoxFuture;
+use futures_util::future::{BoxFuture, FutureExt};
 use laurelstall_config::{
     document::{Document, DocumentName, Version},
     settings::PlatformSettings,
@@ -17,6 +17,16 @@
     pub versions: Vec<(DocumentName, Version)>,
 }
 
+/// What the platform had some seconds ago, as far as a stale read tells.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct StaleListing {
+    /// The version of each document.
+    pub versions: Vec<(DocumentName, Version)>,
+    /// Documents of these whose parts may be from different moments: no other node need have the same text
+    /// under this version.
+    pub mixed: Vec<DocumentName>,
+}
+
 quick_error! {
     /// A read that failed.
     #[derive(Debug)]
@@ -33,6 +43,14 @@
     /// Waits for a listing with a sequence above `after`, or for the watch to end.
     fn watch(&self, after: Option<u64>) -> BoxFuture<'_, Result<Listing, PlatformError>>;
 
+    /// Lists all once, at the least cost for the platform: what it tells may be seconds old, and parts of one document
+    /// may be from different moments.
+    ///
+    /// None from a source that knows no such read.
+    fn read_stale(&self) -> BoxFuture<'_, Result<Option<StaleListing>, PlatformError>> {
+        async { Ok(None) }.boxed()
+    }
+
     /// Takes changed settings; a source that has none of them keeps what it was made with.
     fn set_settings(&self, _settings: &PlatformSettings) {}
 
--- a/crates/laurelstall_peer/src/store.rs
+++ b/crates/laurelstall_peer/src/store.rs
@@ -62,6 +62,8 @@
 pub struct Store {
     entries: BTreeMap<DocumentName, Entry>,
     refused: BTreeMap<DocumentName, Version>,
+    /// Versions of documents that are in force but not held; see [`Store::offer_mixed`].
+    mixed: BTreeMap<DocumentName, Version>,
     conflicts: u64,
 }
 
@@ -69,7 +71,7 @@
     /// Offers a document, from wherever it came.
     pub fn offer(&mut self, document: Document, acceptor: &dyn Acceptor) -> Offer {
         let held = self.version(&document.name);
-        if document.version < held || document.version == 0 {
+        if document.version < held.max(self.mixed_version(&document.name)) || document.version == 0 {
             return Offer::NotNewer;
         }
         if document.version == held {
@@ -88,6 +90,26 @@
         Offer::Taken
     }
 
+    /// Puts a document in force whose parts may be from different moments, until a whole one is there.
+    ///
+    /// It is not held: its text may differ from what other nodes have under this version, so it is neither
+    /// compared nor given to them. A whole one replaces it unless it is older.
+    pub fn offer_mixed(&mut self, document: &Document, acceptor: &dyn Acceptor) -> Offer {
+        if self.entries.contains_key(&document.name) || document.version <= self.mixed_version(&document.name)
+        {
+            return Offer::NotNewer;
+        }
+        if let Err(error) = acceptor.accept(document) {
+            return Offer::Refused(error);
+        }
+        self.mixed.insert(document.name.clone(), document.version);
+        Offer::Taken
+    }
+
+    fn mixed_version(&self, name: &DocumentName) -> Version {
+        self.mixed.get(name).copied().unwrap_or(0)
+    }
+
     /// The version held; 0 for none.
     pub fn version(&self, name: &DocumentName) -> Version {
         self.entries.get(name).map_or(0, |entry| entry.current.version)
@@ -128,7 +150,7 @@
     /// Whether `version` is worth fetching: newer than what is held and not refused before.
     pub fn wants(&self, name: &DocumentName, version: Version) -> bool {
         let refused = self.refused.get(name).copied().unwrap_or(0);
-        version > self.version(name) && version != refused
+        version > self.version(name) && version >= self.mixed_version(name) && version != refused
     }
 
     /// What to pull from somebody who has these versions.
@@ -208,6 +230,7 @@
     fn put(&mut self, document: Document) {
         let checksum = document.checksum();
         let name = document.name.clone();
+        self.mixed.remove(&name);
         let Some(entry) = self.entries.get_mut(&name) else {
             self.entries.insert(name, Entry { current: document, checksum, older: VecDeque::new() });
             return;
--- a/crates/laurelstall_standin/src/fleet_bench.rs
+++ b/crates/laurelstall_standin/src/fleet_bench.rs
@@ -12,7 +12,9 @@
 use laurelstall_config::{
     document::{DocumentName, Version},
     fleet::{Fleet, Host, HostState},
-    settings::{CallerLimits, DecisionFormat, LogSettings, NodeSettings, PlatformSettings, Settings},
+    settings::{
+        CallerLimits, DecisionFormat, LogSettings, NodeSettings, PlatformSettings, RepeatBounds, Settings,
+    },
     system::{Distance, SystemLimits},
     team::{Service, ServiceLimits, Target, Team},
 };
@@ -239,12 +241,14 @@
                 peer_address: member.addresses[1],
                 admin_address: member.addresses[2],
                 stop_max_ms: 5_000,
+                stop_grace_s: 0.0,
             },
             target: None,
             platform: PlatformSettings {
                 address: member.addresses[2],
                 read_timeout_ms: 1_000,
                 watch_wait_ms: WATCH_WAIT_MS,
+                repeats: RepeatBounds::default(),
             },
             seeds: (1..=2)
                 .map(|step| self.members[(index + step) % self.members.len()].addresses[1])
--- a/crates/laurelstall_standin/src/harness.rs
+++ b/crates/laurelstall_standin/src/harness.rs
@@ -13,8 +13,8 @@
     document::DocumentName,
     fleet::{Fleet, Host, HostState},
     settings::{
-        CallerLimits, DecisionFormat, LogSettings, NodeSettings, PlatformSettings, Settings, TargetHttp,
-        TargetSettings, TokenSettings,
+        CallerLimits, DecisionFormat, LogSettings, NodeSettings, PlatformSettings, RepeatBounds, Settings,
+        TargetHttp, TargetSettings, TokenSettings,
     },
     system::{Distance, ObserveLimits, SystemLimits},
     team::{Service, ServiceLimits, Target, Team},
@@ -458,6 +458,7 @@
             peer_address: sockets.peer.1,
             admin_address: sockets.admin.1,
             stop_max_ms: 30_000,
+            stop_grace_s: 0.0,
         },
         target: Some(TargetSettings {
             service: format!("{TEAM}/{}", host.service),
@@ -470,6 +471,7 @@
             address: sockets.admin.1,
             read_timeout_ms: 1_000,
             watch_wait_ms: WATCH_WAIT_MS,
+            repeats: RepeatBounds::default(),
         },
         seeds: Vec::new(),
         callers: CallerLimits { connections: 10_000, ..CallerLimits::default() },
