One page on decisions under load; a call and a service's balancer split by job

Change: call/ has choosing, sending and judging, service_balancer/ has ejecting and spending; docs/LOAD.md takes over CHOICE and ADMISSION, with the load pattern, limits, reasons and figures of each decision. No behaviour changes.

--- a/crates/laurelstall_balance/src/service_balancer.rs
+++ b/crates/laurelstall_balance/src/service_balancer.rs
@@ -6,7 +6,7 @@
     ejection::Ejection,
     foremost_calls::ForemostCalls,
     hint::{Hint, USUAL_PERCENT},
-    share_budget::{ShareBudget, SpendingClass},
+    share_budget::ShareBudget,
     spill::Spill,
     target_view::TargetView,
 };
@@ -14,6 +14,13 @@
 use rand::{RngExt, SeedableRng, rngs::SmallRng, seq::IndexedRandom};
 use std::fmt;
 
+mod ejecting;
+mod spending;
+
+pub use ejecting::Ejected;
+pub use spending::BalancerTotals;
+use spending::retry_part;
+
 /// Hedges that a quiet service may make in ten seconds beyond what it earns: it starts with one.
 const HEDGE_RESERVE: f64 = 2.5;
 /// Calls that may ask another guard after one that has no room, as a share of all calls in percent: a burst passes,
@@ -21,21 +28,6 @@
 const MOVE_PERCENT: u32 = 10;
 /// Such moves in ten seconds besides: an entry starts with four.
 const MOVE_RESERVE: f64 = 10.0;
-/// Attempts before errors or latency may eject a target.
-const EJECTION_SAMPLES_MIN: u32 = 5;
-/// Share of failed attempts from which a target may be ejected.
-const EJECTION_ERROR_RATE: f64 = 0.5;
-/// How far a target's errors must stand above the mean of its service.
-const EJECTION_ERROR_MARGIN: f64 = 0.25;
-/// Multiple of the service's median latency from which a target may be ejected.
-const EJECTION_LATENCY_FACTOR: f64 = 5.0;
-/// Latency below which none is ejected for being slow, in µs.
-const EJECTION_LATENCY_MIN_US: f64 = 5_000.0;
-/// How long a target must be slow before it is ejected for it, in µs.
-///
-/// Neighbours steal capacity for up to half a second; ejecting for that long costs the service
-/// more than the slow target does, since choices avoid it anyway (measured, `docs/CHOICE.md`).
-const EJECTION_SLOW_US: u64 = 1_500_000;
 /// Weight of a new sample in the service's usual service time and load.
 const USUAL_WEIGHT: f64 = 0.02;
 /// Assumed service time before anything is known, in µs.
@@ -100,11 +92,6 @@
     pub now_us: u64,
 }
 
-/// One entry's part of the retries that all entries together may make beyond what they earn.
-fn retry_part(limits: &ServiceLimits, entries: usize) -> f64 {
-    f64::from(limits.retry_reserve) / entries.max(1) as f64
-}
-
 /// What an entry knows and decides of one service.
 pub struct ServiceBalancer {
     targets: Vec<TargetView>,
@@ -174,27 +161,6 @@
         self.hedges.set_limits(limits.hedge_percent, HEDGE_RESERVE);
     }
 
-    /// Takes the number of entries that share the reserve for retries.
-    pub fn set_entries(&mut self, entries: usize) {
-        self.entries = entries;
-        self.retries.set_limits(self.limits.retry_percent, retry_part(&self.limits, entries));
-    }
-
-    /// Notes a call to the service, before its first attempt.
-    ///
-    /// `importance` is that of what its caller waits for. `is_repeat` says whether the run that makes it is a
-    /// repeat, so that its target gets once more what another run of the same request has sent.
-    pub fn note_call(&mut self, importance: u8, is_repeat: bool, now_us: u64) {
-        self.foremost.note(importance, now_us);
-        self.retries.note_call(now_us);
-        self.hedges.note_call(now_us);
-        self.moves.note_call(now_us);
-        self.moves.earn(now_us);
-        if is_repeat {
-            self.retries.charge(now_us);
-        }
-    }
-
     /// Chooses a target for one attempt; none when no target may take it.
     pub fn choose(&mut self, choosing: &Choosing<'_>) -> Option<Choice> {
         let now_us = choosing.now_us;
@@ -332,36 +298,6 @@
         known.get(known.len() / USUAL_PACE_SHARE).map(|percent| (*percent).max(USUAL_PERCENT))
     }
 
-    /// Earns for a call whose first attempt a target turned away.
-    ///
-    /// It did not run, so another target may well serve it: without this, retries end when they are needed. A run
-    /// that failed earns nothing: it may fail everywhere, and makes its own calls once more.
-    pub fn note_turned_away(&mut self, now_us: u64) {
-        self.retries.earn(now_us);
-    }
-
-    /// Whether a call that a guard has no room for may ask another one.
-    ///
-    /// No target has had it, so it is not paid from the budget for retries; but in an overload the others are as
-    /// full, and moving calls costs bytes between data centres: with no bound a fifth more of them (13 nodes).
-    pub fn may_move(&mut self, now_us: u64) -> bool {
-        let draw = self.rng.random::<f64>();
-        self.moves.try_spend(SpendingClass::Foremost, draw, now_us)
-    }
-
-    /// Whether a further attempt of a call of this importance may be made after one that reached a target.
-    pub fn may_retry(&mut self, importance: u8, now_us: u64) -> bool {
-        let class = self.foremost.class_of(importance, now_us);
-        let draw = self.rng.random::<f64>();
-        self.retries.try_spend(class, draw, now_us)
-    }
-
-    /// Whether a hedge may be sent: there is budget, and the service as a whole is not queueing.
-    pub fn may_hedge(&mut self, now_us: u64) -> bool {
-        let draw = self.rng.random::<f64>();
-        !self.is_queueing(now_us) && self.hedges.try_spend(SpendingClass::Foremost, draw, now_us)
-    }
-
     /// Whether two thirds of the live targets said lately that half a wave of calls waits.
     pub fn is_queueing(&self, now_us: u64) -> bool {
         let live = self.targets.iter().filter(|view| view.is_live);
@@ -444,75 +380,12 @@
         self.chooser.is_plain()
     }
 
-    /// Retries granted and refused, hedges granted, ejections, since the start.
-    pub fn totals(&self) -> BalancerTotals {
-        BalancerTotals {
-            retries: self.retries.granted(),
-            retries_refused: self.retries.refused(),
-            hedges: self.hedges.granted(),
-            ejections: self.ejections,
-        }
-    }
-
     fn place_of(&self, index: usize, name: &str) -> Option<usize> {
         if self.targets.get(index).is_some_and(|view| view.name == name) {
             return Some(index);
         }
         self.targets.iter().position(|view| view.name == name)
     }
-
-    fn eject_if_due(&mut self, index: usize, now_us: u64) -> Option<Ejected> {
-        let view = &self.targets[index];
-        if view.ejection.is_out(now_us) || view.samples() < EJECTION_SAMPLES_MIN {
-            return None;
-        }
-        let is_slow = self.is_slow(index);
-        let slow_us = self.targets[index].note_slow(is_slow, now_us);
-        if !self.is_failing(index, now_us) && slow_us < EJECTION_SLOW_US {
-            self.note_recovery(index, now_us);
-            return None;
-        }
-        let out = self.targets.iter().filter(|view| view.ejection.is_out(now_us)).count();
-        let most = self.targets.len() * self.limits.ejected_max_percent as usize / 100;
-        if out >= most {
-            return None;
-        }
-        let view = &mut self.targets[index];
-        let error_rate = view.error_rate(now_us);
-        let latency_us = view.latency_us() as u64;
-        view.ejection.eject(now_us, self.limits.ejection_ms * 1_000);
-        view.forget_errors();
-        self.ejections += 1;
-        Some(Ejected { target: view.name.clone(), error_rate, latency_us, times: view.ejection.times() })
-    }
-
-    fn note_recovery(&mut self, index: usize, now_us: u64) {
-        let slow_start_us = self.limits.slow_start_ms * 1_000;
-        let view = &mut self.targets[index];
-        if view.ejection.ramp(now_us, slow_start_us) >= 1.0 {
-            view.ejection.note_recovered();
-        }
-    }
-
-    fn is_failing(&self, index: usize, now_us: u64) -> bool {
-        let rate = self.targets[index].error_rate(now_us);
-        let others = self.targets.len().saturating_sub(1).max(1) as f64;
-        let sum: f64 = self.targets.iter().map(|view| view.error_rate(now_us)).sum();
-        let mean_of_others = (sum - rate) / others;
-        rate >= EJECTION_ERROR_RATE && rate >= mean_of_others + EJECTION_ERROR_MARGIN
-    }
-
-    fn is_slow(&self, index: usize) -> bool {
-        let latency_us = self.targets[index].latency_us();
-        if latency_us < EJECTION_LATENCY_MIN_US {
-            return false;
-        }
-        let known = self.targets.iter().map(TargetView::latency_us).filter(|l| *l > 0.0);
-        let mut known = known.collect::<Vec<_>>();
-        known.sort_by(f64::total_cmp);
-        let median = known.get((known.len().saturating_sub(1)) / 2).copied().unwrap_or(0.0);
-        known.len() >= 3 && latency_us > EJECTION_LATENCY_FACTOR * median
-    }
 }
 
 /// A target that is to be asked how it is.
@@ -526,32 +399,6 @@
     pub host: String,
 }
 
-/// A target that was taken out of the choice, and what decided it.
-#[derive(Debug, Clone, PartialEq)]
-pub struct Ejected {
-    /// The target's name.
-    pub target: String,
-    /// Share of its recent attempts that failed.
-    pub error_rate: f64,
-    /// Average latency of its recent successes in µs.
-    pub latency_us: u64,
-    /// Times it was ejected in a row, this one counted along.
-    pub times: u32,
-}
-
-/// Counts of a [`ServiceBalancer`] since its start.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
-pub struct BalancerTotals {
-    /// Further attempts granted.
-    pub retries: u64,
-    /// Further attempts refused for want of budget.
-    pub retries_refused: u64,
-    /// Hedges granted.
-    pub hedges: u64,
-    /// Targets ejected.
-    pub ejections: u64,
-}
-
 impl fmt::Debug for ServiceBalancer {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         let chooser = self.chooser.name();
--- /dev/null
+++ b/crates/laurelstall_balance/src/service_balancer/ejecting.rs
@@ -0,0 +1,88 @@
+//! Which targets are taken out of the choice, for errors or for being slow.
+
+use super::ServiceBalancer;
+use crate::target_view::TargetView;
+
+/// Attempts before errors or latency may eject a target.
+const EJECTION_SAMPLES_MIN: u32 = 5;
+/// Share of failed attempts from which a target may be ejected.
+const EJECTION_ERROR_RATE: f64 = 0.5;
+/// How far a target's errors must stand above the mean of its service.
+const EJECTION_ERROR_MARGIN: f64 = 0.25;
+/// Multiple of the service's median latency from which a target may be ejected.
+const EJECTION_LATENCY_FACTOR: f64 = 5.0;
+/// Latency below which none is ejected for being slow, in µs.
+const EJECTION_LATENCY_MIN_US: f64 = 5_000.0;
+/// How long a target must be slow before it is ejected for it, in µs.
+///
+/// Neighbours steal capacity for up to half a second; ejecting for that long costs the service
+/// more than the slow target does, since choices avoid it anyway (measured, `docs/LOAD.md`).
+const EJECTION_SLOW_US: u64 = 1_500_000;
+
+/// A target that was taken out of the choice, and what decided it.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Ejected {
+    /// The target's name.
+    pub target: String,
+    /// Share of its recent attempts that failed.
+    pub error_rate: f64,
+    /// Average latency of its recent successes in µs.
+    pub latency_us: u64,
+    /// Times it was ejected in a row, this one counted along.
+    pub times: u32,
+}
+
+impl ServiceBalancer {
+    pub(super) fn eject_if_due(&mut self, index: usize, now_us: u64) -> Option<Ejected> {
+        let view = &self.targets[index];
+        if view.ejection.is_out(now_us) || view.samples() < EJECTION_SAMPLES_MIN {
+            return None;
+        }
+        let is_slow = self.is_slow(index);
+        let slow_us = self.targets[index].note_slow(is_slow, now_us);
+        if !self.is_failing(index, now_us) && slow_us < EJECTION_SLOW_US {
+            self.note_recovery(index, now_us);
+            return None;
+        }
+        let out = self.targets.iter().filter(|view| view.ejection.is_out(now_us)).count();
+        let most = self.targets.len() * self.limits.ejected_max_percent as usize / 100;
+        if out >= most {
+            return None;
+        }
+        let view = &mut self.targets[index];
+        let error_rate = view.error_rate(now_us);
+        let latency_us = view.latency_us() as u64;
+        view.ejection.eject(now_us, self.limits.ejection_ms * 1_000);
+        view.forget_errors();
+        self.ejections += 1;
+        Some(Ejected { target: view.name.clone(), error_rate, latency_us, times: view.ejection.times() })
+    }
+
+    fn note_recovery(&mut self, index: usize, now_us: u64) {
+        let slow_start_us = self.limits.slow_start_ms * 1_000;
+        let view = &mut self.targets[index];
+        if view.ejection.ramp(now_us, slow_start_us) >= 1.0 {
+            view.ejection.note_recovered();
+        }
+    }
+
+    fn is_failing(&self, index: usize, now_us: u64) -> bool {
+        let rate = self.targets[index].error_rate(now_us);
+        let others = self.targets.len().saturating_sub(1).max(1) as f64;
+        let sum: f64 = self.targets.iter().map(|view| view.error_rate(now_us)).sum();
+        let mean_of_others = (sum - rate) / others;
+        rate >= EJECTION_ERROR_RATE && rate >= mean_of_others + EJECTION_ERROR_MARGIN
+    }
+
+    fn is_slow(&self, index: usize) -> bool {
+        let latency_us = self.targets[index].latency_us();
+        if latency_us < EJECTION_LATENCY_MIN_US {
+            return false;
+        }
+        let known = self.targets.iter().map(TargetView::latency_us).filter(|l| *l > 0.0);
+        let mut known = known.collect::<Vec<_>>();
+        known.sort_by(f64::total_cmp);
+        let median = known.get((known.len().saturating_sub(1)) / 2).copied().unwrap_or(0.0);
+        known.len() >= 3 && latency_us > EJECTION_LATENCY_FACTOR * median
+    }
+}
--- a/crates/laurelstall_balance/src/target_view.rs
+++ b/crates/laurelstall_balance/src/target_view.rs
@@ -13,7 +13,7 @@
 const ERROR_HALF_LIFE_US: f64 = 1_000_000.0;
 /// Share of errors below which they are forgotten; else a tie would be lost for ever.
 const ERROR_RATE_MIN: f64 = 0.001;
-/// Age at which a hint counts half, in µs: about two service times (measured, `docs/CHOICE.md`).
+/// Age at which a hint counts half, in µs: about two service times (measured, `docs/LOAD.md`).
 pub const HINT_HALF_AGE_US: f64 = 20_000.0;
 /// Age at which the service time of a hint counts half, in µs.
 pub const SERVICE_HALF_AGE_US: f64 = 100_000.0;
--- /dev/null
+++ b/crates/laurelstall_node/src/call/choosing.rs
@@ -0,0 +1,53 @@
+//! Which target an attempt goes to, and what its guard is told of the choice.
+
+use super::{Call, Destination};
+use laurelstall_balance::service_balancer::Choosing;
+
+/// A hint younger than this is not asked for anew, in µs.
+const HINT_FRESH_US: u64 = 15_000;
+/// Most targets that may refuse one call for being slow: after so many, one more would hardly help.
+const SLOW_REFUSALS_MAX: usize = 8;
+
+impl Call<'_> {
+    pub(super) fn choose(&mut self, now_us: u64) -> Option<Destination> {
+        let only = self.request.ticket.as_ref().map(|ticket| ticket.target.as_str());
+        let useful_us = self.request.useful_until_us.map(|until_us| until_us.saturating_sub(now_us));
+        let class = self.request.class;
+        let may_leave_free = self.refusals > 0;
+        let choosing = Choosing { excluded: &self.excluded, only, class, useful_us, may_leave_free, now_us };
+        let mut balancer = self.service.balancer();
+        let choice = balancer.choose(&choosing)?;
+        let is_logged = self.context.decisions.is_on();
+        let views = balancer.targets();
+        let view = &views[choice.index];
+        let runner_up = choice.runner_up.filter(|_| is_logged);
+        let destination = Destination {
+            choice,
+            name: view.name.clone(),
+            host: view.host.clone(),
+            why: if is_logged { choice.reason.to_string() } else { String::new() },
+            runner_up: runner_up.map(|(index, score)| (views[index].name.clone(), score as u64)),
+            targets: views.len(),
+            hint_age_us: view.hint(now_us).map(|(_, age_us)| age_us),
+            sent_at_us: now_us,
+        };
+        balancer.note_sent(choice.index);
+        Some(destination)
+    }
+
+    /// From which slowness on the target may refuse the call: each target once, few in all, and not
+    /// the last one.
+    pub(super) fn slow_from_percent(&self, destination: &Destination, now_us: u64) -> Option<u32> {
+        let is_asked_first = !self.slow.contains(&destination.choice.index);
+        let has_choice = self.slow.len() + 1 < destination.targets && self.slow.len() < SLOW_REFUSALS_MAX;
+        let may_refuse = self.request.ticket.is_none() && is_asked_first && has_choice;
+        may_refuse.then(|| self.service.balancer().slow_from_percent(now_us))
+    }
+
+    /// Whether to pay for a hint: only for a target whose last one is not fresh.
+    pub(super) fn wants_hint(&self, destination: &Destination, observe_percent: u8, now_us: u64) -> bool {
+        let age_us = self.service.balancer().hint_age_us(destination.choice.index, now_us);
+        let is_due = age_us.is_none_or(|age_us| age_us >= HINT_FRESH_US);
+        is_due && self.context.observer.may_ask_hint(observe_percent)
+    }
+}
