A node that hears from nobody after a stale read reads the platform plainly

Cause: what a stale read tells may be seconds old; a node whose way to other nodes is cut would keep it until a fallback read, which is seldom in a large fleet. Change: such a node reads plainly 0.75 to 2.25 s after its start unless it has heard of a fresh read; five times at most. Figures: test with 300 hosts, all ways to them cut: the newest within 2.5 s, one plain call.

--- a/crates/laurelstall_peer/src/spread.rs
+++ b/crates/laurelstall_peer/src/spread.rs
@@ -122,6 +122,8 @@
     role_changed: Notify,
     pulling: AsyncMutex<()>,
     is_joined: AtomicBool,
+    /// Whether it joined by a stale read of the platform.
+    has_read_stale: AtomicBool,
     partner_seed: AtomicU64,
     rng: Mutex<SmallRng>,
     partner_states: Mutex<HashMap<SocketAddr, PartnerState>>,
@@ -161,6 +163,7 @@
             role_changed: Notify::new(),
             pulling: AsyncMutex::new(()),
             is_joined: AtomicBool::new(false),
+            has_read_stale: AtomicBool::new(false),
             partner_seed,
             rng,
             partner_states: Mutex::default(),
@@ -209,7 +212,13 @@
 
     /// Reads, offers and exchanges until it is dropped.
     pub async fn run(self: Arc<Self>) {
-        tokio::join!(self.read_loop(), self.standby_loop(), self.offer_loop(), self.exchange_loop());
+        tokio::join!(
+            self.read_loop(),
+            self.standby_loop(),
+            self.offer_loop(),
+            self.exchange_loop(),
+            self.confirm_stale_read()
+        );
     }
 
     /// Answers a node that compares versions.
@@ -385,6 +394,7 @@
     async fn read_platform_stale(&self) -> Result<bool, PlatformError> {
         let Some(listing) = self.platform.read_stale().await? else { return Ok(false) };
         self.counts.platform_calls.fetch_add(1, Ordering::Relaxed);
+        self.has_read_stale.store(true, Ordering::Relaxed);
         for (name, _) in listing.versions {
             let document = self.platform.read(name.clone()).await?;
             if listing.mixed.contains(&name) {
--- a/crates/laurelstall_peer/src/spread/joining.rs
+++ b/crates/laurelstall_peer/src/spread/joining.rs
@@ -9,7 +9,7 @@
     pin::pin,
     sync::{PoisonError, atomic::Ordering},
 };
-use tokio::time::{Duration, timeout};
+use tokio::time::{Duration, sleep, timeout};
 
 /// How long a joining node waits for peers and platform before it takes what it has.
 const JOIN_TIMEOUT: Duration = Duration::from_secs(3);
@@ -23,6 +23,11 @@
 const PEERS_PATIENCE: Duration = Duration::from_millis(300);
 /// How long a joining node that has made a stale read waits for the first peer to say what is newest.
 const NEWEST_PATIENCE: Duration = Duration::from_millis(100);
+/// How long, on average, a node waits to hear from others that what a stale read told is the newest, in ms: exchanges
+/// and offers bring that within a second, and a version is to be in force within a few.
+const CONFIRMATION_PAUSE_MS: u64 = 1_500;
+/// Times that such a node reads the platform itself at most.
+const CONFIRMATIONS_MAX: usize = 5;
 /// Peers that a joining node asks.
 const JOIN_PEERS: usize = 5;
 
@@ -89,6 +94,23 @@
         }
     }
 
+    /// Reads the platform once more, and plainly, when this node joined by a stale read and has heard from nobody since
+    /// who has read it lately: its way to other nodes may be cut.
+    pub(super) async fn confirm_stale_read(&self) {
+        if !self.has_read_stale.load(Ordering::Relaxed) {
+            return;
+        }
+        for _ in 0..CONFIRMATIONS_MAX {
+            sleep(self.jittered(CONFIRMATION_PAUSE_MS)).await;
+            if self.platform_read_age_ms() < FRESH_READ_AGE_MS {
+                return;
+            }
+            if let Err(error) = self.read_platform(None).await {
+                log::debug!("platform: a stale read is not confirmed yet: {error}");
+            }
+        }
+    }
+
     /// Asks some peers until one has brought what is newest, as far as somebody has read the platform lately.
     async fn ask_peers_for_newest(&self) {
         let mut peers = self.exchange_with_each(self.partners().into_iter().take(JOIN_PEERS));
--- a/crates/laurelstall_peer/tests/spreading.rs
+++ b/crates/laurelstall_peer/tests/spreading.rs
@@ -293,6 +293,22 @@
     }
 }
 
+#[tokio::test(start_paused = true)]
+async fn a_node_that_hears_from_nobody_after_a_stale_read_reads_the_newest_itself() {
+    let (fleet, platform) = (fleet(300), Arc::new(OneDocument::default()));
+    platform.knows_stale_reads.store(true, Ordering::Relaxed);
+    let seeds = vec![([127, 0, 0, 1], 999).into()];
+    let node = node_with(&fleet, 250, &platform, seeds, Arc::new(AllCut), Arc::default());
+    node.join().await;
+    tokio::spawn(node.clone().run());
+    assert!(node.platform_read_age_ms() > 1_000_000, "a stale read is no news of the platform");
+    sleep(Duration::from_millis(2_500)).await;
+    assert!(node.platform_read_age_ms() < 2_500, "{}", node.platform_read_age_ms());
+    let calls_then = calls(&node);
+    sleep(Duration::from_secs(3)).await;
+    assert!(calls(&node) <= calls_then + 1, "{} after {calls_then}", calls(&node));
+}
+
 #[tokio::test(start_paused = true)]
 async fn what_a_stale_read_mixed_is_in_force_but_given_to_nobody() {
     let (fleet, platform) = (fleet(2), Arc::new(OneDocument::default()));
