--- a/crates/laurelstall_config/tests/documents.rs
+++ b/crates/laurelstall_config/tests/documents.rs
@@ -116,3 +116,15 @@
         let _ = Team::from_text("any", &changed);
     });
 }
+
+#[test]
+fn a_stop_ends_within_the_time_until_the_process_is_killed() {
+    let limit_ms = |lines: &str| {
+        let text = SETTINGS.replace("[node]\n", &format!("[node]\n{lines}\n"));
+        Settings::from_text("node.toml", &text).expect("it is right").node.stop_limit_ms()
+    };
+    assert_eq!(limit_ms("stop_max_ms = 30000"), 30_000, "nothing says when it is killed");
+    assert_eq!(limit_ms("stop_max_ms = 30000\nstop_grace_s = 6"), 5_400);
+    assert_eq!(limit_ms("stop_max_ms = 30000\nstop_grace_s = 10"), 9_000);
+    assert_eq!(limit_ms("stop_max_ms = 4000\nstop_grace_s = 10"), 4_000, "the node's own limit is shorter");
+}
