An entry that knows too few targets goes by three times the usual pace

Ruled out: a later start (the time line of three nodes is the same, joined 144 ms after the start, list after 45). Change: three times the usual pace, between a cold target and a slow phase; the guard's own rule is gone.

--- a/crates/laurelstall_balance/src/service_balancer.rs
+++ b/crates/laurelstall_balance/src/service_balancer.rs
@@ -46,6 +46,12 @@
 
 /// Multiple of what is usual among the targets from which one of them is slow.
 const SLOW_FACTOR: u32 = 2;
+/// The same while too few of them have said how slow they are, of the usual pace: after a start of the whole fleet all
+/// targets take about twice the usual time, and a neighbour that steals capacity makes it four times or more.
+///
+/// With 2, an entry's first calls after such a start were refused up to eight times each; with the target's own quick
+/// pace in its place, guards that had just started took calls in slow phases that they did not know as such.
+const SLOW_FACTOR_UNKNOWN: u32 = 3;
 /// Age up to which a word on a target's slowness counts for what is usual, in µs: an entry of a large fleet hears of
 /// a service two or three times a second, and after a start of the whole fleet all targets are slow for seconds.
 const SLOWNESS_AGE_MAX_US: u64 = 2_000_000;
@@ -278,12 +284,12 @@
         self.targets[index].note_absent(u64::from(wait_ms) * 1_000, now_us);
     }
 
-    /// Slowness from which a target is slow beside the others, in percent of the usual; 0 when too few of them have said
-    /// how slow they are.
+    /// Slowness from which a target is slow beside the others, in percent of the usual.
     ///
     /// Where all targets are slow, as after a start of the whole fleet, none is to be avoided for it.
     pub fn slow_from_percent(&self, now_us: u64) -> u32 {
-        self.pace_percent(now_us).map_or(0, |percent| SLOW_FACTOR * percent)
+        let known = self.pace_percent(now_us).map(|percent| SLOW_FACTOR * percent);
+        known.unwrap_or(SLOW_FACTOR_UNKNOWN * USUAL_PERCENT)
     }
 
     /// How long work takes at the quickest quarter of the targets, in percent of the usual, as far as it is known.
--- a/crates/laurelstall_guard/src/ask.rs
+++ b/crates/laurelstall_guard/src/ask.rs
@@ -20,8 +20,7 @@
     /// Times it was handed back before; each doubles its patience.
     pub hand_backs: u32,
     /// Slowness of the target from which the call is refused, in percent of the usual, since it has another
-    /// choice; none when it has none, 0 when its entry knows too few targets to tell: then the target's own quick
-    /// pace decides.
+    /// choice; none when it has none.
     pub slow_from_percent: Option<u32>,
 }
 
--- a/crates/laurelstall_guard/src/guard/state.rs
+++ b/crates/laurelstall_guard/src/guard/state.rs
@@ -41,9 +41,6 @@
 /// Chance that the target is in the phase of its last report from which calls are sent elsewhere by it:
 /// where it may be quick again, the way to another target is not worth its time.
 const SAME_PHASE_CHANCE_MIN: f64 = 0.8;
-/// Multiple of the target's own quick pace from which it is slow for a call whose entry cannot tell what is usual
-/// among the targets: an entry that has just started, as its targets may have.
-const OWN_SLOW_FACTOR: u32 = 2;
 /// Start time of a slot that is reserved for a woken call.
 const RESERVED: u64 = u64::MAX;
 
@@ -198,8 +195,6 @@
     fn is_left(&self, ask: &Ask, now_us: u64) -> bool {
         let Some(from_percent) = ask.slow_from_percent else { return false };
         let slowness_percent = self.pace.slowness_percent(now_us);
-        let own_from_percent = OWN_SLOW_FACTOR * self.pace.quick_percent(now_us);
-        let from_percent = if from_percent == 0 { own_from_percent } else { from_percent };
         slowness_percent >= from_percent && self.pace.same_phase_chance(now_us) >= SAME_PHASE_CHANCE_MIN
     }
 
--- a/crates/laurelstall_peer/src/message.rs
+++ b/crates/laurelstall_peer/src/message.rs
@@ -56,7 +56,7 @@
     /// Times it was handed back before.
     pub hand_backs: u32,
     /// Slowness of its target from which the guard refuses the call, in percent of the usual; none when
-    /// it is to run however slow the target is, 0 when the target's own quick pace decides.
+    /// it is to run however slow the target is.
     pub slow_from_percent: Option<u32>,
     /// Incarnation and number of the ticket it brings.
     pub ticket: Option<(u64, u64)>,
