Evacuated data centres get nothing new, and their nodes go on

Ruled out: hosts listed as leaving. Change: the fleet document names evacuated data centres. It is versioned and spread like the rest; lists, stale pages, watches and forgotten history bring it. Entries place nothing there, the guard beside each target refuses what comes all the same, checks, members and metrics show it. Settings and documents already carry the bound on cold targets, which nothing uses yet.

--- a/crates/laurelstall_config/src/fleet.rs
+++ b/crates/laurelstall_config/src/fleet.rs
@@ -9,6 +9,10 @@
 
 /// Most hosts in a fleet document.
 pub const HOSTS_MAX: usize = 5_000;
+/// Most evacuated data centres in a fleet document.
+pub const EVACUATED_MAX: usize = 256;
+/// Longest time for which a target may be listed as cold, in ms.
+pub const COLD_MS_MAX: u64 = 3_600_000;
 
 /// What the platform says of a host.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
@@ -51,12 +55,24 @@
     pub host: String,
     /// Requests it can run at once.
     pub slots: u32,
+    /// How much longer it bears few calls after a start, in ms, when this was written; 0 for a warm one.
+    #[serde(default, skip_serializing_if = "is_zero")]
+    pub cold_ms: u64,
+}
+
+#[expect(clippy::trivially_copy_pass_by_ref, reason = "serde passes a reference")]
+fn is_zero(ms: &u64) -> bool {
+    *ms == 0
 }
 
 /// The hosts the platform knows of; it lags behind the truth.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Fleet {
+    /// Data centres that operators have evacuated: their targets get nothing new, while their nodes go on as
+    /// entries, peers and readers.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub evacuated: Vec<String>,
     /// All hosts, live and leaving.
     #[serde(default, rename = "host")]
     pub hosts: Vec<Host>,
@@ -75,6 +91,12 @@
         let mut check = Checker::new(file, text);
         let fleet: Self = check.parse().unwrap_or_default();
         check.ensure(fleet.hosts.len() <= HOSTS_MAX, "host", "too many hosts");
+        check.ensure(fleet.evacuated.len() <= EVACUATED_MAX, "evacuated", "too many data centres");
+        let mut evacuated = HashSet::new();
+        for name in &fleet.evacuated {
+            check.ensure(is_name(name), "evacuated", &format!("'{name}' is not a name"));
+            check.ensure(evacuated.insert(name), "evacuated", &format!("'{name}' stands twice"));
+        }
         let mut names = HashSet::new();
         for host in &fleet.hosts {
             check.ensure(is_name(&host.name), "name", &format!("'{}' is not a name", host.name));
@@ -88,6 +110,7 @@
             check.ensure(is_full, "target.service", "must be 'team/service'");
             check.ensure(is_name(&target.name), "target.name", &format!("'{}' is not a name", target.name));
             check.range("target.slots", target.slots, 1..=100_000);
+            check.range("target.cold_ms", target.cold_ms, 0..=COLD_MS_MAX);
             check.ensure(names.contains(&target.host), "target.host", "is no host of the fleet");
             let message = format!("'{}' has two targets", target.host);
             check.ensure(target_hosts.insert(&target.host), "target.host", &message);
@@ -115,6 +138,16 @@
         self.hosts.iter().find(|host| host.name == name)
     }
 
+    /// Whether the target on `host` may get new calls: the host is in service, and its data centre is not evacuated.
+    pub fn takes_calls(&self, host: &Host) -> bool {
+        host.state == HostState::Live && !self.is_evacuated(&host.data_centre)
+    }
+
+    /// Whether operators have evacuated this data centre.
+    pub fn is_evacuated(&self, data_centre: &str) -> bool {
+        self.evacuated.iter().any(|name| name == data_centre)
+    }
+
     /// Whether a host of the fleet has this IP number.
     pub fn has_ip(&self, ip: IpAddr) -> bool {
         self.hosts.iter().any(|host| host.node_address.ip() == ip)
--- a/crates/laurelstall_config/src/settings.rs
+++ b/crates/laurelstall_config/src/settings.rs
@@ -117,6 +117,46 @@
     /// What all nodes together may send to targets more than once.
     #[serde(default)]
     pub repeats: RepeatBounds,
+    /// What all nodes together may send to a cold target.
+    #[serde(default)]
+    pub cold: ColdBounds,
+}
+
+impl PlatformSettings {
+    /// The bounds on what targets get.
+    pub fn target_bounds(&self) -> TargetBounds {
+        TargetBounds { repeats: self.repeats, cold: self.cold }
+    }
+}
+
+/// Bounds of the platform on what targets get from all nodes together.
+#[derive(Debug, Clone, Copy, Default, PartialEq)]
+pub struct TargetBounds {
+    /// What they may be sent more than once.
+    pub repeats: RepeatBounds,
+    /// What a cold one may get.
+    pub cold: ColdBounds,
+}
+
+/// Bound of the platform on what one cold target gets within any second, beside the pace that its service states.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct ColdBounds {
+    /// Multiple of the stated pace that it may get; 0 when nothing bounds it.
+    pub overrun: f64,
+    /// Calls that it may get besides.
+    pub slack: u32,
+}
+
+impl ColdBounds {
+    /// Most calls that a cold target may get within any second, where its service states that such a target bears
+    /// `per_s` a second for long; 0 when nothing bounds them.
+    pub fn calls_per_s(&self, per_s: f64) -> u32 {
+        if self.overrun <= 0.0 {
+            return 0;
+        }
+        ((per_s * self.overrun) as u32 + self.slack).max(1)
+    }
 }
 
 /// Bound of the platform on what targets of a service get more than once, from all nodes together.
@@ -312,6 +352,8 @@
         check.range("platform.watch_wait_ms", self.platform.watch_wait_ms, 100..=300_000);
         check.range("platform.repeats.share", self.platform.repeats.share, 0.0..=2.0);
         check.range("platform.repeats.reserve", self.platform.repeats.reserve, 0..=10_000);
+        check.range("platform.cold.overrun", self.platform.cold.overrun, 0.0..=100.0);
+        check.range("platform.cold.slack", self.platform.cold.slack, 0..=10_000);
         for token in &self.tokens {
             let is_long = token.secret.len() >= SECRET_LENGTH_MIN;
             check.ensure(is_long, "token.secret", "must have at least 16 characters");
--- a/crates/laurelstall_node/src/admin.rs
+++ b/crates/laurelstall_node/src/admin.rs
@@ -210,6 +210,7 @@
             "version": env!("CARGO_PKG_VERSION"),
             "incarnation": format!("{:x}", self.guard.incarnation()),
             "is_draining": load.is_draining,
+            "is_evacuated": self.guard.is_evacuated(),
             "in_flight": load.in_flight,
             "queued": load.queued,
             "limit": load.limit,
@@ -263,8 +264,13 @@
                 "age_ms": now_us.saturating_sub(state.at_us) / 1_000,
             })
         });
-        let hosts = in_force.configuration.fleet.hosts.iter().take(ROWS_MAX);
-        value!({ "partners": partners.collect::<Vec<_>>(), "hosts": hosts.collect::<Vec<_>>() })
+        let fleet = &in_force.configuration.fleet;
+        let hosts = fleet.hosts.iter().take(ROWS_MAX);
+        value!({
+            "partners": partners.collect::<Vec<_>>(),
+            "evacuated": fleet.evacuated,
+            "hosts": hosts.collect::<Vec<_>>(),
+        })
     }
 
     fn config(&self) -> Value {
--- a/crates/laurelstall_node/src/services.rs
+++ b/crates/laurelstall_node/src/services.rs
@@ -2,7 +2,7 @@
 
 use crate::active::InForce;
 use laurelstall_balance::{chooser::Chooser, service_balancer::ServiceBalancer, target_view::TargetView};
-use laurelstall_config::{configuration::Configuration, fleet::HostState, team::Service};
+use laurelstall_config::{configuration::Configuration, team::Service};
 use laurelstall_guard::clock::Clock;
 use std::{
     collections::HashMap,
@@ -65,7 +65,7 @@
             let host = configuration.fleet.host(&target.host);
             let is_far = host.is_some_and(|host| host.data_centre != own.data_centre);
             view.change_percent = if is_far { configuration.system.data_centre_change_percent } else { 0 };
-            view.is_live = host.is_some_and(|host| host.state == HostState::Live);
+            view.is_live = host.is_some_and(|host| configuration.fleet.takes_calls(host));
             view
         });
         let views = views.collect();
--- a/crates/laurelstall_node/src/target_guard.rs
+++ b/crates/laurelstall_node/src/target_guard.rs
@@ -16,7 +16,7 @@
 use laurelstall_balance::hint::{Hint, TargetState};
 use laurelstall_config::{
     document::DocumentName,
-    fleet::HostState,
+    fleet::{Fleet, HostState},
     settings::TargetSettings,
     team::{Service, ServiceLimits, Target},
 };
@@ -54,7 +54,10 @@
 struct Drains {
     operator: AtomicBool,
     stopping: AtomicBool,
-    platform: AtomicBool,
+    /// The platform lists the host as leaving.
+    leaving: AtomicBool,
+    /// The host's data centre is evacuated.
+    evacuated: AtomicBool,
 }
 
 #[derive(Debug)]
@@ -155,10 +158,7 @@
     /// Puts the limits of the configuration in force.
     pub fn update(&self) {
         let in_force = self.inner.active.load();
-        let host = in_force.configuration.fleet.host(&self.inner.host);
-        let is_leaving = host.is_some_and(|host| host.state == HostState::Leaving);
-        self.inner.drains.platform.store(is_leaving, Ordering::Relaxed);
-        self.apply_drains();
+        self.follow_fleet(&in_force.configuration.fleet);
         let own = self.inner.own_target(&in_force);
         self.note_own_target(own.map(|(_, target)| target.name.as_str()), &in_force);
         let Some((service, target)) = own else { return };
@@ -186,6 +186,25 @@
         });
     }
 
+    /// Takes nothing new while the host leaves or its data centre is evacuated: entries may know it later.
+    fn follow_fleet(&self, fleet: &Fleet) {
+        let host = fleet.host(&self.inner.host);
+        let is_leaving = host.is_some_and(|host| host.state == HostState::Leaving);
+        let is_evacuated = host.is_some_and(|host| fleet.is_evacuated(&host.data_centre));
+        self.inner.drains.leaving.store(is_leaving, Ordering::Relaxed);
+        let was_evacuated = self.inner.drains.evacuated.swap(is_evacuated, Ordering::Relaxed);
+        if was_evacuated != is_evacuated {
+            let state = if is_evacuated { "evacuated" } else { "taken back" };
+            log::info!("own data centre is {state}");
+        }
+        self.apply_drains();
+    }
+
+    /// Whether the target gets nothing new since its data centre is evacuated.
+    pub fn is_evacuated(&self) -> bool {
+        self.inner.drains.evacuated.load(Ordering::Relaxed)
+    }
+
     /// Writes down when the list names another target beside this node, or none any more.
     fn note_own_target(&self, name: Option<&str>, in_force: &InForce) {
         let name = name.unwrap_or_default();
@@ -261,8 +280,8 @@
 
     fn apply_drains(&self) {
         let drains = &self.inner.drains;
-        let is_draining =
-            [&drains.operator, &drains.stopping, &drains.platform].iter().any(|d| d.load(Ordering::Relaxed));
+        let reasons = [&drains.operator, &drains.stopping, &drains.leaving, &drains.evacuated];
+        let is_draining = reasons.iter().any(|reason| reason.load(Ordering::Relaxed));
         if self.inner.guard.is_draining() != is_draining {
             log::info!("guard of {}: {}", self.inner.host, if is_draining { "draining" } else { "serving" });
         }
--- a/crates/laurelstall_standin/src/fleet_bench.rs
+++ b/crates/laurelstall_standin/src/fleet_bench.rs
@@ -13,7 +13,8 @@
     document::{DocumentName, Version},
     fleet::{Fleet, Host, HostState},
     settings::{
-        CallerLimits, DecisionFormat, LogSettings, NodeSettings, PlatformSettings, RepeatBounds, Settings,
+        CallerLimits, ColdBounds, DecisionFormat, LogSettings, NodeSettings, PlatformSettings, RepeatBounds,
+        Settings,
     },
     system::{Distance, SystemLimits},
     team::{Service, ServiceLimits, Target, Team},
@@ -249,6 +250,7 @@
                 read_timeout_ms: 1_000,
                 watch_wait_ms: WATCH_WAIT_MS,
                 repeats: RepeatBounds::default(),
+                cold: ColdBounds::default(),
             },
             seeds: (1..=2)
                 .map(|step| self.members[(index + step) % self.members.len()].addresses[1])
--- a/crates/laurelstall_standin/src/harness.rs
+++ b/crates/laurelstall_standin/src/harness.rs
@@ -13,8 +13,8 @@
     document::DocumentName,
     fleet::{Fleet, Host, HostState},
     settings::{
-        CallerLimits, DecisionFormat, LogSettings, NodeSettings, PlatformSettings, RepeatBounds, Settings,
-        TargetHttp, TargetSettings, TokenSettings,
+        CallerLimits, ColdBounds, DecisionFormat, LogSettings, NodeSettings, PlatformSettings, RepeatBounds,
+        Settings, TargetHttp, TargetSettings, TokenSettings,
     },
     system::{Distance, ObserveLimits, SystemLimits},
     team::{Service, ServiceLimits, Target, Team},
@@ -472,6 +472,7 @@
             read_timeout_ms: 1_000,
             watch_wait_ms: WATCH_WAIT_MS,
             repeats: RepeatBounds::default(),
+            cold: ColdBounds::default(),
         },
         seeds: Vec::new(),
         callers: CallerLimits { connections: 10_000, ..CallerLimits::default() },
