--- a/crates/laurelstall_guard/tests/cold_bound.rs
+++ b/crates/laurelstall_guard/tests/cold_bound.rs
@@ -320,14 +320,15 @@
 fn a_word_that_was_long_on_its_way_covers_what_was_sent_meanwhile() {
     let mut bound = bound();
     let mut target = ColdTarget::default();
-    let cold_from_us = SECOND_US + 1_000;
+    let start_us = 3 * SECOND_US;
+    let cold_from_us = start_us + 1_000;
     for ms in 0..2_000 {
-        let now_us = SECOND_US + ms * 1_000;
+        let now_us = start_us + ms * 1_000;
         if now_us == cold_from_us {
             target.turn_cold(9 * SECOND_US, now_us);
         }
         if ms == 20 {
-            bound.note_word(0, SECOND_US, now_us);
+            bound.note_word(0, start_us, now_us);
         }
         if send(&mut bound, true, now_us) {
             target.take(now_us);
--- a/crates/laurelstall_standin/src/fault.rs
+++ b/crates/laurelstall_standin/src/fault.rs
@@ -54,6 +54,7 @@
             Box::new(NodeStop { target: plan.target, is_planned: true, old: Mutex::default() })
         }
         FaultKind::HostLeaving => Box::new(HostLeaving { target: plan.target }),
+        FaultKind::EvacuateDataCentre => Box::new(EvacuateDataCentre { number: plan.data_centre }),
         FaultKind::CutDataCentre => Box::new(CutDataCentre { number: plan.data_centre }),
         FaultKind::PlatformAway => Box::new(PlatformFault { is_stale: false }),
         FaultKind::PlatformStale => Box::new(PlatformFault { is_stale: true }),
@@ -229,14 +230,41 @@
     }
 }
 
+/// The data centre of this number, from 1.
+fn data_centre_of(context: &FaultContext, number: usize) -> Option<&str> {
+    let index = number.checked_sub(1)?;
+    context.harness.plan.data_centres.get(index).map(String::as_str)
+}
+
+struct EvacuateDataCentre {
+    number: usize,
+}
+
+impl EvacuateDataCentre {
+    fn set(&self, context: &FaultContext, is_evacuated: bool) {
+        if let Some(name) = data_centre_of(context, self.number) {
+            context.harness.set_evacuated(name, is_evacuated);
+        }
+    }
+}
+
+impl Fault for EvacuateDataCentre {
+    fn start<'a>(&'a self, context: &'a FaultContext) -> BoxFuture<'a, ()> {
+        async { self.set(context, true) }.boxed()
+    }
+
+    fn end<'a>(&'a self, context: &'a FaultContext) -> BoxFuture<'a, ()> {
+        async { self.set(context, false) }.boxed()
+    }
+}
+
 struct CutDataCentre {
     number: usize,
 }
 
 impl CutDataCentre {
     fn set(&self, context: &FaultContext, is_cut: bool) {
-        let name = self.number.checked_sub(1).and_then(|index| context.harness.plan.data_centres.get(index));
-        if let Some(name) = name {
+        if let Some(name) = data_centre_of(context, self.number) {
             context.harness.cuts.set_cut(name, is_cut);
         }
     }
--- a/crates/laurelstall_standin/src/fault_plan.rs
+++ b/crates/laurelstall_standin/src/fault_plan.rs
@@ -51,6 +51,8 @@
     NodeDrain,
     /// The platform lists the host as leaving until the end.
     HostLeaving,
+    /// The platform lists a data centre as evacuated until the end.
+    EvacuateDataCentre,
     /// A data centre is cut off from the others and from the platform.
     CutDataCentre,
     /// The platform is away.
--- a/crates/laurelstall_standin/src/harness.rs
+++ b/crates/laurelstall_standin/src/harness.rs
@@ -322,11 +322,27 @@
 
     /// Marks a host as live or leaving in the platform's list.
     pub fn set_host_state(&self, host: &str, state: HostState) {
+        self.change_fleet(|fleet| {
+            if let Some(host) = fleet.hosts.iter_mut().find(|other| other.name == host) {
+                host.state = state;
+            }
+        });
+    }
+
+    /// Lists a data centre as evacuated, or takes it back.
+    pub fn set_evacuated(&self, data_centre: &str, is_evacuated: bool) {
+        self.change_fleet(|fleet| {
+            fleet.evacuated.retain(|other| other != data_centre);
+            if is_evacuated {
+                fleet.evacuated.push(data_centre.to_owned());
+            }
+        });
+    }
+
+    fn change_fleet(&self, change: impl FnOnce(&mut Fleet)) {
         let text = self.platform.text(&DocumentName::Fleet).unwrap_or_default();
         let mut fleet = Fleet::from_text("fleet", &text).unwrap_or_default();
-        if let Some(host) = fleet.hosts.iter_mut().find(|other| other.name == host) {
-            host.state = state;
-        }
+        change(&mut fleet);
         self.platform.publish(&DocumentName::Fleet, &to_toml(&fleet));
     }
 
--- a/crates/laurelstall_standin/tests/scenarios.rs
+++ b/crates/laurelstall_standin/tests/scenarios.rs
@@ -33,6 +33,7 @@
         "slow_target",
         "drain",
         "deep_calls",
+        "evacuation",
         "partition",
         "paused",
         "night",
--- a/crates/laurelstall_standin/tests/whole_path.rs
+++ b/crates/laurelstall_standin/tests/whole_path.rs
@@ -315,3 +315,24 @@
     let answer = ask(addresses.0, Method::GET, "/market-board/x", &[], Bytes::new()).await;
     assert_eq!(answer.expect("an answer").status, StatusCode::OK);
 }
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn targets_of_an_evacuated_data_centre_get_nothing_new() {
+    let harness = start(plan(2)).await;
+    let nodes = harness.nodes();
+    let hosts = nodes[0].1.active.load().configuration.fleet.hosts.clone();
+    let evacuated =
+        &hosts.iter().find(|host| host.name == "market-board-1-host").expect("listed").data_centre;
+    harness.set_evacuated(evacuated, true);
+    let is_known = async {
+        while !nodes.iter().all(|(_, node)| node.active.load().configuration.fleet.is_evacuated(evacuated)) {
+            sleep(Duration::from_millis(5)).await;
+        }
+    };
+    timeout(PATIENCE, is_known).await.expect("the list reaches all nodes");
+    for call in 0..10 {
+        let answer = ask(entry(&harness, call % 2), Method::GET, "/market-board/x", &[], Bytes::new()).await;
+        assert_eq!(answer.expect("an answer").status, StatusCode::OK);
+    }
+    assert_eq!(harness.targets.get("market-board-1").expect("it runs").seen(), 0);
+}
