--- a/crates/laurelstall_node/src/background.rs
+++ b/crates/laurelstall_node/src/background.rs
@@ -66,6 +66,7 @@
         ("queued", u64::from(load.queued)),
         ("limit", u64::from(load.limit)),
         ("slowness_percent", u64::from(load.slowness_percent)),
+        ("is_cold", u64::from(guard.guard().is_cold())),
         ("is_evacuated", u64::from(guard.is_evacuated())),
         ("control_bytes", meter.control_bytes.load(Ordering::Relaxed)),
         ("peer_connections", meter.open.load(Ordering::Relaxed)),
