Bounds of the platform may be fractions

Cause: a twin of the deployment at a smaller size states a reserve of repeats of 36.73; no node started there: "invalid type: floating point, expected u32". Ruled out: only the settings' types are concerned; the documents made of them hold whole calls as before. Change: `platform.repeats.reserve` and `platform.cold.slack` are read as fractions; a test that did not compile, then passes.

--- a/crates/laurelstall_config/src/settings.rs
+++ b/crates/laurelstall_config/src/settings.rs
@@ -144,8 +144,8 @@
 pub struct ColdBounds {
     /// Multiple of the stated pace that it may get; 0 when nothing bounds it.
     pub overrun: f64,
-    /// Calls that it may get besides.
-    pub slack: u32,
+    /// Calls that it may get besides; may be a fraction.
+    pub slack: f64,
 }
 
 impl ColdBounds {
@@ -155,7 +155,7 @@
         if self.overrun <= 0.0 {
             return 0;
         }
-        ((per_s * self.overrun) as u32 + self.slack).max(1)
+        ((per_s * self.overrun + self.slack) as u32).max(1)
     }
 }
 
@@ -165,13 +165,13 @@
 pub struct RepeatBounds {
     /// As a share of the calls of any ten seconds, 0 to 1.
     pub share: f64,
-    /// Besides, in any ten seconds.
-    pub reserve: u32,
+    /// Besides, in any ten seconds; may be a fraction.
+    pub reserve: f64,
 }
 
 impl Default for RepeatBounds {
     fn default() -> Self {
-        Self { share: 0.2, reserve: 54 }
+        Self { share: 0.2, reserve: 54.0 }
     }
 }
 
@@ -351,9 +351,9 @@
         check.range("platform.read_timeout_ms", self.platform.read_timeout_ms, 10..=60_000);
         check.range("platform.watch_wait_ms", self.platform.watch_wait_ms, 100..=300_000);
         check.range("platform.repeats.share", self.platform.repeats.share, 0.0..=2.0);
-        check.range("platform.repeats.reserve", self.platform.repeats.reserve, 0..=10_000);
+        check.range("platform.repeats.reserve", self.platform.repeats.reserve, 0.0..=10_000.0);
         check.range("platform.cold.overrun", self.platform.cold.overrun, 0.0..=100.0);
-        check.range("platform.cold.slack", self.platform.cold.slack, 0..=10_000);
+        check.range("platform.cold.slack", self.platform.cold.slack, 0.0..=10_000.0);
         for token in &self.tokens {
             let is_long = token.secret.len() >= SECRET_LENGTH_MIN;
             check.ensure(is_long, "token.secret", "must have at least 16 characters");
--- a/crates/laurelstall_config/tests/documents.rs
+++ b/crates/laurelstall_config/tests/documents.rs
@@ -128,3 +128,12 @@
     assert_eq!(limit_ms("stop_max_ms = 30000\nstop_grace_s = 10"), 9_000);
     assert_eq!(limit_ms("stop_max_ms = 4000\nstop_grace_s = 10"), 4_000, "the node's own limit is shorter");
 }
+
+#[test]
+fn bounds_of_the_platform_may_be_fractions() {
+    let bounds = "repeats.reserve = 36.73469387755102\ncold.overrun = 1.5\ncold.slack = 1.63\n";
+    let settings = Settings::from_text("node.toml", &format!("{SETTINGS}{bounds}"));
+    let platform = settings.expect("the settings are right").platform;
+    assert!((platform.repeats.reserve - 36.73).abs() < 0.01);
+    assert_eq!(platform.cold.calls_per_s(3.3), 6, "4.95 and 1.63, in whole calls");
+}
