Awaited calls ask a few guards after any refusal for room

Cause: of the calls that runs make and that are turned away in the seconds of cold targets, half end at `busy` or `queue-full` after `cold`: the attempts of the route and the budget for moves end there, and 110 to 210 ms of work are lost. Change: a call that a running one waits for asks up to four guards whatever their refusal for room; the reason `cold` goes the same way as `busy`, and a kind of next step is gone.

--- a/crates/laurelstall_guard/src/refusal.rs
+++ b/crates/laurelstall_guard/src/refusal.rs
@@ -64,12 +64,9 @@
     PassOver,
     /// Another target, without paying: no target has had the request.
     ElsewhereFree,
-    /// Another target, from a budget for moves of its own: no target has had the request, but the others may be as
-    /// full.
+    /// Another target, from a budget for moves of its own, or a few times where a running call waits for this one: no
+    /// target has had the request, but the others may be as full.
     ElsewhereFew,
-    /// Another target: a few times for a call that a running one waits for, since each cold target has places of its own;
-    /// else as with [`NextStep::ElsewhereFew`].
-    ElsewhereBriefly,
     /// Another target, paid from the retry budget: the request has reached a target.
     ElsewherePaid,
 }
@@ -158,7 +155,7 @@
             Self::Slow         => ("slow",          S::Guard,  N::PassOver,      L::IsSlow,   true),
             Self::Busy         => ("busy",          S::Guard,  N::ElsewhereFew,  L::IsFull,   true),
             Self::Replaced     => ("replaced",      S::Target, N::ElsewherePaid, L::Fails,    false),
-            Self::Cold         => ("cold",          S::Guard,  N::ElsewhereBriefly, L::HasNoPlace, true),
+            Self::Cold         => ("cold",          S::Guard,  N::ElsewhereFew,  L::HasNoPlace, true),
         };
         RefusalFacts { word, source, next, lesson, proves_ticket }
     }
--- a/crates/laurelstall_guard/tests/refusal.rs
+++ b/crates/laurelstall_guard/tests/refusal.rs
@@ -64,7 +64,6 @@
             NextStep::PassOver => "pass over",
             NextStep::ElsewhereFree => "elsewhere, free",
             NextStep::ElsewhereFew => "elsewhere, few",
-            NextStep::ElsewhereBriefly => "elsewhere, briefly",
             NextStep::ElsewherePaid => "elsewhere, paid",
         };
         let lesson = match facts.lesson {
--- a/crates/laurelstall_node/src/call.rs
+++ b/crates/laurelstall_node/src/call.rs
@@ -86,8 +86,6 @@
     tries: u32,
     /// Guards and targets that refused the call for their load.
     refusals: u32,
-    /// Guards that refused the call since their target is cold.
-    cold_refusals: u32,
     hand_backs: u32,
     /// Targets that refused the call for being slow.
     slow: Vec<usize>,
@@ -115,7 +113,6 @@
             attempts: 0,
             tries: 0,
             refusals: 0,
-            cold_refusals: 0,
             hand_backs: 0,
             slow: Vec::new(),
             is_unknown: false,
--- a/crates/laurelstall_node/src/call/judging.rs
+++ b/crates/laurelstall_node/src/call/judging.rs
@@ -8,8 +8,8 @@
     body::AnswerBody,
 };
 
-/// Most guards of cold targets that refuse one call: after so many, one more would hardly help.
-const COLD_REFUSALS_MAX: u32 = 4;
+/// Most guards without room that a call asks which a running one waits for: after so many, one more would hardly help.
+const AWAITED_REFUSALS_MAX: u32 = 4;
 
 /// What comes after an attempt.
 pub(super) enum Next {
@@ -68,14 +68,12 @@
             }
             _ if self.request.ticket.is_some() => return Next::End(self.give_up(refusal.reason)),
             NextStep::GiveUp => return Next::End(self.give_up(refusal.reason)),
-            NextStep::ElsewhereFree
-            | NextStep::ElsewhereFew
-            | NextStep::ElsewhereBriefly
-            | NextStep::ElsewherePaid => self.excluded.push(index),
+            NextStep::ElsewhereFree | NextStep::ElsewhereFew | NextStep::ElsewherePaid => {
+                self.excluded.push(index)
+            }
         }
         let may_go_on = match next {
             NextStep::ElsewhereFew => self.may_ask_another_guard(),
-            NextStep::ElsewhereBriefly => self.may_ask_another_cold_one(),
             NextStep::ElsewherePaid => self.may_try_again(Some(refusal)),
             _ => true,
         };
@@ -89,25 +87,18 @@
     }
 
     /// Whether one more guard may be asked after one that has no room.
+    ///
+    /// A call that a running one waits for asks a few guards without paying: the work done for the running call is lost
+    /// without it.
     fn may_ask_another_guard(&mut self) -> bool {
         self.refusals += 1;
+        if self.request.is_nested {
+            return self.refusals < AWAITED_REFUSALS_MAX;
+        }
         let now_us = self.context.clock.now_us();
         self.refusals < self.request.route.tries && self.service.balancer().may_move(now_us)
     }
 
-    /// Whether one more guard may be asked after one whose cold target bears no more calls now.
-    ///
-    /// A call that a running one waits for asks a few more than others: with it, half as much work is lost that was done
-    /// before such a call was turned away (worth 395 to 228 and 249 to 125 on two days that end with cold targets only).
-    fn may_ask_another_cold_one(&mut self) -> bool {
-        if !self.request.is_nested {
-            return self.may_ask_another_guard();
-        }
-        self.refusals += 1;
-        self.cold_refusals += 1;
-        self.cold_refusals < COLD_REFUSALS_MAX
-    }
-
     /// Whether one more attempt may be made: after a refusal always safe, else only if the
     /// request may repeat; within the tries of the program and the service's retry budget.
     fn may_try_again(&mut self, refusal: Option<Refusal>) -> bool {
