Only calls held up by a cold target are refused as cold

Cause: a waiting call whose run alone would be too late was refused as `cold` also where nothing bounds cold targets, so it was no longer handed back: on the earlier deployments such calls fell under the budget for moves. Ruled out: calls refused as they come, where the wait for a place is compared with the longest wait. Change: the reason is `cold` only if a place is to be waited for; a test that failed first (`Cold` for `Busy`).

--- a/crates/laurelstall_guard/src/guard/state.rs
+++ b/crates/laurelstall_guard/src/guard/state.rs
@@ -206,25 +206,21 @@
         let free = limit.saturating_sub(self.running.len() as u64);
         let service_us = self.service_us(now_us);
         let is_hopeless = |(number, (place, ask, _)): (usize, (&Place, &Ask, bool))| {
-            let ahead = (number as u64).saturating_sub(free);
-            let is_next =
-                (number as u64) < free && self.cold.place_us(ask.rank.is_awaited(), number, now_us) <= now_us;
-            if is_next {
+            let place_us = self.cold.place_us(ask.rank.is_awaited(), number, now_us);
+            let is_held_up = place_us > now_us;
+            let is_next = (number as u64) < free;
+            if is_next && !is_held_up {
                 return None;
             }
+            let ahead = (number as u64).saturating_sub(free);
+            let slot_us = now_us + ahead * service_us / limit;
             let run_us = (self.class_run_us(ask) * self.quick_factor(now_us)) as u64;
-            let done_us = (now_us + ahead * service_us / limit).max(self.cold.place_us(
-                ask.rank.is_awaited(),
-                number,
-                now_us,
-            )) + run_us;
-            let is_cold =
-                self.cold.place_us(ask.rank.is_awaited(), number, now_us) + run_us > ask.useful_until_us;
             let reason = match ask.may_hand_back {
-                _ if is_cold => RefusalReason::Cold,
+                _ if is_held_up && place_us + run_us > ask.useful_until_us => RefusalReason::Cold,
                 true => RefusalReason::HandedBack,
                 false => RefusalReason::Busy,
             };
+            let done_us = slot_us.max(place_us) + run_us;
             (done_us > ask.useful_until_us).then_some((*place, reason))
         };
         let hopeless = self.queue.iter().enumerate().filter_map(is_hopeless).collect::<Vec<_>>();
--- a/crates/laurelstall_guard/tests/admission.rs
+++ b/crates/laurelstall_guard/tests/admission.rs
@@ -332,3 +332,16 @@
         RefusalReason::QueueFull
     );
 }
+
+#[tokio::test(start_paused = true)]
+async fn a_call_that_waits_in_vain_at_a_target_without_a_bound_on_cold_ones_is_refused_as_busy() {
+    let (guard, clock) = guard();
+    teach(&guard, &clock, 0, 5).await;
+    advance(Duration::from_secs(3)).await;
+    let _held = (guard.admit(ask(&clock, 5, 500)).await, guard.admit(ask(&clock, 5, 500)).await);
+    let vain = waiting(&guard, ask(&clock, 5, 100)).await;
+    // Work takes 25 times as long from now on: 125 ms of the 100 that are left.
+    guard.note_slowness(2_500);
+    let _other = waiting(&guard, ask(&clock, 5, 5_000)).await;
+    assert_eq!(reason(vain.await.expect("no panic")), RefusalReason::Busy);
+}
