Guards find out whether their target ended, and tell which requests were at work

Ruled out: letting entries judge, which cannot tell a target from the way to it; reading it from the list, which lags by seconds. Change: a request has a digest of method, host, path, caller and body; attempts carry it and decision lines show it. A guard whose connection breaks looks whether its target lives, once for all that broke together, and writes a line with the digests of what was at work when it had ended. Decision lines say 'target-ended' in place of 'unknown' then; counters end_looks and target_ends. No decision is taken otherwise. Conclusion: an end of a target and what ran there are told by its guard now.

--- a/crates/laurelstall_node/benches/decisions.rs
+++ b/crates/laurelstall_node/benches/decisions.rs
@@ -96,6 +96,7 @@
     let decision = Decision {
         call: 1,
         request_id: String::new(),
+        digest: String::new(),
         fleet_version: 1,
         hint_age_us: Some(1),
         attempt: 1,
--- a/crates/laurelstall_node/src/call/judging.rs
+++ b/crates/laurelstall_node/src/call/judging.rs
@@ -36,13 +36,13 @@
                 self.last_refusal = Some(refusal);
                 self.after_refusal(destination, refusal)
             }
-            AttemptOutcome::Unknown(why) => {
+            AttemptOutcome::Unknown(cause) => {
                 self.is_unknown = true;
                 if self.may_try_again(None) {
                     self.excluded.push(destination.choice.index);
                     return Next::Again;
                 }
-                Next::End(self.end_unknown(why))
+                Next::End(self.end_unknown(cause.text()))
             }
         }
     }
--- a/crates/laurelstall_node/src/call/notes.rs
+++ b/crates/laurelstall_node/src/call/notes.rs
@@ -29,7 +29,7 @@
                 let is_failure = facts.lesson == Lesson::Fails;
                 (if is_failure { AttemptResult::Failed } else { AttemptResult::NotRun }, facts.word)
             }
-            AttemptOutcome::Unknown(_) => (AttemptResult::Failed, "unknown"),
+            AttemptOutcome::Unknown(cause) => (AttemptResult::Failed, cause.word()),
         };
         observe_us(&self.context.latencies.attempts, took_us);
         self.note(destination, result);
@@ -83,6 +83,7 @@
         self.context.decisions.write(Decision {
             call: self.request.id,
             request_id: self.request.request_id.clone(),
+            digest: self.request.digest.to_string(),
             attempt: self.attempts,
             importance: self.importance(),
             is_return: self.request.is_return,
--- a/crates/laurelstall_node/src/call/sending.rs
+++ b/crates/laurelstall_node/src/call/sending.rs
@@ -9,7 +9,7 @@
     refusal::{Refusal, RefusalReason},
 };
 use laurelstall_peer::{
-    attempt::{Admission, Attempt, AttemptAnswer, AttemptBody, AttemptOutcome},
+    attempt::{Admission, Attempt, AttemptAnswer, AttemptBody, AttemptOutcome, UnknownCause},
     message::{AttemptHead, BodyKind},
 };
 use tokio::time::{sleep_until, timeout_at};
@@ -108,6 +108,7 @@
             target: destination.name.clone(),
             method: self.request.method.clone(),
             uri: self.request.uri.clone(),
+            digest: self.request.digest,
             headers: self.request.headers.clone(),
             budget_us: self.request.deadline_us.saturating_sub(now_us),
             useful_us: self.useful_us(now_us),
@@ -143,7 +144,9 @@
                 }
             };
             let answered = timeout_at(deadline, answered).await;
-            answered.unwrap_or_else(|_| AttemptAnswer::new(AttemptOutcome::Unknown("time budget spent")))
+            answered.unwrap_or_else(|_| {
+                AttemptAnswer::new(AttemptOutcome::Unknown(UnknownCause::Lost("time budget spent")))
+            })
         }
         .boxed()
     }
--- a/crates/laurelstall_node/src/call_request.rs
+++ b/crates/laurelstall_node/src/call_request.rs
@@ -2,6 +2,7 @@
 
 use http::{HeaderMap, StatusCode};
 use laurelstall_balance::class_times::CallClass;
+use laurelstall_crash::request_digest::RequestDigest;
 use laurelstall_guard::{refusal::Refusal, ticket::Ticket};
 use laurelstall_peer::{attempt::AttemptBody, body::AnswerBody};
 use laurelstall_policy::plan::Route;
@@ -17,6 +18,8 @@
     pub method: String,
     /// Path and query.
     pub uri: String,
+    /// What makes it the same request as another one.
+    pub digest: RequestDigest,
     /// End-to-end headers.
     pub headers: Vec<(String, Vec<u8>)>,
     /// The body, or the start and the rest of it.
--- a/crates/laurelstall_node/src/counters.rs
+++ b/crates/laurelstall_node/src/counters.rs
@@ -65,6 +65,10 @@
     target_sheds,
     /// Answers of the own target that it is another one than was named.
     target_denials,
+    /// Times that the own target was looked at to see whether it ended.
+    end_looks,
+    /// Ends of the own target under requests at work there.
+    target_ends,
     /// Tickets given out by this node's guard.
     tickets,
     /// Repeats of a ticket that got the kept answer.
--- a/crates/laurelstall_node/src/decision_log.rs
+++ b/crates/laurelstall_node/src/decision_log.rs
@@ -38,6 +38,8 @@
     pub call: u64,
     /// The caller's own id of the request; empty when it has none.
     pub request_id: String,
+    /// What makes it the same request as another one, in hexadecimal digits; empty when it was not read.
+    pub digest: String,
     /// Which attempt of it, from 1.
     pub attempt: u32,
     /// Its importance; above that of any route when the own target makes it for a request it runs.
@@ -72,7 +74,8 @@
 
 impl fmt::Display for Decision {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(f, "call={:016x} request_id={} attempt={} ", self.call, self.request_id, self.attempt)?;
+        write!(f, "call={:016x} request_id={} ", self.call, self.request_id)?;
+        write!(f, "digest={} attempt={} ", self.digest, self.attempt)?;
         write!(f, "importance={} is_return={} ", self.importance, self.is_return)?;
         write!(f, "left_us={} ", self.left_us)?;
         write!(f, "service={} version={} ", self.service, self.version)?;
--- a/crates/laurelstall_node/src/dialect.rs
+++ b/crates/laurelstall_node/src/dialect.rs
@@ -4,7 +4,8 @@
 //! given the dialect that is spoken where it runs.
 
 use crate::headers::{
-    BUDGET, CALL, DEPTH, OUTCOME, REASON, RETRY_AFTER_MS, TICKET, number_value, read_number, text_value,
+    BUDGET, CALL, CALLER, DEPTH, OUTCOME, REASON, RETRY_AFTER_MS, TICKET, number_value, read_number,
+    text_value,
 };
 use http::{HeaderMap, HeaderName, HeaderValue, StatusCode, header::RETRY_AFTER};
 use laurelstall_config::team::SHED_HEADER;
@@ -74,6 +75,9 @@
     /// here is for the caller to check.
     fn parent_request_id<'a>(&self, headers: &'a HeaderMap) -> Option<&'a str>;
 
+    /// Who calls, where the request says so and each arrival of it would say the same.
+    fn caller<'a>(&self, headers: &'a HeaderMap) -> Option<&'a str>;
+
     /// Time that the caller waits, in ms.
     ///
     /// # Errors
@@ -141,6 +145,10 @@
         None
     }
 
+    fn caller<'a>(&self, headers: &'a HeaderMap) -> Option<&'a str> {
+        headers.get(CALLER)?.to_str().ok()
+    }
+
     fn budget_ms(&self, headers: &HeaderMap) -> Result<Option<u64>, HeaderName> {
         read_number(headers, &BUDGET)
     }
--- a/crates/laurelstall_node/src/entry.rs
+++ b/crates/laurelstall_node/src/entry.rs
@@ -305,6 +305,7 @@
         self.context.decisions.write(Decision {
             call: id,
             request_id: String::new(),
+            digest: String::new(),
             attempt: 0,
             importance: 0,
             is_return: false,
--- a/crates/laurelstall_node/src/entry/reading.rs
+++ b/crates/laurelstall_node/src/entry/reading.rs
@@ -5,11 +5,12 @@
     body::{Collected, collect, idle_body},
     call_request::CallRequest,
     dialect::CallFacts,
-    headers::{read_number, strip_request, text_value},
+    headers::{host_of, read_number, strip_request, text_value},
     running_requests::RunFacts,
 };
 use http::{StatusCode, request::Parts};
 use http_body_util::BodyExt;
+use laurelstall_crash::request_digest::{RequestDigest, RequestHead};
 use laurelstall_peer::{attempt::AttemptBody, body::AnswerBody, client::headers_to_wire};
 use laurelstall_policy::plan::Route;
 use std::sync::PoisonError;
@@ -41,6 +42,7 @@
         let useful_until_us =
             objective_ms.map(|ms| (now_us + ms * 1_000).max(parent_useful_until_us).min(deadline_us));
         let body = self.read_body(&parts, body, ticket.is_some()).await?;
+        let digest = self.digest(&parts, &body);
         let is_whole = matches!(body, AttemptBody::Whole(_));
         strip_request(&mut parts.headers, is_whole);
         if let Some(authority) = parts.uri.authority() {
@@ -55,6 +57,7 @@
             request_id,
             method: parts.method.as_str().to_owned(),
             uri,
+            digest,
             headers: headers_to_wire(&parts.headers),
             body,
             class: route.class,
@@ -69,6 +72,21 @@
         })
     }
 
+    /// What makes the request the same as another one; a body that is passed on as it comes is no part of it.
+    fn digest(&self, parts: &Parts, body: &AttemptBody) -> RequestDigest {
+        let host = host_of(&parts.uri, &parts.headers).unwrap_or_default();
+        let head = RequestHead {
+            method: parts.method.as_str(),
+            host: &host,
+            path: parts.uri.path_and_query().map_or("/", |path| path.as_str()),
+            caller: self.context.dialect.caller(&parts.headers).unwrap_or_default(),
+        };
+        match body {
+            AttemptBody::Whole(bytes) => RequestDigest::of_whole(&head, bytes),
+            AttemptBody::Stream(_) => RequestDigest::of_stream(&head),
+        }
+    }
+
     /// The request that the own target runs and makes this call for; none when it makes it for none.
     fn parent(&self, parts: &Parts) -> Option<RunFacts> {
         let parent = self.context.dialect.parent_request_id(&parts.headers)?;
--- a/crates/laurelstall_node/src/headers.rs
+++ b/crates/laurelstall_node/src/headers.rs
@@ -16,6 +16,8 @@
 pub const REASON: HeaderName = HeaderName::from_static("laurelstall-reason");
 /// Time left for the call in ms, from callers and to targets.
 pub const BUDGET: HeaderName = HeaderName::from_static("laurelstall-budget-ms");
+/// Who calls, as the caller itself says: callers that give names are told apart where their requests are alike.
+pub const CALLER: HeaderName = HeaderName::from_static("laurelstall-caller");
 /// How deep in a chain of calls this one is.
 pub const DEPTH: HeaderName = HeaderName::from_static("laurelstall-depth");
 /// The ticket of a call that may not be repeated.
--- a/crates/laurelstall_node/src/target_guard.rs
+++ b/crates/laurelstall_node/src/target_guard.rs
@@ -20,6 +20,7 @@
     settings::TargetSettings,
     team::{Service, ServiceLimits, Target},
 };
+use laurelstall_crash::run_watch::RunWatch;
 use laurelstall_guard::{
     ask::{Ask, Rank},
     clock::Clock,
@@ -30,7 +31,7 @@
     target_identity::TargetIdentity,
 };
 use laurelstall_peer::{
-    attempt::{Admission, Attempt, AttemptAnswer, AttemptBody, AttemptHandler, AttemptOutcome},
+    attempt::{Admission, Attempt, AttemptAnswer, AttemptBody, AttemptHandler, AttemptOutcome, UnknownCause},
     message::{AttemptHead, PeerAnswer, TicketsRequest},
 };
 use std::sync::{
@@ -43,9 +44,12 @@
 };
 
 mod answers;
+mod ends;
 mod instance;
 mod sending;
 
+use ends::{EndLook, WatchedRun};
+
 /// Queue of a guard that stands in for none at all, behind a plain balancer.
 const PLAIN_QUEUE_LENGTH: usize = 100_000;
 
@@ -84,6 +88,10 @@
     identity: Mutex<TargetIdentity>,
     /// Held by whoever asks the target who it is: the others wait for the answer.
     asking_identity: AsyncMutex<()>,
+    /// What is at work at the target.
+    watch: Mutex<RunWatch>,
+    /// The last look whether the target has ended.
+    end_look: AsyncMutex<EndLook>,
     drains: Drains,
     client: Option<TargetClient>,
     dialect: Arc<dyn HeaderDialect>,
@@ -154,6 +162,8 @@
             listed: Mutex::default(),
             identity: Mutex::new(TargetIdentity::new(first_word_until_us)),
             asking_identity: AsyncMutex::default(),
+            watch: Mutex::default(),
+            end_look: AsyncMutex::default(),
             drains: Drains::default(),
             client,
             dialect: options.dialect,
@@ -455,10 +465,17 @@
     response: Response<Incoming>,
     connection: Option<UsedConnection>,
     permit: Permit,
+    run: WatchedRun,
+}
+
+/// The answer to a call whose connection broke, after the look whether the target ended.
+fn lost(why: &'static str, has_target_ended: bool) -> AttemptAnswer {
+    let cause = if has_target_ended { UnknownCause::TargetEnded } else { UnknownCause::Lost(why) };
+    AttemptAnswer::new(AttemptOutcome::Unknown(cause))
 }
 
 pub(crate) fn unknown(why: &'static str) -> AttemptAnswer {
-    AttemptAnswer::new(AttemptOutcome::Unknown(why))
+    AttemptAnswer::new(AttemptOutcome::Unknown(UnknownCause::Lost(why)))
 }
 
 pub(crate) fn refused(reason: RefusalReason, body: Option<AttemptBody>) -> AttemptAnswer {
--- a/crates/laurelstall_node/src/target_guard/answers.rs
+++ b/crates/laurelstall_node/src/target_guard/answers.rs
@@ -1,6 +1,6 @@
 //! From the target's answer to what the entry is told.
 
-use super::{Answered, Inner, refused, unknown};
+use super::{Answered, Inner, ends::WatchedRun, lost, refused, unknown};
 use crate::{
     body::{Collected, WatchedBody, collect, whole},
     counters::count,
@@ -31,7 +31,7 @@
         answered: Answered,
         limits: &ServiceLimits,
     ) -> AttemptAnswer {
-        let Answered { request, target, response, connection, permit } = answered;
+        let Answered { request, target, response, connection, permit, run } = answered;
         let (parts, body) = response.into_parts();
         let status = parts.status;
         let mut headers = parts.headers;
@@ -47,11 +47,13 @@
             AnswerKind::OtherTarget => Some(RefusalReason::Replaced),
             AnswerKind::Foreign => {
                 permit.release_uncounted();
+                run.forget();
                 return unknown("the target answered another request");
             }
         };
         if let Some(reason) = refusal {
             permit.release_uncounted();
+            run.forget();
             if reason == RefusalReason::Shed {
                 count(&self.counters.target_sheds);
                 self.guard.note_shed();
@@ -66,19 +68,20 @@
         let outcome = match collect(body, WHOLE_ANSWER_BYTES_MAX, WHOLE_ANSWER_PATIENCE).await {
             Ok(Collected::Whole(bytes)) => {
                 drop(permit);
+                run.note_answered();
                 if let Some(connection) = connection {
                     connection.give_back();
                 }
                 AttemptOutcome::Answered { status, headers, body: whole(bytes) }
             }
             Ok(Collected::Partial(body)) => {
-                let body = self.watched_body(body, permit, connection);
+                let body = self.watched_body(body, permit, run, connection);
                 AttemptOutcome::Answered { status, headers, body }
             }
             Err(_) => {
                 count(&self.counters.bodies_broken);
                 permit.release_uncounted();
-                AttemptOutcome::Unknown("answer broke off")
+                return lost("answer broke off", run.note_broken(&target).await);
             }
         };
         AttemptAnswer::new(outcome)
@@ -89,12 +92,14 @@
         &self,
         body: AnswerBody,
         permit: Permit,
+        run: WatchedRun,
         connection: Option<UsedConnection>,
     ) -> AnswerBody {
         let counters = self.counters.clone();
         let body = WatchedBody::new(body, move |is_whole| {
             if is_whole {
                 drop(permit);
+                run.note_answered();
                 if let Some(connection) = connection {
                     connection.give_back();
                 }
--- /dev/null
+++ b/crates/laurelstall_node/src/target_guard/ends.rs
@@ -0,0 +1,158 @@
+//! Finds out whether the target ended under the requests at work there.
+//!
+//! Only the guard sees the target itself: an entry that loses an answer cannot tell a target that ended from a lost
+//! connection, link or node.
+
+use super::Inner;
+use crate::{counters::count, target_http::TargetError};
+use laurelstall_crash::{
+    request_digest::RequestDigest,
+    run_watch::{EndedRuns, RunId, RunWatch},
+};
+use std::sync::{Arc, MutexGuard, PoisonError};
+use tokio::time::{Duration, sleep};
+
+/// Looks at a target whose connection broke until it is clear whether it ended: kept connections that break as well
+/// tell nothing.
+const LOOKS_MAX: usize = 3;
+/// Pause between two of them.
+const LOOK_PAUSE: Duration = Duration::from_millis(5);
+
+/// The last look whether the target has ended.
+#[derive(Debug, Default)]
+pub(super) struct EndLook {
+    /// When it began, in µs of the node's clock.
+    started_us: u64,
+    has_ended: bool,
+}
+
+/// What a look shows of a target whose connection broke.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Sign {
+    /// It takes no connections, or another instance stands in its place.
+    Ended,
+    /// It answers, under its name.
+    Lives,
+    /// Neither.
+    Unclear,
+}
+
+/// A request that is at work at the target. Dropped without a word, it was given up.
+#[derive(Debug)]
+pub(super) struct WatchedRun {
+    inner: Arc<Inner>,
+    id: Option<RunId>,
+}
+
+impl WatchedRun {
+    /// The target's answer came whole.
+    pub(super) fn note_answered(mut self) {
+        if let Some(id) = self.id.take() {
+            self.inner.watch().note_answered(id);
+        }
+    }
+
+    /// It was not sent, or nothing follows from its end.
+    pub(super) fn forget(mut self) {
+        if let Some(id) = self.id.take() {
+            self.inner.watch().forget(id);
+        }
+    }
+
+    /// Its connection broke before the answer was whole; whether the target ended.
+    pub(super) async fn note_broken(mut self, target: &str) -> bool {
+        let Some(id) = self.id.take() else { return false };
+        let inner = &self.inner;
+        let broken_us = inner.clock.now_us();
+        inner.watch().note_broken(id);
+        inner.has_ended(target, broken_us).await
+    }
+}
+
+impl Drop for WatchedRun {
+    fn drop(&mut self) {
+        if let Some(id) = self.id.take() {
+            let now_us = self.inner.clock.now_us();
+            self.inner.watch().note_given_up(id, now_us);
+        }
+    }
+}
+
+impl Inner {
+    pub(super) fn watch(&self) -> MutexGuard<'_, RunWatch> {
+        self.watch.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Notes that a request is being sent to the target.
+    pub(super) fn watch_run(self: &Arc<Self>, digest: RequestDigest) -> WatchedRun {
+        let id = self.watch().start(digest, self.clock.now_us());
+        WatchedRun { inner: self.clone(), id: Some(id) }
+    }
+
+    /// Whether the target called `target`, one of whose connections broke at `broken_us`, has ended.
+    ///
+    /// All its connections break together: one look serves all that broke before it began.
+    async fn has_ended(&self, target: &str, broken_us: u64) -> bool {
+        let mut last = self.end_look.lock().await;
+        if last.started_us < broken_us {
+            last.started_us = self.clock.now_us();
+            last.has_ended = self.look_for_end(target).await;
+        }
+        let has_ended = last.has_ended;
+        drop(last);
+        if has_ended {
+            let ended = self.watch().note_ended(broken_us);
+            self.report_end(target, &ended);
+        } else {
+            self.watch().note_survived();
+        }
+        has_ended
+    }
+
+    async fn look_for_end(&self, target: &str) -> bool {
+        for _ in 0..LOOKS_MAX {
+            count(&self.counters.end_looks);
+            match self.sign(target).await {
+                Sign::Ended => return true,
+                Sign::Lives => return false,
+                Sign::Unclear => sleep(LOOK_PAUSE).await,
+            }
+        }
+        false
+    }
+
+    async fn sign(&self, target: &str) -> Sign {
+        match self.report().await {
+            Err(TargetError::NoConnection) => Sign::Ended,
+            Err(TargetError::Broken) => Sign::Unclear,
+            Ok(report) => match report.instance {
+                Some(instance) if instance == target => Sign::Lives,
+                Some(_) => Sign::Ended,
+                None if report.load.is_some() => Sign::Lives,
+                None => Sign::Unclear,
+            },
+        }
+    }
+
+    /// Tells of an end. What ends while it leaves, or is not listed any more, was meant to end: nothing speaks
+    /// against the requests that were cut off there.
+    fn report_end(&self, target: &str, ended: &EndedRuns) {
+        if ended.is_first {
+            count(&self.counters.target_ends);
+        }
+        if ended.digests.is_empty() {
+            return;
+        }
+        let digests = ended.digests.iter().map(RequestDigest::to_string).collect::<Vec<_>>().join(" ");
+        let planned = if self.is_leaving() { ", as it was to" } else { "" };
+        log::warn!(
+            "own target: '{target}' ended{planned} while these requests were at work there: {digests}"
+        );
+    }
+
+    /// Whether the target is about to leave, or gone from the list.
+    fn is_leaving(&self) -> bool {
+        let in_force = self.active.load();
+        self.guard.is_draining() || self.own_target(&in_force).is_none()
+    }
+}
--- a/crates/laurelstall_node/src/target_guard/instance.rs
+++ b/crates/laurelstall_node/src/target_guard/instance.rs
@@ -77,7 +77,7 @@
         Ok(())
     }
 
-    async fn report(&self) -> Result<LookReport, TargetError> {
+    pub(super) async fn report(&self) -> Result<LookReport, TargetError> {
         let (Some(settings), Some(client)) = (&self.settings, &self.client) else {
             return Err(TargetError::NoConnection);
         };
--- a/crates/laurelstall_node/src/target_guard/sending.rs
+++ b/crates/laurelstall_node/src/target_guard/sending.rs
@@ -1,6 +1,6 @@
 //! Sending a request that has its slot to the target.
 
-use super::{Answered, Inner, Run, not_run, refused, unknown};
+use super::{Answered, Inner, Run, lost, not_run, refused, unknown};
 use crate::{
     body::{Collected, collect},
     counters::count,
@@ -11,6 +11,7 @@
 use bytes::Bytes;
 use http::{HeaderMap, Request};
 use laurelstall_config::team::ServiceLimits;
+use laurelstall_crash::request_digest::RequestDigest;
 use laurelstall_guard::{guard::Permit, refusal::RefusalReason};
 use laurelstall_peer::{
     attempt::{AttemptAnswer, AttemptBody},
@@ -32,6 +33,7 @@
     headers: HeaderMap,
     /// Name that the request is sent under.
     target: String,
+    digest: RequestDigest,
     may_repeat: bool,
     deadline_us: u64,
     facts: RunFacts,
@@ -81,8 +83,17 @@
             return refused(RefusalReason::Unreadable, None);
         };
         let facts = RunFacts { useful_until_us, importance: head.importance, is_repeat: head.is_repeat };
-        let may_repeat = head.may_repeat;
-        let handed = HandOver { request, headers, target, may_repeat, deadline_us, facts, limits, permit };
+        let handed = HandOver {
+            request,
+            headers,
+            target,
+            digest: head.digest,
+            may_repeat: head.may_repeat,
+            deadline_us,
+            facts,
+            limits,
+            permit,
+        };
         self.run_at_target(handed).await
     }
 
@@ -98,7 +109,7 @@
     }
 
     async fn hand_over(self: &Arc<Self>, handed: HandOver) -> AttemptAnswer {
-        let HandOver { request, headers, target, may_repeat, deadline_us, facts, limits, mut permit } =
+        let HandOver { request, headers, target, digest, may_repeat, deadline_us, facts, limits, mut permit } =
             handed;
         let Some(client) = &self.client else {
             permit.release_uncounted();
@@ -106,6 +117,7 @@
         };
         let _running = self.running.enter(self.dialect.request_id(&headers), facts);
         let deadline = self.clock.instant_of(deadline_us);
+        let run = self.watch_run(digest);
         permit.note_sent();
         let sent = timeout_at(deadline, client.send(request, may_repeat)).await;
         if !matches!(sent, Ok(Err(TargetError::NoConnection))) {
@@ -114,12 +126,13 @@
         match sent {
             Err(_) => unknown("time budget spent at the target"),
             Ok(Ok((response, connection))) => {
-                let answered = Answered { request: headers, target, response, connection, permit };
+                let answered = Answered { request: headers, target, response, connection, permit, run };
                 let read = timeout_at(deadline, self.read_response(answered, &limits)).await;
                 read.unwrap_or_else(|_| unknown("time budget spent at the target"))
             }
             Ok(Err(TargetError::NoConnection)) => {
                 permit.release_uncounted();
+                run.forget();
                 self.guard.note_shed();
                 // Whoever takes connections there next has just started.
                 self.guard.forget_cold();
@@ -128,7 +141,7 @@
             Ok(Err(TargetError::Broken)) => {
                 permit.release_uncounted();
                 self.guard.forget_cold();
-                unknown("connection to the target broke")
+                lost("connection to the target broke", run.note_broken(&target).await)
             }
         }
     }
--- a/crates/laurelstall_node/src/ticket_runs.rs
+++ b/crates/laurelstall_node/src/ticket_runs.rs
@@ -11,7 +11,7 @@
     refusal::RefusalReason,
 };
 use laurelstall_peer::{
-    attempt::{AttemptAnswer, AttemptOutcome},
+    attempt::{AttemptAnswer, AttemptOutcome, UnknownCause},
     body::AnswerBody,
 };
 use std::sync::Arc;
@@ -69,9 +69,9 @@
                 self.ledger().end_not_run(token);
                 AttemptOutcome::NotRun(refusal)
             }
-            AttemptOutcome::Unknown(why) => {
+            AttemptOutcome::Unknown(cause) => {
                 self.ledger().end_unknown(token);
-                AttemptOutcome::Unknown(why)
+                AttemptOutcome::Unknown(cause)
             }
             AttemptOutcome::Answered { status, headers, body } => {
                 self.keep_answer(status, headers, body, token, kept_bytes).await
@@ -104,7 +104,7 @@
             }
             Err(_) => {
                 self.ledger().end_unknown(token);
-                AttemptOutcome::Unknown("answer broke off")
+                AttemptOutcome::Unknown(UnknownCause::Lost("answer broke off"))
             }
         }
     }
--- a/crates/laurelstall_peer/src/attempt.rs
+++ b/crates/laurelstall_peer/src/attempt.rs
@@ -46,6 +46,33 @@
     pub body: AttemptBody,
 }
 
+/// Why nobody knows whether an attempt ran.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum UnknownCause {
+    /// Its answer was lost, in these words.
+    Lost(&'static str),
+    /// The target ended while it was at work there.
+    TargetEnded,
+}
+
+impl UnknownCause {
+    /// What callers are told.
+    pub fn text(self) -> &'static str {
+        match self {
+            Self::Lost(text) => text,
+            Self::TargetEnded => "the target ended",
+        }
+    }
+
+    /// The word used in logs.
+    pub fn word(self) -> &'static str {
+        match self {
+            Self::Lost(_) => "unknown",
+            Self::TargetEnded => "target-ended",
+        }
+    }
+}
+
 /// How an attempt ended.
 #[derive(Debug)]
 pub enum AttemptOutcome {
@@ -61,7 +88,7 @@
     /// Proved: no target saw a byte of the call, or said itself that it ran nothing.
     NotRun(Refusal),
     /// The target may have run it.
-    Unknown(&'static str),
+    Unknown(UnknownCause),
 }
 
 /// How an attempt ended, and how the target is.
--- a/crates/laurelstall_peer/src/client.rs
+++ b/crates/laurelstall_peer/src/client.rs
@@ -1,7 +1,7 @@
 //! Asking other nodes.
 
 use crate::{
-    attempt::{Attempt, AttemptAnswer, AttemptBody, AttemptOutcome},
+    attempt::{Attempt, AttemptAnswer, AttemptBody, AttemptOutcome, UnknownCause},
     body::{AnswerBody, BodyError, StreamBody, send_body, send_data},
     frame::{DOCUMENTS_BYTES_MAX, FrameError, FrameReader, HEAD_BYTES_MAX, encode},
     message::{AttemptHead, BodyKind, PeerAnswer, PeerRequest},
@@ -232,7 +232,7 @@
         stream.send_data(Bytes::new(), true).map_err(BodyError::from)
     };
     if gone.await.is_err() {
-        return AttemptAnswer::new(AttemptOutcome::Unknown("stream broke"));
+        return AttemptAnswer::new(AttemptOutcome::Unknown(UnknownCause::Lost("stream broke")));
     }
     let answer = reader.read(HEAD_BYTES_MAX).await;
     read_answer(answer, reader, call_id, held)
@@ -269,7 +269,7 @@
     kind: BodyKind,
     stream: &mut SendStream<Bytes>,
 ) -> Result<Option<AnswerBody>, AttemptAnswer> {
-    let lost = |_: BodyError| AttemptAnswer::new(AttemptOutcome::Unknown("stream broke"));
+    let lost = |_: BodyError| AttemptAnswer::new(AttemptOutcome::Unknown(UnknownCause::Lost("stream broke")));
     match body {
         AttemptBody::Whole(bytes) => {
             if bytes.is_empty() {
@@ -293,7 +293,7 @@
 fn broken(error: &h2::Error, unread: Option<AnswerBody>) -> AttemptAnswer {
     let is_refused = error.is_remote() && error.reason() == Some(Reason::REFUSED_STREAM);
     if !is_refused {
-        return AttemptAnswer::new(AttemptOutcome::Unknown("stream broke"));
+        return AttemptAnswer::new(AttemptOutcome::Unknown(UnknownCause::Lost("stream broke")));
     }
     let refusal = Refusal::new(RefusalReason::Draining);
     let mut answer = AttemptAnswer::new(AttemptOutcome::NotRun(refusal));
@@ -321,7 +321,9 @@
     let answer = match answer {
         Ok(answer) => answer,
         Err(FrameError::Stream(error)) => return broken(&error, None),
-        Err(_) => return AttemptAnswer::new(AttemptOutcome::Unknown("unreadable answer")),
+        Err(_) => {
+            return AttemptAnswer::new(AttemptOutcome::Unknown(UnknownCause::Lost("unreadable answer")));
+        }
     };
     let (outcome, hint) = match answer {
         PeerAnswer::Answered { call_id: answered, status, headers, hint } => {
@@ -333,8 +335,13 @@
             (AttemptOutcome::NotRun(refusal), hint)
         }
         PeerAnswer::Refused(refusal) => (AttemptOutcome::NotRun(refusal), None),
-        PeerAnswer::Unknown { hint, .. } => (AttemptOutcome::Unknown("lost at the target"), hint),
-        _ => (AttemptOutcome::Unknown("unexpected answer"), None),
+        PeerAnswer::Unknown { has_target_ended: true, hint, .. } => {
+            (AttemptOutcome::Unknown(UnknownCause::TargetEnded), hint)
+        }
+        PeerAnswer::Unknown { hint, .. } => {
+            (AttemptOutcome::Unknown(UnknownCause::Lost("lost at the target")), hint)
+        }
+        _ => (AttemptOutcome::Unknown(UnknownCause::Lost("unexpected answer")), None),
     };
     AttemptAnswer { outcome, hint: hint.map(Hint::from), unread: None }
 }
@@ -346,7 +353,7 @@
     held: Held,
 ) -> AttemptOutcome {
     let (Ok(status), Some(headers)) = (StatusCode::from_u16(status), headers_from_wire(&headers)) else {
-        return AttemptOutcome::Unknown("unreadable answer");
+        return AttemptOutcome::Unknown(UnknownCause::Lost("unreadable answer"));
     };
     let (first, stream): (Bytes, RecvStream) = reader.into_rest();
     let body = GuardedBody { inner: StreamBody::new(first, stream), _held: held };
--- a/crates/laurelstall_peer/src/message.rs
+++ b/crates/laurelstall_peer/src/message.rs
@@ -2,6 +2,7 @@
 
 use laurelstall_balance::hint::{Hint, TargetState};
 use laurelstall_config::document::{DocumentName, Version};
+use laurelstall_crash::request_digest::RequestDigest;
 use laurelstall_guard::refusal::Refusal;
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
@@ -34,6 +35,8 @@
     pub method: String,
     /// Path and query.
     pub uri: String,
+    /// What makes it the same request as another one.
+    pub digest: RequestDigest,
     /// End-to-end headers.
     pub headers: Vec<(String, Vec<u8>)>,
     /// Time left in µs, counted from when the head is read.
@@ -219,6 +222,8 @@
     Unknown {
         /// The call's number.
         call_id: u64,
+        /// Whether the target ended while the call was at work there.
+        has_target_ended: bool,
         /// How the target is.
         hint: Option<WireHint>,
     },
--- a/crates/laurelstall_peer/src/server.rs
+++ b/crates/laurelstall_peer/src/server.rs
@@ -1,7 +1,7 @@
 //! Answering other nodes.
 
 use crate::{
-    attempt::{Admission, Attempt, AttemptAnswer, AttemptBody, AttemptHandler, AttemptOutcome},
+    attempt::{Admission, Attempt, AttemptAnswer, AttemptBody, AttemptHandler, AttemptOutcome, UnknownCause},
     body::{BodyError, StreamBody, send_body},
     client::headers_to_wire,
     frame::{FrameError, FrameReader, HEAD_BYTES_MAX, encode},
@@ -257,8 +257,9 @@
             let head = PeerAnswer::NotRun { call_id, refusal, hint };
             stream.send_data(encode(&head), true).map_err(BodyError::from)
         }
-        AttemptOutcome::Unknown(_) => {
-            let head = PeerAnswer::Unknown { call_id, hint };
+        AttemptOutcome::Unknown(cause) => {
+            let has_target_ended = cause == UnknownCause::TargetEnded;
+            let head = PeerAnswer::Unknown { call_id, has_target_ended, hint };
             stream.send_data(encode(&head), true).map_err(BodyError::from)
         }
     }
--- a/crates/laurelstall_peer/tests/lost_nodes.rs
+++ b/crates/laurelstall_peer/tests/lost_nodes.rs
@@ -22,7 +22,7 @@
 };
 use laurelstall_guard::clock::Clock;
 use laurelstall_peer::{
-    attempt::{Admission, Attempt, AttemptAnswer, AttemptHandler, AttemptOutcome},
+    attempt::{Admission, Attempt, AttemptAnswer, AttemptHandler, AttemptOutcome, UnknownCause},
     client::PeerClient,
     link::Link,
     message::{Exchange, PeerAnswer, PeerRequest},
@@ -168,7 +168,7 @@
 
 impl AttemptHandler for NoTarget {
     fn attempt(&self, _: Attempt, _: Admission) -> BoxFuture<'_, AttemptAnswer> {
-        async { AttemptAnswer::new(AttemptOutcome::Unknown("no target")) }.boxed()
+        async { AttemptAnswer::new(AttemptOutcome::Unknown(UnknownCause::Lost("no target"))) }.boxed()
     }
 }
 
--- a/crates/laurelstall_peer/tests/messages.rs
+++ b/crates/laurelstall_peer/tests/messages.rs
@@ -2,6 +2,7 @@
 
 use laurelstall_balance::hint::{HINT_BYTES, Hint, TargetState};
 use laurelstall_config::document::DocumentName;
+use laurelstall_crash::request_digest::RequestDigest;
 use laurelstall_guard::refusal::{Refusal, RefusalReason};
 use laurelstall_peer::{
     frame::{MESSAGE_VERSION, decode, encode},
@@ -18,6 +19,7 @@
         target: "a".to_owned(),
         method: "GET".to_owned(),
         uri: "/x".to_owned(),
+        digest: RequestDigest { whole: 1, head: 2 },
         headers: vec![("host".to_owned(), b"a".to_vec())],
         budget_us: 1,
         is_repeat: false,
--- a/crates/laurelstall_peer/tests/on_go.rs
+++ b/crates/laurelstall_peer/tests/on_go.rs
@@ -3,6 +3,7 @@
 use futures_util::future::{BoxFuture, FutureExt};
 use http::{HeaderMap, StatusCode};
 use http_body_util::{BodyExt, Empty};
+use laurelstall_crash::request_digest::RequestDigest;
 use laurelstall_guard::{
     clock::Clock,
     refusal::{Refusal, RefusalReason},
@@ -128,6 +129,7 @@
         target: "a".to_owned(),
         method: "POST".to_owned(),
         uri: "/x".to_owned(),
+        digest: RequestDigest { whole: 1, head: 2 },
         headers: Vec::new(),
         budget_us: budget.as_micros() as u64,
         useful_us: budget.as_micros() as u64,
