--- a/crates/laurelstall_balance/src/service_balancer.rs
+++ b/crates/laurelstall_balance/src/service_balancer.rs
@@ -155,6 +155,12 @@
             let place = old.iter().position(|o| o.name == view.name && o.host == view.host);
             if let Some(place) = place {
                 let mut kept = old.swap_remove(place);
+                if kept.is_restarted_as(&view) {
+                    view.take_in_flight(&kept);
+                    self.targets.push(view);
+                    continue;
+                }
+                kept.started_unix_ms = view.started_unix_ms;
                 kept.slots = view.slots;
                 kept.trip_us = view.trip_us;
                 kept.change_percent = view.change_percent;
--- a/crates/laurelstall_balance/src/target_view.rs
+++ b/crates/laurelstall_balance/src/target_view.rs
@@ -37,6 +37,8 @@
     pub name: String,
     /// The host it runs on.
     pub host: String,
+    /// When it started, in ms of Unix time by its own clock; 0 when that is not known.
+    pub started_unix_ms: u64,
     /// Slots from the configuration.
     pub slots: u32,
     /// Way there and back in µs.
@@ -65,6 +67,7 @@
         Self {
             name: name.to_owned(),
             host: host.to_owned(),
+            started_unix_ms: 0,
             slots,
             trip_us,
             change_percent: 0,
@@ -82,6 +85,18 @@
         }
     }
 
+    /// Whether `listed` is another start of this target, which knows nothing of what is believed of it.
+    pub fn is_restarted_as(&self, listed: &Self) -> bool {
+        let (before, now) = (self.started_unix_ms, listed.started_unix_ms);
+        before != 0 && now != 0 && before != now
+    }
+
+    /// Counts the attempts at an earlier start of the target, which still end here.
+    pub fn take_in_flight(&mut self, before: &Self) {
+        self.in_flight = before.in_flight;
+        self.in_flight_at_hint = before.in_flight;
+    }
+
     /// Takes a guard's word; a new incarnation starts the view afresh.
     pub fn take_hint(&mut self, hint: Hint, now_us: u64) {
         let is_other = |old: &Hint| old.incarnation != 0 && old.incarnation != hint.incarnation;
--- /dev/null
+++ b/crates/laurelstall_balance/tests/restarts.rs
@@ -0,0 +1,93 @@
+//! Targets that start again under their name: nothing that was believed of the start before holds.
+
+use laurelstall_balance::{
+    hint::{Hint, TargetState},
+    least_wait::LeastWait,
+    service_balancer::{AttemptResult, Choosing, ServiceBalancer},
+    target_view::TargetView,
+};
+use laurelstall_config::team::ServiceLimits;
+
+const START_US: u64 = 1_000_000;
+
+fn views(started_unix_ms: u64, now_us: u64) -> Vec<TargetView> {
+    let view = |number: u32| {
+        let name = format!("t-{number}");
+        let mut view = TargetView::new(&name, &format!("h-{number}"), 12, 100, now_us);
+        view.started_unix_ms = if number == 0 { started_unix_ms } else { 1 };
+        view
+    };
+    (0..3).map(view).collect()
+}
+
+/// A balancer whose first target, started then, has failed until it was ejected.
+fn ejected_first(started_unix_ms: u64) -> ServiceBalancer {
+    let limits = ServiceLimits::default();
+    let mut balancer = ServiceBalancer::new(limits, Box::new(LeastWait::default()), 7);
+    balancer.set_targets(limits, views(started_unix_ms, START_US));
+    let hint = Hint {
+        incarnation: 1,
+        in_flight: 12,
+        queued: 9,
+        limit: 12,
+        service_us: 10_000,
+        slowness_percent: 400,
+        state: TargetState::Serving,
+    };
+    balancer.take_hint(0, "t-0", hint, START_US);
+    for _ in 0..40 {
+        balancer.note_sent(0);
+        balancer.note_result(0, "t-0", 0, AttemptResult::Failed, START_US);
+    }
+    balancer.note_sent(0);
+    assert!(!is_eligible(&balancer));
+    balancer
+}
+
+fn is_eligible(balancer: &ServiceBalancer) -> bool {
+    first(balancer).is_eligible(START_US)
+}
+
+fn first(balancer: &ServiceBalancer) -> &TargetView {
+    let view = balancer.targets().iter().find(|view| view.name == "t-0");
+    view.expect("it is listed")
+}
+
+#[test]
+fn another_start_is_seen_afresh_whichever_way_the_clock_went() {
+    for (before, now) in [(1_000, 2_000), (2_000, 1_000)] {
+        let mut balancer = ejected_first(before);
+        balancer.set_targets(ServiceLimits::default(), views(now, START_US));
+        assert!(is_eligible(&balancer), "{before} {now}");
+        assert_eq!(first(&balancer).error_rate(START_US), 0.0);
+        assert!(first(&balancer).hint(START_US).is_none());
+    }
+}
+
+#[test]
+fn attempts_at_the_start_before_still_end_at_the_view() {
+    let mut balancer = ejected_first(1_000);
+    balancer.set_targets(ServiceLimits::default(), views(2_000, START_US));
+    assert_eq!(first(&balancer).in_flight(), 1);
+    let index = balancer.targets().iter().position(|view| view.name == "t-0").expect("it is listed");
+    balancer.note_result(index, "t-0", 0, AttemptResult::Cancelled, START_US);
+    assert_eq!(first(&balancer).in_flight(), 0);
+    let choosing = Choosing {
+        excluded: &[],
+        only: Some("t-0"),
+        class: 0,
+        useful_us: None,
+        may_leave_free: false,
+        now_us: START_US,
+    };
+    assert!(balancer.choose(&choosing).is_some());
+}
+
+#[test]
+fn a_start_that_is_not_told_changes_nothing() {
+    for (before, now) in [(0, 2_000), (1_000, 0), (1_000, 1_000)] {
+        let mut balancer = ejected_first(before);
+        balancer.set_targets(ServiceLimits::default(), views(now, START_US));
+        assert!(!is_eligible(&balancer), "{before} {now}");
+    }
+}
--- a/crates/laurelstall_config/src/configuration.rs
+++ b/crates/laurelstall_config/src/configuration.rs
@@ -2,7 +2,7 @@
 
 use crate::{
     document::{Document, DocumentName, Version},
-    fleet::Fleet,
+    fleet::{Fleet, FleetTarget},
     problem::ConfigError,
     route::RouteTable,
     system::SystemLimits,
@@ -147,7 +147,8 @@
             let Some(service) = services.get_mut(&listed.service) else { continue };
             let name = listed.name.clone();
             let host = listed.host.clone();
-            service.targets.push(Target { name, host, slots: listed.slots, connections: 0 });
+            let FleetTarget { slots, started_unix_ms, .. } = *listed;
+            service.targets.push(Target { name, host, slots, connections: 0, started_unix_ms });
         }
         self.services = services.into_iter().map(|(name, service)| (name, Arc::new(service))).collect();
     }
--- a/crates/laurelstall_config/src/fleet.rs
+++ b/crates/laurelstall_config/src/fleet.rs
@@ -1,6 +1,9 @@
 //! The platform's list of live and leaving hosts.
 
-use crate::problem::{Checker, ConfigError, is_name};
+use crate::{
+    problem::{Checker, ConfigError, is_name},
+    team::SLOTS_MAX,
+};
 use serde::{Deserialize, Serialize};
 use std::{
     collections::HashSet,
@@ -49,7 +52,7 @@
 pub struct FleetTarget {
     /// Full name of its service, `team/service`.
     pub service: String,
-    /// The target's name; another with each start.
+    /// The target's name; it may start again under it.
     pub name: String,
     /// The host it runs on.
     pub host: String,
@@ -58,6 +61,10 @@
     /// How much longer it bears few calls after a start, in ms, when this was written; 0 for a warm one.
     #[serde(default, skip_serializing_if = "is_zero")]
     pub cold_ms: u64,
+    /// When it started, in ms of Unix time by its own clock; 0 when it does not say. A target that starts again under
+    /// its name knows nothing of before, and its clock may have been set back: any other time is another start.
+    #[serde(default, skip_serializing_if = "is_zero")]
+    pub started_unix_ms: u64,
 }
 
 #[expect(clippy::trivially_copy_pass_by_ref, reason = "serde passes a reference")]
@@ -109,7 +116,7 @@
             let is_full = target.service.split_once('/').is_some_and(|(t, s)| is_name(t) && is_name(s));
             check.ensure(is_full, "target.service", "must be 'team/service'");
             check.ensure(is_name(&target.name), "target.name", &format!("'{}' is not a name", target.name));
-            check.range("target.slots", target.slots, 1..=100_000);
+            check.range("target.slots", target.slots, 1..=SLOTS_MAX);
             check.range("target.cold_ms", target.cold_ms, 0..=COLD_MS_MAX);
             check.ensure(names.contains(&target.host), "target.host", "is no host of the fleet");
             let message = format!("'{}' has two targets", target.host);
--- a/crates/laurelstall_config/src/team.rs
+++ b/crates/laurelstall_config/src/team.rs
@@ -11,6 +11,8 @@
 pub const SERVICES_MAX: usize = 64;
 /// Most targets of one service.
 pub const TARGETS_MAX: usize = 1_000;
+/// Most requests that one target can run at once.
+pub const SLOTS_MAX: u32 = 100_000;
 /// Longest program in bytes.
 pub const PROGRAM_BYTES_MAX: usize = 64 * 1024;
 
@@ -120,6 +122,9 @@
     /// Connections it takes.
     #[serde(default = "connections_default")]
     pub connections: u32,
+    /// When it started, in ms of Unix time, as it registered itself; 0 when that is not known.
+    #[serde(skip)]
+    pub started_unix_ms: u64,
 }
 
 fn connections_default() -> u32 {
@@ -158,7 +163,7 @@
             check.ensure(names.insert(name), "target.name", &format!("'{name}' stands twice"));
             let message = format!("'{}' has two targets of one service", target.host);
             check.ensure(hosts.insert(&target.host), "target.host", &message);
-            check.range("target.slots", target.slots, 1..=100_000);
+            check.range("target.slots", target.slots, 1..=SLOTS_MAX);
             check.range("target.connections", target.connections, 1..=100_000);
         }
     }
--- a/crates/laurelstall_guard/src/target_identity.rs
+++ b/crates/laurelstall_guard/src/target_identity.rs
@@ -86,6 +86,11 @@
             return;
         }
         listed.clone_into(&mut self.listed);
+        self.forget_word();
+    }
+
+    /// Forgets what the instance said and showed: another one stands there under the same name.
+    pub fn forget_word(&mut self) {
         self.successor = None;
         self.is_word_wrong = false;
         self.doubt = None;
--- a/crates/laurelstall_node/src/services.rs
+++ b/crates/laurelstall_node/src/services.rs
@@ -62,6 +62,7 @@
         let views = service.targets.iter().map(|target| {
             let trip_us = trip_us(configuration, own, &target.host);
             let mut view = TargetView::new(&target.name, &target.host, target.slots, trip_us, now_us);
+            view.started_unix_ms = target.started_unix_ms;
             let host = configuration.fleet.host(&target.host);
             let is_far = host.is_some_and(|host| host.data_centre != own.data_centre);
             view.change_percent = if is_far { configuration.system.data_centre_change_percent } else { 0 };
--- a/crates/laurelstall_node/src/target_guard.rs
+++ b/crates/laurelstall_node/src/target_guard.rs
@@ -72,6 +72,16 @@
     name: String,
     /// How much longer it is cold, in ms, when its entry was written.
     cold_ms: u64,
+    /// When it started, in ms of Unix time by its own clock; 0 when it does not say.
+    started_unix_ms: u64,
+}
+
+impl ListedTarget {
+    /// Whether this is another start of the target that was listed before, under the same name.
+    fn is_restart_of(&self, before: &Self) -> bool {
+        let is_known = self.started_unix_ms != 0 && before.started_unix_ms != 0;
+        self.name == before.name && is_known && self.started_unix_ms != before.started_unix_ms
+    }
 }
 
 #[derive(Debug)]
@@ -244,13 +254,18 @@
         let fleet = &in_force.configuration.fleet;
         let own = fleet.targets.iter().find(|target| target.name == name);
         let cold_ms = own.map_or(0, |target| target.cold_ms);
-        let now_listed = ListedTarget { name: name.to_owned(), cold_ms };
+        let started_unix_ms = own.map_or(0, |target| target.started_unix_ms);
+        let now_listed = ListedTarget { name: name.to_owned(), cold_ms, started_unix_ms };
         let mut listed = self.inner.listed.lock().unwrap_or_else(PoisonError::into_inner);
         if *listed == now_listed {
             return;
         }
+        let is_restart = now_listed.is_restart_of(&listed);
         let before = std::mem::replace(&mut *listed, now_listed);
         drop(listed);
+        if is_restart {
+            self.note_restart(name, started_unix_ms);
+        }
         self.inner.guard.note_listed_cold(cold_ms);
         if before.name == name {
             return;
@@ -261,6 +276,17 @@
         self.inner.identity().follow_list(name);
     }
 
+    /// Learns from the list that the target started again under its name: it knows nothing of before. What its tickets'
+    /// calls may have done stays in the ledger, which holds them to one effect.
+    fn note_restart(&self, name: &str, started_unix_ms: u64) {
+        log::info!("own target: '{name}' started again, at {started_unix_ms} ms of its clock");
+        self.inner.guard.forget_cold();
+        self.inner.identity().forget_word();
+        if let Some(client) = &self.inner.client {
+            client.close_idle();
+        }
+    }
+
     /// Starts or ends draining at an operator's wish.
     pub fn set_operator_drain(&self, is_draining: bool) {
         self.inner.drains.operator.store(is_draining, Ordering::Relaxed);
--- a/crates/laurelstall_node/src/target_http.rs
+++ b/crates/laurelstall_node/src/target_http.rs
@@ -48,6 +48,15 @@
         }
     }
 
+    /// Closes connections that rest, to a target that has started again.
+    pub fn close_idle(&self) {
+        match self {
+            Self::Http1(pool) => pool.clear(),
+            // Its library finds closed ones out before it uses them.
+            Self::Http2(_) => {}
+        }
+    }
+
     /// Sends a request; with HTTP/1.1, also the connection to give back once the answer was read.
     ///
     /// # Errors
--- a/crates/laurelstall_standin/src/fleet_bench.rs
+++ b/crates/laurelstall_standin/src/fleet_bench.rs
@@ -481,5 +481,6 @@
         host: format!("host-{index:03}"),
         slots: 12,
         connections: 200,
+        started_unix_ms: 0,
     }
 }
--- a/crates/laurelstall_standin/src/harness.rs
+++ b/crates/laurelstall_standin/src/harness.rs
@@ -460,6 +460,7 @@
         host: format!("{}-{number}-host", plan.name),
         slots: plan.slots,
         connections: 200,
+        started_unix_ms: 0,
     }
 }
 
