--- a/crates/laurelstall_crash/src/run_watch.rs
+++ b/crates/laurelstall_crash/src/run_watch.rs
@@ -3,8 +3,9 @@
 use crate::request_digest::RequestDigest;
 use std::collections::BTreeMap;
 
-/// How long a run that was given up is still taken to be at work, in µs: its target may work on for a while, and end
-/// under it. A run takes up to some hundred ms from its start to the end of its target.
+/// How long a run that was given up, or whose target could not be told to live or to have ended, is still taken to be at
+/// work, in µs: its target may work on for a while, and end under it. A run takes up to some hundred ms from its start to
+/// the end of its target.
 const GIVEN_UP_GRACE_US: u64 = 500_000;
 /// Most requests told of one end: as many as the largest targets run at once.
 const ENDED_RUNS_MAX: usize = 256;
@@ -98,6 +99,19 @@
         self.runs.retain(|_, run| run.state != RunState::Broken);
     }
 
+    /// Notes that it could not be told whether a target whose connections broke lives: what comes next may tell.
+    pub fn note_unclear(&mut self, now_us: u64) {
+        for run in self.runs.values_mut().filter(|run| run.state == RunState::Broken) {
+            run.state = RunState::GivenUp { at_us: now_us };
+        }
+    }
+
+    /// Whether some runs were lost of late, and it is not known whether their target ended.
+    pub fn has_lost_runs(&mut self, now_us: u64) -> bool {
+        self.forget_given_up(now_us);
+        self.runs.values().any(|run| run.state != RunState::AtWork)
+    }
+
     /// Notes that the target is found to have ended, and that this showed at `broken_us`: takes all runs that had begun
     /// by then. Further words of one end, before the target is seen alive again, have its number.
     pub fn note_ended(&mut self, broken_us: u64) -> EndedRuns {
--- a/crates/laurelstall_crash/tests/run_watch.rs
+++ b/crates/laurelstall_crash/tests/run_watch.rs
@@ -79,3 +79,18 @@
     assert_eq!(one.head, RequestDigest::of_stream(&head).head);
     assert_ne!(one.whole, RequestDigest::of_stream(&head).whole);
 }
+
+#[test]
+fn what_was_lost_while_nobody_could_tell_counts_when_the_target_proves_to_have_ended() {
+    let mut watch = RunWatch::default();
+    let lost = watch.start(digest(1), 0);
+    watch.note_broken(lost);
+    watch.note_unclear(1_000);
+    assert!(watch.has_lost_runs(100_000));
+    assert_eq!(watch.note_ended(100_000).digests, vec![digest(1)]);
+    let lost = watch.start(digest(2), 200_000);
+    watch.note_broken(lost);
+    watch.note_unclear(300_000);
+    assert!(!watch.has_lost_runs(900_000), "too long ago");
+    assert!(watch.note_ended(900_000).digests.is_empty());
+}
--- a/crates/laurelstall_node/benches/decisions.rs
+++ b/crates/laurelstall_node/benches/decisions.rs
@@ -9,11 +9,16 @@
     target_view::TargetView,
 };
 use laurelstall_config::{settings::DecisionFormat, team::ServiceLimits};
-use laurelstall_guard::ledger::{Begin, Ledger};
+use laurelstall_crash::request_digest::{RequestDigest, RequestHead};
+use laurelstall_guard::{
+    clock::Clock,
+    ledger::{Begin, Ledger},
+};
 use laurelstall_node::{
     counters::Counters,
     decision_log::{Decision, DecisionLog},
 };
+use laurelstall_peer::crash_registry::CrashRegistry;
 use laurelstall_policy::program::{Program, RequestView};
 use std::{hint::black_box, sync::Arc};
 
@@ -116,5 +121,34 @@
     criterion.bench_function("decision handed to the log", |b| b.iter(|| log.write(decision.clone())));
 }
 
-criterion_group!(benches, policy, choice, hint_update, ledger, decision_log);
+/// What keeping an eye on requests that end targets costs each call.
+fn crashes(criterion: &mut Criterion) {
+    let head = RequestHead { method: "POST", host: "shop.example", path: "/sell/wheat/c6df04", caller: "" };
+    let body = vec![7; 1_200];
+    criterion.bench_function("digest of a request of 1,200 bytes", |b| {
+        b.iter(|| RequestDigest::of_whole(black_box(&head), black_box(&body)));
+    });
+    let registry = CrashRegistry::new(Clock::new());
+    let digest = RequestDigest::of_whole(&head, &body);
+    criterion.bench_function("verdict, while nothing is held back", |b| {
+        b.iter(|| registry.verdict(black_box(digest)));
+    });
+    criterion.bench_function("good run noted", |b| b.iter(|| registry.note_good(black_box(digest))));
+    for end in 0..40 {
+        let digests = (0..12).map(|number| RequestDigest { whole: 100 * end + number, head: 1 });
+        registry.note_end(end, "team/service", &digests.collect::<Vec<_>>());
+    }
+    criterion.bench_function("verdict, with 256 requests known", |b| {
+        b.iter(|| registry.verdict(black_box(digest)));
+    });
+}
+
+fn clock(criterion: &mut Criterion) {
+    let clock = Clock::new();
+    criterion.bench_function("clock read", |b| b.iter(|| clock.now_us()));
+    let steady = tokio::time::Instant::now();
+    criterion.bench_function("steady clock read", |b| b.iter(|| steady.elapsed().as_micros() as u64));
+}
+
+criterion_group!(benches, policy, choice, hint_update, ledger, decision_log, crashes, clock);
 criterion_main!(benches);
--- a/crates/laurelstall_node/src/target_guard/ends.rs
+++ b/crates/laurelstall_node/src/target_guard/ends.rs
@@ -23,11 +23,17 @@
 const LOOK_PAUSE: Duration = Duration::from_millis(5);
 
 /// The last look whether the target has ended.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub(super) struct EndLook {
     /// When it began, in µs of the node's clock.
     started_us: u64,
-    has_ended: bool,
+    sign: Sign,
+}
+
+impl Default for EndLook {
+    fn default() -> Self {
+        Self { started_us: 0, sign: Sign::Unclear }
+    }
 }
 
 /// What a look shows of a target whose connection broke.
@@ -106,29 +112,39 @@
         let mut last = self.end_look.lock().await;
         if last.started_us < broken_us {
             last.started_us = self.clock.now_us();
-            last.has_ended = self.look_for_end(target).await;
+            last.sign = self.look_for_end(target).await;
         }
-        let has_ended = last.has_ended;
+        let sign = last.sign;
         drop(last);
-        if has_ended {
-            let ended = self.watch().note_ended(broken_us);
-            self.report_end(target, &ended, was_leaving);
-        } else {
-            self.watch().note_survived();
+        match sign {
+            Sign::Ended => {
+                let ended = self.watch().note_ended(broken_us);
+                self.report_end(target, &ended, was_leaving);
+            }
+            Sign::Lives => self.watch().note_survived(),
+            Sign::Unclear => self.watch().note_unclear(broken_us),
+        }
+        sign == Sign::Ended
+    }
+
+    /// Notes that the target took no connection: runs that were lost just before may have ended it.
+    pub(super) async fn note_no_connection(&self, target: &str) {
+        let now_us = self.clock.now_us();
+        if self.watch().has_lost_runs(now_us) {
+            let was_leaving = self.is_leaving(target);
+            self.has_ended(target, now_us, was_leaving).await;
         }
-        has_ended
     }
 
-    async fn look_for_end(&self, target: &str) -> bool {
+    async fn look_for_end(&self, target: &str) -> Sign {
         for _ in 0..LOOKS_MAX {
             count(&self.counters.end_looks);
             match self.sign(target).await {
-                Sign::Ended => return true,
-                Sign::Lives => return false,
                 Sign::Unclear => sleep(LOOK_PAUSE).await,
+                clear => return clear,
             }
         }
-        false
+        Sign::Unclear
     }
 
     async fn sign(&self, target: &str) -> Sign {
--- a/crates/laurelstall_node/src/target_guard/sending.rs
+++ b/crates/laurelstall_node/src/target_guard/sending.rs
@@ -133,6 +133,7 @@
             Ok(Err(TargetError::NoConnection)) => {
                 permit.release_uncounted();
                 run.forget();
+                self.note_no_connection(&target).await;
                 self.guard.note_shed();
                 // Whoever takes connections there next has just started.
                 self.guard.forget_cold();
