--- a/crates/laurelstall_crash/src/run_watch.rs
+++ b/crates/laurelstall_crash/src/run_watch.rs
@@ -3,10 +3,9 @@
 use crate::request_digest::RequestDigest;
 use std::collections::BTreeMap;
 
-/// How long a run that was given up, or whose target could not be told to live or to have ended, is still taken to be at
-/// work, in µs: its target may work on for a while, and end under it. A run takes up to some hundred ms from its start to
-/// the end of its target.
-const GIVEN_UP_GRACE_US: u64 = 500_000;
+/// How long a run that was lost without an answer is still taken to be at work, in µs: its target may work on for a while,
+/// and end under it. A run takes up to some hundred ms from its start to the end of its target.
+const LOST_GRACE_US: u64 = 500_000;
 /// Most requests told of one end: as many as the largest targets run at once.
 const ENDED_RUNS_MAX: usize = 256;
 
@@ -18,9 +17,9 @@
 enum RunState {
     /// It was sent and nothing is known of it since.
     AtWork,
-    /// Its connection broke.
-    Broken,
-    /// Nobody waits for it any more.
+    /// Its connection broke, and the target is being looked at.
+    Broken { at_us: u64 },
+    /// Nobody waits for it any more, or nobody could tell what became of its target.
     GivenUp { at_us: u64 },
 }
 
@@ -31,6 +30,12 @@
     state: RunState,
 }
 
+impl Run {
+    fn is_broken(&self) -> bool {
+        matches!(self.state, RunState::Broken { .. })
+    }
+}
+
 /// The requests that were at work when a target ended.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct EndedRuns {
@@ -56,7 +61,7 @@
 impl RunWatch {
     /// Notes that a request is being sent.
     pub fn start(&mut self, digest: RequestDigest, now_us: u64) -> RunId {
-        self.forget_given_up(now_us);
+        self.forget_lost(now_us);
         let id = RunId(self.next);
         self.next += 1;
         self.runs.insert(id, Run { digest, started_us: now_us, state: RunState::AtWork });
@@ -87,41 +92,41 @@
     }
 
     /// Notes that the run's connection broke before there was an answer.
-    pub fn note_broken(&mut self, id: RunId) {
+    pub fn note_broken(&mut self, id: RunId, now_us: u64) {
         if let Some(run) = self.runs.get_mut(&id) {
-            run.state = RunState::Broken;
+            run.state = RunState::Broken { at_us: now_us };
         }
     }
 
     /// Notes that a target whose connections broke lives: the broken runs say nothing of it.
     pub fn note_survived(&mut self) {
         self.is_ended = false;
-        self.runs.retain(|_, run| run.state != RunState::Broken);
+        self.runs.retain(|_, run| !run.is_broken());
     }
 
     /// Notes that it could not be told whether a target whose connections broke lives: what comes next may tell.
     pub fn note_unclear(&mut self, now_us: u64) {
-        for run in self.runs.values_mut().filter(|run| run.state == RunState::Broken) {
+        for run in self.runs.values_mut().filter(|run| run.is_broken()) {
             run.state = RunState::GivenUp { at_us: now_us };
         }
     }
 
     /// Whether some runs were lost of late, and it is not known whether their target ended.
     pub fn has_lost_runs(&mut self, now_us: u64) -> bool {
-        self.forget_given_up(now_us);
+        self.forget_lost(now_us);
         self.runs.values().any(|run| run.state != RunState::AtWork)
     }
 
     /// Notes that the target is found to have ended, and that this showed at `broken_us`: takes all runs that had begun
     /// by then. Further words of one end, before the target is seen alive again, have its number.
     pub fn note_ended(&mut self, broken_us: u64) -> EndedRuns {
-        self.forget_given_up(broken_us);
+        self.forget_lost(broken_us);
         let is_first = !self.is_ended;
         self.ends += u64::from(is_first);
         self.is_ended = true;
         let (ended, later): (BTreeMap<_, _>, _) = std::mem::take(&mut self.runs)
             .into_iter()
-            .partition(|(_, run)| run.state == RunState::Broken || run.started_us < broken_us);
+            .partition(|(_, run)| run.is_broken() || run.started_us < broken_us);
         self.runs = later;
         let mut digests: Vec<RequestDigest> = Vec::new();
         for run in ended.into_values().rev().take(ENDED_RUNS_MAX) {
@@ -142,10 +147,10 @@
         self.runs.is_empty()
     }
 
-    fn forget_given_up(&mut self, now_us: u64) {
+    fn forget_lost(&mut self, now_us: u64) {
         self.runs.retain(|_, run| match run.state {
-            RunState::GivenUp { at_us } => now_us < at_us + GIVEN_UP_GRACE_US,
-            _ => true,
+            RunState::GivenUp { at_us } | RunState::Broken { at_us } => now_us < at_us + LOST_GRACE_US,
+            RunState::AtWork => true,
         });
     }
 }
--- a/crates/laurelstall_crash/tests/run_watch.rs
+++ b/crates/laurelstall_crash/tests/run_watch.rs
@@ -16,7 +16,7 @@
     watch.start(digest(2), 200);
     let answered = watch.start(digest(3), 300);
     watch.note_answered(answered);
-    watch.note_broken(broken);
+    watch.note_broken(broken, 1_000);
     watch.start(digest(4), 1_000);
     let ended = watch.note_ended(1_000);
     assert!(ended.is_first);
@@ -31,7 +31,7 @@
     watch.start(digest(1), 1);
     assert_eq!(watch.note_ended(10).end, 1);
     let late = watch.start(digest(2), 20);
-    watch.note_broken(late);
+    watch.note_broken(late, 25);
     let again = watch.note_ended(15);
     assert_eq!((again.end, again.is_first), (1, false));
     assert_eq!(again.digests, vec![digest(2)]);
@@ -56,7 +56,7 @@
     let mut watch = RunWatch::default();
     let broken = watch.start(digest(1), 0);
     watch.start(digest(2), 0);
-    watch.note_broken(broken);
+    watch.note_broken(broken, 5);
     watch.note_survived();
     assert_eq!(watch.note_ended(10).digests, vec![digest(2)]);
 }
@@ -84,13 +84,23 @@
 fn what_was_lost_while_nobody_could_tell_counts_when_the_target_proves_to_have_ended() {
     let mut watch = RunWatch::default();
     let lost = watch.start(digest(1), 0);
-    watch.note_broken(lost);
+    watch.note_broken(lost, 500);
     watch.note_unclear(1_000);
     assert!(watch.has_lost_runs(100_000));
     assert_eq!(watch.note_ended(100_000).digests, vec![digest(1)]);
     let lost = watch.start(digest(2), 200_000);
-    watch.note_broken(lost);
+    watch.note_broken(lost, 290_000);
     watch.note_unclear(300_000);
     assert!(!watch.has_lost_runs(900_000), "too long ago");
     assert!(watch.note_ended(900_000).digests.is_empty());
 }
+
+#[test]
+fn a_broken_run_whose_look_nobody_waited_for_is_forgotten() {
+    let mut watch = RunWatch::default();
+    let broken = watch.start(digest(1), 0);
+    watch.note_broken(broken, 1_000);
+    watch.start(digest(2), 2_000_000);
+    assert_eq!(watch.len(), 1);
+    assert_eq!(watch.note_ended(3_000_000).digests, vec![digest(2)]);
+}
--- a/crates/laurelstall_node/src/target_guard/ends.rs
+++ b/crates/laurelstall_node/src/target_guard/ends.rs
@@ -78,7 +78,7 @@
         let broken_us = inner.clock.now_us();
         // Asked now: when the look is over, the list may name the next instance.
         let was_leaving = inner.is_leaving(target);
-        inner.watch().note_broken(id);
+        inner.watch().note_broken(id, broken_us);
         let has_ended = inner.has_ended(target, broken_us, was_leaving).await;
         // What ended as it was to is known of no request.
         has_ended.then(|| inner.crashes.news_of(self.digest)).flatten()
