News of ends are bounded in age, and news without an end keep nothing

Cause: news told by another node with no end, or with an age near the largest number, overflowed when the time since the last end was taken. Found by fuzzing; no sound node sends such news. Ruled out: refusing such news whole, which would lose the sound part of a message. Fuzz tests of what any news do to the table, and of messages with news in which a byte is changed.

--- a/crates/laurelstall_crash/src/crash_record.rs
+++ b/crates/laurelstall_crash/src/crash_record.rs
@@ -13,6 +13,8 @@
 /// Ends with longer pauses than this between them belong to different spells, in µs: within one, arrivals that were on
 /// their way when the request was held back end targets too.
 const SPELL_PAUSE_US: i64 = 30_000_000;
+/// Oldest news that are told apart from older ones, in ms: thirty days, far longer than any hold that ends by itself.
+const AGE_MAX_MS: u64 = 2_592_000_000;
 /// Differences between the times of two nodes that are not worth telling, in µs: what news take on their way.
 const TIME_SLACK_US: i64 = 500_000;
 
@@ -110,9 +112,9 @@
         &self.ends[first..]
     }
 
-    /// When the last end was, in µs of the node's clock.
-    pub fn last_end_us(&self) -> i64 {
-        self.ends.last().map_or(i64::MIN, |end| end.at_us)
+    /// Since the last end, in µs; none when no end is known.
+    pub fn last_end_age_us(&self, now_us: i64) -> Option<i64> {
+        self.ends.last().map(|end| now_us - end.at_us)
     }
 
     /// Spells of ends that speak against the request: the first one, and one for each trial that failed.
@@ -136,8 +138,7 @@
 
     /// Takes what another node told; whether any of it is news.
     pub fn take_news(&mut self, news: &CrashNews, now_us: i64) -> bool {
-        let at_us =
-            |age_ms: u64| now_us - i64::try_from(age_ms).unwrap_or(i64::MAX / 1_000).saturating_mul(1_000);
+        let at_us = |age_ms: u64| now_us - i64::try_from(age_ms.min(AGE_MAX_MS)).unwrap_or(0) * 1_000;
         let mut is_news = false;
         for end in news.ends.iter().take(ENDS_MAX) {
             is_news |= self.take_end(CrashEnd { id: end.id, at_us: at_us(end.age_ms) });
--- a/crates/laurelstall_crash/src/crash_table.rs
+++ b/crates/laurelstall_crash/src/crash_table.rs
@@ -166,7 +166,7 @@
             service: record.service.clone(),
             verdict: self.judge(record, now_us),
             ends: record.counted().len(),
-            last_end_age_ms: u64::try_from((now_us - record.last_end_us()) / 1_000).unwrap_or(0),
+            last_end_age_ms: u64::try_from(record.last_end_age_us(now_us).unwrap_or(0) / 1_000).unwrap_or(0),
         };
         suspects.map(state).collect()
     }
@@ -193,7 +193,7 @@
         let Some(hold_us) = HOLD_US.get(record.spells().saturating_sub(1)) else {
             return Verdict::Held { retry_after_ms: FOR_GOOD_RETRY_MS };
         };
-        let left_us = record.last_end_us() + hold_us - now_us;
+        let left_us = hold_us - record.last_end_age_us(now_us).unwrap_or(0);
         match u64::try_from(left_us) {
             Ok(left_us) if left_us > 0 => Verdict::Held { retry_after_ms: left_us.div_ceil(1_000) },
             _ => Verdict::Trial,
@@ -209,11 +209,14 @@
 
     /// Forgets what is old, and what speaks least against requests when too much is known.
     fn prune(&mut self, now_us: i64) {
-        let is_recent = |record: &CrashRecord| now_us - record.last_end_us() < FORGET_AFTER_US;
+        let is_recent = |record: &CrashRecord| {
+            record.last_end_age_us(now_us).is_some_and(|age_us| age_us < FORGET_AFTER_US)
+        };
         self.records.retain(|_, record| is_recent(record) || hold_rank(record).is_some());
         while self.records.len() > RECORDS_MAX {
-            let weakest =
-                self.records.iter().min_by_key(|(_, record)| (record.counted().len(), record.last_end_us()));
+            let strength =
+                |record: &CrashRecord| (record.counted().len(), Reverse(record.last_end_age_us(now_us)));
+            let weakest = self.records.iter().min_by_key(|(_, record)| strength(record));
             let Some(weakest) = weakest.map(|(whole, _)| *whole) else { return };
             self.records.remove(&weakest);
         }
--- a/crates/laurelstall_crash/tests/crash_table.rs
+++ b/crates/laurelstall_crash/tests/crash_table.rs
@@ -1,7 +1,7 @@
 //! Which requests are held back, for how long, and that all nodes come to the same sum.
 
 use laurelstall_crash::{
-    crash_record::{CrashEnd, CrashNews},
+    crash_record::{CrashEnd, CrashNews, EndNews},
     crash_table::{CrashTable, Verdict},
     request_digest::RequestDigest,
 };
@@ -184,3 +184,31 @@
     end(&mut table, 2, 700, &[2]);
     assert_eq!(table.all_news(700 * S).len(), 1);
 }
+
+/// A request's news as any bytes may tell them: numbers, ages of ends, age of a good run and of a release.
+type AnyNews = (u8, Vec<(u64, u64)>, Option<u64>, Option<u64>);
+
+#[test]
+fn any_news_are_taken_without_a_panic_and_bounded() {
+    bolero::check!().with_type::<Vec<(u32, Vec<AnyNews>)>>().with_iterations(150).for_each(|steps| {
+        let mut table = CrashTable::default();
+        let mut now_us = S;
+        for (passed_ms, news) in steps {
+            now_us += i64::from(*passed_ms) * 1_000;
+            let told = news.iter().map(|(number, ends, good_run_age_ms, release_age_ms)| CrashNews {
+                digest: digest(u64::from(*number)),
+                service: SERVICE.to_owned(),
+                ends: ends.iter().map(|(id, age_ms)| EndNews { id: *id, age_ms: *age_ms }).collect(),
+                good_run_age_ms: *good_run_age_ms,
+                release_age_ms: *release_age_ms,
+            });
+            table.take_news(&told.collect::<Vec<_>>(), now_us);
+            table.note_end(CrashEnd { id: 1, at_us: now_us }, SERVICE, &[digest(1)], now_us);
+            for state in table.states(now_us) {
+                table.verdict(state.digest, now_us);
+            }
+            assert!(table.all_news(now_us).len() <= 256);
+            assert!(table.all_news(now_us).iter().all(|news| news.ends.len() <= 16));
+        }
+    });
+}
--- a/crates/laurelstall_peer/tests/messages.rs
+++ b/crates/laurelstall_peer/tests/messages.rs
@@ -2,7 +2,10 @@
 
 use laurelstall_balance::hint::{HINT_BYTES, Hint, TargetState};
 use laurelstall_config::document::DocumentName;
-use laurelstall_crash::request_digest::RequestDigest;
+use laurelstall_crash::{
+    crash_record::{CrashNews, EndNews},
+    request_digest::RequestDigest,
+};
 use laurelstall_guard::refusal::{Refusal, RefusalReason};
 use laurelstall_peer::{
     frame::{MESSAGE_VERSION, decode, encode},
@@ -91,10 +94,22 @@
 #[test]
 fn a_right_message_with_any_byte_changed_is_read_without_a_panic() {
     let item = PullItem { name: DocumentName::Team("a".to_owned()), known_version: 3, known_checksum: 4 };
-    let messages = [PeerRequest::Attempt(head()), PeerRequest::Pull(vec![item])];
+    let news = CrashNews {
+        digest: RequestDigest { whole: 1, head: 2 },
+        service: "t/s".to_owned(),
+        ends: vec![EndNews { id: 3, age_ms: 4 }],
+        good_run_age_ms: None,
+        release_age_ms: Some(5),
+    };
+    let messages = [
+        PeerRequest::Attempt(head()),
+        PeerRequest::Pull(vec![item]),
+        PeerRequest::CrashNews(vec![news.clone()]),
+        PeerRequest::CompareCrashes(vec![news]),
+    ];
     bolero::check!().with_type::<(usize, usize, u8)>().with_iterations(20_000).for_each(
         |(which, at, byte)| {
-            let mut bytes = encode(&messages[which % 2])[PREFIX_BYTES..].to_vec();
+            let mut bytes = encode(&messages[which % messages.len()])[PREFIX_BYTES..].to_vec();
             let at = at % bytes.len();
             bytes[at] = *byte;
             let _ = decode::<PeerRequest>(&bytes);
