--- a/crates/laurelstall_crash/src/crash_table.rs
+++ b/crates/laurelstall_crash/src/crash_table.rs
@@ -1,9 +1,9 @@
 //! Which requests are held back since targets end under them.
 //!
 //! A target ends with several requests at work, one of which may be to blame. What was at work at two ends, and has not
-//! run well since shortly before the first of them, is held back; of what ever ran well, more is wanted: a request that ends every target it runs on has no
-//! good run, and a harmless one that is asked often always has one. Nodes tell each other of ends, by number, and of good
-//! runs, so all come to the same sum.
+//! run well since shortly before the first of them, is held back; of what ever ran well, more is wanted: a request that
+//! ends every target it runs on has no good run, and a harmless one that is asked often always has one. Nodes tell each
+//! other of ends, by number, and of good runs, so all come to the same sum.
 
 use crate::{
     crash_record::{CrashEnd, CrashNews, CrashRecord},
