Targets that cannot be asked how they are are watched too

Cause: without a load path the guard's look at a target whose connection broke asked nothing and told nothing, so no end was seen and no request held back. Found by reading. Ruled out: taking any broken connection for an end. Change: there a new connection shows whether the target takes any.

--- a/crates/laurelstall_node/src/target_guard/ends.rs
+++ b/crates/laurelstall_node/src/target_guard/ends.rs
@@ -12,14 +12,22 @@
     run_watch::{EndedRuns, RunId, RunWatch},
 };
 use laurelstall_guard::refusal::{Refusal, RefusalReason};
-use std::sync::{Arc, MutexGuard, PoisonError};
-use tokio::time::{Duration, sleep};
+use std::{
+    io::ErrorKind,
+    sync::{Arc, MutexGuard, PoisonError},
+};
+use tokio::{
+    net::TcpStream,
+    time::{Duration, sleep, timeout},
+};
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 /// Looks at a target whose connection broke until it is clear whether it ended: kept connections that break as well
 /// tell nothing.
 const LOOKS_MAX: usize = 3;
-/// Pause between two of them.
+/// How long a connection is waited for where a target cannot be asked: it is on the same machine.
+const CONNECT_PATIENCE: Duration = Duration::from_millis(20);
+/// Pause between two looks.
 const LOOK_PAUSE: Duration = Duration::from_millis(5);
 
 /// The last look whether the target has ended.
@@ -148,6 +156,9 @@
     }
 
     async fn sign(&self, target: &str) -> Sign {
+        if !self.guard.can_look() {
+            return self.connection_sign().await;
+        }
         match self.report().await {
             Err(TargetError::NoConnection) => Sign::Ended,
             Err(TargetError::Broken) => Sign::Unclear,
@@ -160,6 +171,16 @@
         }
     }
 
+    /// What a new connection shows of a target that cannot be asked how it is.
+    async fn connection_sign(&self) -> Sign {
+        let Some(settings) = &self.settings else { return Sign::Unclear };
+        match timeout(CONNECT_PATIENCE, TcpStream::connect(settings.address)).await {
+            Ok(Ok(_)) => Sign::Lives,
+            Ok(Err(error)) if error.kind() == ErrorKind::ConnectionRefused => Sign::Ended,
+            _ => Sign::Unclear,
+        }
+    }
+
     /// Tells of an end. What ends while it leaves, or is not listed any more, was meant to end: nothing speaks
     /// against the requests that were cut off there.
     fn report_end(&self, target: &str, ended: &EndedRuns, was_leaving: bool) {
