--- a/crates/laurelstall_node/src/call.rs
+++ b/crates/laurelstall_node/src/call.rs
@@ -138,6 +138,7 @@
             if now_us >= self.request.deadline_us {
                 return self.give_up(RefusalReason::Deadline);
             }
+            // Whatever ended its targets would end the next one: nothing of it is sent.
             if let Some(refusal) = self.held_back() {
                 self.last_refusal = Some(refusal);
                 return self.give_up(RefusalReason::Held);
--- a/crates/laurelstall_node/src/target_guard.rs
+++ b/crates/laurelstall_node/src/target_guard.rs
@@ -368,6 +368,7 @@
             let wait_us = if is_starting { LISTLESS_PAUSE_US } else { 0 };
             return not_run(instance::absent(wait_us), Some(body));
         };
+        // The entry may not have heard yet that targets end under it.
         if let Some(refusal) = self.held_back(head.digest) {
             return not_run(refusal, Some(body));
         }
