Logs tell why a target that is missing stays, and how late calls begin

Cause: of a request that reaches a leaving target no log told which of these it was: a target kept after an outage, on whose word and though reads were heard of; a guard that learnt late of the leaving; or a call that had waited there.

Change: a line when this node finds the platform back, and when it hears so from others, with the age of the last read that it had heard of; the names of the first kept targets; the version by which the own host leaves; and for each call that begins at a draining guard how long that has drained, counted as `late_starts`. Each is written at changes or for calls that waited, of which a queue holds a bounded number.

Conclusion: the three hypotheses can be told apart by the lines. No decision is changed.

--- a/crates/laurelstall_guard/src/guard.rs
+++ b/crates/laurelstall_guard/src/guard.rs
@@ -90,7 +90,13 @@
 
     /// Whether nothing new is admitted.
     pub fn is_draining(&self) -> bool {
-        self.draining_since_us.load(Ordering::SeqCst) != 0
+        self.draining_for_us().is_some()
+    }
+
+    /// For how long nothing new has been admitted, in µs; none while calls are admitted.
+    pub fn draining_for_us(&self) -> Option<u64> {
+        let since_us = self.draining_since_us.load(Ordering::SeqCst);
+        (since_us != 0).then(|| self.clock.now_us().saturating_sub(since_us))
     }
 
     /// Waits until nothing runs and nothing waits.
--- a/crates/laurelstall_node/src/active.rs
+++ b/crates/laurelstall_node/src/active.rs
@@ -5,7 +5,7 @@
 use laurelstall_config::{
     configuration::{Checked, Configuration},
     document::{Document, DocumentName},
-    fleet::Fleet,
+    fleet::{Fleet, FleetTarget},
     problem::{Checker, ConfigError},
     system::SpreadLimits,
     team::Team,
@@ -41,6 +41,9 @@
 /// live have registered again by then.
 const LAPSE_GRACE: Duration = Duration::from_millis(2_000);
 
+/// Most targets that one log line names: a list may lack hundreds.
+const NAMES_LOGGED_MAX: usize = 8;
+
 /// Targets that are kept although the list lacks them.
 #[derive(Debug)]
 struct Lapsed {
@@ -116,8 +119,13 @@
         let Some(lapsed) = lapsed.as_mut() else { return listed };
         lapsed.listed = Arc::new(listed);
         let Some(kept) = lapsed.listed.with_lost_targets(before) else { return (*lapsed.listed).clone() };
-        let missing = kept.targets.len() - lapsed.listed.targets.len();
-        log::info!("{missing} targets are missing from the list after the platform was away: kept for now");
+        // The kept ones stand behind those that are listed.
+        let missing = &kept.targets[lapsed.listed.targets.len()..];
+        let count = missing.len();
+        let names = first_names(missing);
+        log::info!(
+            "{count} targets are missing from the list after the platform was away: kept for now: {names}"
+        );
         kept
     }
 
@@ -131,6 +139,12 @@
     }
 }
 
+/// The names of the first few targets, for a log line.
+fn first_names(targets: &[FleetTarget]) -> String {
+    let names = targets.iter().take(NAMES_LOGGED_MAX).map(|target| format!("'{}'", target.name));
+    names.collect::<Vec<_>>().join(", ")
+}
+
 /// Checks a document as a node does before it takes it, its program included.
 ///
 /// # Errors
--- a/crates/laurelstall_node/src/counters.rs
+++ b/crates/laurelstall_node/src/counters.rs
@@ -61,6 +61,8 @@
     guard_unknown,
     /// Requests that were sent to the own target.
     target_arrivals,
+    /// Requests that were sent to the own target after the guard began to drain: they had waited here.
+    late_starts,
     /// Answers of the own target that it has no room.
     target_sheds,
     /// Answers of the own target that it is another one than was named.
--- a/crates/laurelstall_node/src/target_guard.rs
+++ b/crates/laurelstall_node/src/target_guard.rs
@@ -175,7 +175,7 @@
     /// Puts the limits of the configuration in force.
     pub fn update(&self) {
         let in_force = self.inner.active.load();
-        self.follow_fleet(&in_force.configuration.fleet);
+        self.follow_fleet(&in_force);
         let own = self.inner.own_target(&in_force);
         self.note_own_target(own.map(|(_, target)| target.name.as_str()), &in_force);
         let Some((service, target)) = own else { return };
--- a/crates/laurelstall_node/src/target_guard/listing.rs
+++ b/crates/laurelstall_node/src/target_guard/listing.rs
@@ -2,10 +2,7 @@
 
 use super::TargetGuard;
 use crate::active::InForce;
-use laurelstall_config::{
-    document::DocumentName,
-    fleet::{Fleet, HostState},
-};
+use laurelstall_config::{document::DocumentName, fleet::HostState};
 use std::sync::{PoisonError, atomic::Ordering};
 
 /// The target beside a node, as it is listed.
@@ -29,11 +26,15 @@
 
 impl TargetGuard {
     /// Takes nothing new while the host leaves or its data centre is evacuated: entries may know it later.
-    pub(super) fn follow_fleet(&self, fleet: &Fleet) {
+    pub(super) fn follow_fleet(&self, in_force: &InForce) {
+        let fleet = &in_force.configuration.fleet;
         let host = fleet.host(&self.inner.host);
         let is_leaving = host.is_some_and(|host| host.state == HostState::Leaving);
         let is_evacuated = host.is_some_and(|host| fleet.is_evacuated(&host.data_centre));
-        self.inner.drains.leaving.store(is_leaving, Ordering::Relaxed);
+        if !self.inner.drains.leaving.swap(is_leaving, Ordering::Relaxed) && is_leaving {
+            let version = in_force.configuration.version(&DocumentName::Fleet);
+            log::info!("own host: leaving, by version {version} of the fleet");
+        }
         let was_evacuated = self.inner.drains.evacuated.swap(is_evacuated, Ordering::Relaxed);
         if was_evacuated != is_evacuated {
             let state = if is_evacuated { "evacuated" } else { "taken back" };
--- a/crates/laurelstall_node/src/target_guard/sending.rs
+++ b/crates/laurelstall_node/src/target_guard/sending.rs
@@ -124,6 +124,10 @@
         let _running = self.running.enter(self.dialect.request_id(&headers), facts);
         let deadline = self.clock.instant_of(deadline_us);
         let run = self.watch_run(digest);
+        if let Some(draining_us) = self.guard.draining_for_us() {
+            count(&self.counters.late_starts);
+            log::info!("own target: a call begins {} ms after the guard began to drain", draining_us / 1_000);
+        }
         permit.note_sent();
         let sent = timeout_at(deadline, client.send(request, may_repeat)).await;
         if !matches!(sent, Ok(Err(TargetError::NoConnection))) {
--- a/crates/laurelstall_peer/src/spread/platform_news.rs
+++ b/crates/laurelstall_peer/src/spread/platform_news.rs
@@ -57,7 +57,9 @@
     pub(super) fn note_platform_read(&self) {
         let now_us = self.clock.now_us();
         let was_failing = self.is_read_failing.swap(false, Ordering::Relaxed);
-        if was_failing && self.platform_read_age_ms() > OUTAGE_MIN_MS {
+        let unread_ms = self.platform_read_age_ms();
+        if was_failing && unread_ms > OUTAGE_MIN_MS {
+            log::info!("platform: back after {unread_ms} ms without a read that this node heard of");
             self.note_platform_return(now_us);
         }
         self.platform_read_us.store(now_us, Ordering::Relaxed);
@@ -71,7 +73,12 @@
             return;
         }
         self.platform_return_us.store(returned_us.max(1), Ordering::Relaxed);
-        if self.clock.now_us().saturating_sub(returned_us) < SAME_RETURN_MS * 1_000 {
+        let age_ms = self.clock.now_us().saturating_sub(returned_us) / 1_000;
+        let unread_ms = self.platform_read_age_ms();
+        log::info!(
+            "platform: it came back {age_ms} ms ago; the last read heard of here is {unread_ms} ms old"
+        );
+        if age_ms < SAME_RETURN_MS {
             self.acceptor.expect_lapsed();
         }
     }
