A node that was cut off alone is not believed that the platform was away

Callers' requests could reach a target for two seconds after it had left, as long as is allowed at all, and longer where nodes heard of the leaving late.

Cause: a node whose reads of the platform failed, and which heard of nobody's, takes that for an outage of the platform once it reads again. It cannot tell it from its own; it tells all others, and each of them kept for two seconds what its lists lacked from then on, though it had heard of reads all the while.

Ruled out: that readers which the platform refuses bring this about while others read (they hear of these reads).

Change: nodes keep, and tell with exchanges, since when they know of reads without a gap as long as an outage. Whoever knows of them since before the said outage does not believe it and does not pass it on; the one that said it stops when it hears so. Spans of two nodes join where they meet, so that nodes that hear late or seldom know as well.

--- a/crates/laurelstall_peer/src/lib.rs
+++ b/crates/laurelstall_peer/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod partners;
 pub mod platform;
 pub mod pool;
+pub mod read_span;
 pub mod server;
 pub mod spread;
 pub mod spread_state;
--- a/crates/laurelstall_peer/src/message.rs
+++ b/crates/laurelstall_peer/src/message.rs
@@ -172,6 +172,8 @@
     pub versions_hash: u64,
     /// Since a platform read that the node heard of, in ms.
     pub platform_read_age_ms: u64,
+    /// Since the first of the platform reads that the node heard of without an outage between them, in ms.
+    pub platform_reads_from_age_ms: u64,
     /// Since the platform came back after it was away, as far as the node heard, in ms; none when
     /// it never was.
     pub platform_return_age_ms: Option<u64>,
--- a/crates/laurelstall_peer/src/spread.rs
+++ b/crates/laurelstall_peer/src/spread.rs
@@ -11,6 +11,7 @@
     message::{Exchange, PeerAnswer},
     partners::{pick_far, pick_others, pick_partners},
     platform::{Listing, PlatformError, PlatformSource},
+    read_span::ReadSpan,
     spread_state::{PartnerState, SpreadCounts},
     store::{Acceptor, Offer, Store},
 };
@@ -114,8 +115,8 @@
     acceptor: Arc<dyn Acceptor>,
     view: Arc<dyn SpreadView>,
     store: Mutex<Store>,
-    /// The latest platform read this node heard of, its own or another's, in µs of its clock.
-    platform_read_us: AtomicU64,
+    /// The platform reads that this node heard of, its own and others'.
+    reads: Mutex<ReadSpan>,
     /// The documents held are at least as new as the platform's were then, in µs of this node's clock; 0 for never.
     in_step_us: AtomicU64,
     /// When the platform came back the last time, in µs of its clock; 0 for never.
@@ -164,7 +165,7 @@
             acceptor,
             view,
             store: Mutex::default(),
-            platform_read_us: AtomicU64::new(0),
+            reads: Mutex::default(),
             in_step_us: AtomicU64::new(0),
             platform_return_us: AtomicU64::new(0),
             is_read_failing: AtomicBool::new(false),
@@ -341,6 +342,7 @@
         Exchange {
             versions_hash: self.store().versions_hash(),
             platform_read_age_ms: self.platform_read_age_ms(),
+            platform_reads_from_age_ms: self.platform_reads_from_age_ms(),
             platform_return_age_ms: self.platform_return_age_ms(),
             crashes_hash: self.crashes.hash(),
             documents_age_ms: self.documents_age_ms(),
--- /dev/null
+++ b/crates/laurelstall_peer/tests/read_span.rs
@@ -0,0 +1,58 @@
+//! What reads that were heard of say about an outage of the platform.
+
+use laurelstall_peer::read_span::{OUTAGE_MIN_US, ReadSpan};
+
+const SECOND_US: u64 = 1_000_000;
+
+fn reads(times_s: impl IntoIterator<Item = u64>) -> ReadSpan {
+    let mut span = ReadSpan::default();
+    for time_s in times_s {
+        span.join(ReadSpan::new(time_s * SECOND_US));
+    }
+    span
+}
+
+#[test]
+fn reads_without_a_gap_deny_an_outage_among_them() {
+    let span = reads(1..=20);
+    assert!(span.denies_outage_before(20 * SECOND_US));
+    assert!(
+        span.denies_outage_before(22 * SECOND_US),
+        "the last one was in the time that is said to have been one"
+    );
+    assert!(!span.denies_outage_before(20 * SECOND_US + OUTAGE_MIN_US), "nothing is known of that time");
+    assert!(!span.denies_outage_before(3 * SECOND_US), "nothing is known of the time before the first read");
+}
+
+#[test]
+fn reads_after_an_outage_do_not_deny_it() {
+    let span = reads((1..=10).chain(15..=17));
+    assert_eq!(span, ReadSpan { first_us: 15 * SECOND_US, last_us: 17 * SECOND_US });
+    for returned_s in 15..=17 {
+        assert!(!span.denies_outage_before(returned_s * SECOND_US), "{returned_s}");
+    }
+}
+
+#[test]
+fn what_others_know_closes_a_gap_and_order_does_not_matter() {
+    let early = ReadSpan { first_us: SECOND_US, last_us: 6 * SECOND_US };
+    let middle = ReadSpan { first_us: 5 * SECOND_US, last_us: 12 * SECOND_US };
+    let late = ReadSpan::new(14 * SECOND_US);
+    let whole = ReadSpan { first_us: SECOND_US, last_us: 14 * SECOND_US };
+    for order in [[early, middle, late], [late, middle, early], [middle, late, early]] {
+        let mut span = ReadSpan::default();
+        order.into_iter().for_each(|other| span.join(other));
+        assert_eq!(span, whole);
+    }
+    let mut span = late;
+    span.join(early);
+    assert_eq!(span, late, "between them lies an outage, as far as is known");
+}
+
+#[test]
+fn a_node_that_heard_of_nothing_denies_nothing() {
+    assert!(!ReadSpan::default().denies_outage_before(20 * SECOND_US));
+    let mut span = ReadSpan::new(9 * SECOND_US);
+    span.join(ReadSpan::default());
+    assert_eq!(span, ReadSpan::new(9 * SECOND_US));
+}
--- a/crates/laurelstall_peer/tests/spreading.rs
+++ b/crates/laurelstall_peer/tests/spreading.rs
@@ -232,6 +232,7 @@
     let theirs = Exchange {
         versions_hash: 1,
         platform_read_age_ms: 700,
+        platform_reads_from_age_ms: 0,
         platform_return_age_ms: None,
         crashes_hash: 0,
         documents_age_ms: 0,
@@ -347,6 +348,7 @@
     let news = Exchange {
         versions_hash: 1,
         platform_read_age_ms: 0,
+        platform_reads_from_age_ms: 0,
         platform_return_age_ms: Some(50_000),
         crashes_hash: 0,
         documents_age_ms: 0,
@@ -370,6 +372,7 @@
     let reads = Exchange {
         versions_hash: 1,
         platform_read_age_ms: 900,
+        platform_reads_from_age_ms: 900,
         platform_return_age_ms: None,
         crashes_hash: 0,
         documents_age_ms: 0,
