Targets are kept until two seconds after the platform's return, not after hearing of it

Callers' requests could reach a target that had left for longer the later a node heard that the platform was back.

Cause: each node kept for two seconds from when it heard, and the word is passed on for three, so some kept until five seconds after the return; a target that leaves meanwhile may get requests for two.

Ruled out: that registrations need longer than two seconds after the return (a target that is missing then is to be taken as gone).

Change: the time is counted from the return, by the age that travels with the word; whoever hears of it later than that keeps nothing. The test that counts words of a return (spreading.rs) counts the ones young enough to matter, since the look at the age moved to whoever keeps.

Why it holds: no node keeps anything beyond two seconds after the return, however late it hears. Both new tests fail with the age left out.

--- a/crates/laurelstall_node/src/active.rs
+++ b/crates/laurelstall_node/src/active.rs
@@ -207,14 +207,15 @@
         observe_us(&self.delays, delay_us);
     }
 
-    fn expect_lapsed(&self) {
-        let now = Instant::now();
+    fn expect_lapsed(&self, returned_age_ms: u64) {
+        // Counted from the return itself: whoever hears of it late must not keep a target that has left for longer.
+        let left = LAPSE_GRACE.saturating_sub(Duration::from_millis(returned_age_ms));
         let mut lapsed = self.lapsed();
-        if lapsed.is_some() {
+        if left.is_zero() || lapsed.is_some() {
             return;
         }
         let listed = self.in_force.load().configuration.fleet.clone();
-        *lapsed = Some(Lapsed { listed, until: now + LAPSE_GRACE });
+        *lapsed = Some(Lapsed { listed, until: Instant::now() + left });
         // Whoever waits for the end of the time must look at it anew.
         self.changed.send_replace(self.in_force.load().generation);
     }
--- a/crates/laurelstall_node/tests/lapsed.rs
+++ b/crates/laurelstall_node/tests/lapsed.rs
@@ -39,7 +39,7 @@
 #[tokio::test(start_paused = true)]
 async fn what_is_missing_after_an_outage_stays_until_it_has_had_time_to_register_again() {
     let active = active_with(&list(1, &[("a", "h-a", "live"), ("b", "h-b", "live"), ("c", "h-c", "live")]));
-    active.expect_lapsed();
+    active.expect_lapsed(0);
     active.accept(&list(2, &[("a", "h-a", "live")])).expect("it is a list");
     assert_eq!(targets(&active), ["a", "b", "c"]);
     active.accept(&list(3, &[("a", "h-a", "live"), ("b", "h-b", "live")])).expect("it is a list");
@@ -57,7 +57,7 @@
 async fn what_was_leaving_or_has_a_successor_is_not_kept() {
     let active =
         active_with(&list(1, &[("a", "h-a", "leaving"), ("b", "h-b", "live"), ("c", "h-c", "live")]));
-    active.expect_lapsed();
+    active.expect_lapsed(0);
     active.accept(&list(2, &[("d", "h-b", "live")])).expect("it is a list");
     assert_eq!(targets(&active), ["c", "d"]);
 }
@@ -65,10 +65,32 @@
 #[tokio::test(start_paused = true)]
 async fn a_list_that_comes_when_their_time_is_over_is_not_taken_back() {
     let active = active_with(&list(1, &[("a", "h-a", "live"), ("b", "h-b", "live")]));
-    active.expect_lapsed();
+    active.expect_lapsed(0);
     active.accept(&list(2, &[("a", "h-a", "live")])).expect("it is a list");
     advance(Duration::from_millis(2_100)).await;
     active.accept(&list(3, &[("a", "h-a", "live"), ("c", "h-c", "live")])).expect("it is a list");
     assert!(timeout(A_MOMENT, active.drop_lapsed()).await.is_err(), "there is nothing left to drop");
     assert_eq!(targets(&active), ["a", "c"]);
 }
+
+// Whoever heard of the platform's return kept missing targets for two seconds from then on, and the word is passed on for
+// three. A target that left was so kept by some nodes for up to five seconds after the return, where two are allowed: in a
+// fleet of 295 hosts the first nodes wrote `kept for now` 0.1 s after a return, the last ones 2.0 s after it.
+#[tokio::test(start_paused = true)]
+async fn a_return_that_is_heard_of_late_keeps_targets_for_the_rest_of_the_time_only() {
+    let active = active_with(&list(1, &[("a", "h-a", "live"), ("b", "h-b", "live")]));
+    active.expect_lapsed(1_500);
+    active.accept(&list(2, &[("a", "h-a", "live")])).expect("it is a list");
+    assert_eq!(targets(&active), ["a", "b"]);
+    advance(Duration::from_millis(600)).await;
+    timeout(A_MOMENT, active.drop_lapsed()).await.expect("its time is over");
+    assert_eq!(targets(&active), ["a"]);
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_return_that_is_heard_of_after_its_time_keeps_nothing() {
+    let active = active_with(&list(1, &[("a", "h-a", "live"), ("b", "h-b", "live")]));
+    active.expect_lapsed(2_500);
+    active.accept(&list(2, &[("a", "h-a", "live")])).expect("it is a list");
+    assert_eq!(targets(&active), ["a"]);
+}
--- a/crates/laurelstall_peer/src/spread/platform_news.rs
+++ b/crates/laurelstall_peer/src/spread/platform_news.rs
@@ -94,9 +94,7 @@
         self.platform_return_us.store(returned_us.max(1), Ordering::Relaxed);
         let age_ms = self.age_ms(returned_us);
         log::info!("platform: it came back {age_ms} ms ago, as far as this node heard");
-        if self.clock.now_us().saturating_sub(returned_us) < SAME_RETURN_US {
-            self.acceptor.expect_lapsed();
-        }
+        self.acceptor.expect_lapsed(age_ms);
     }
 
     /// Since the platform came back, in ms; none when it never was away, or when this node has heard since that it was not.
--- a/crates/laurelstall_peer/src/store.rs
+++ b/crates/laurelstall_peer/src/store.rs
@@ -27,9 +27,9 @@
     /// All its faults; nothing has changed then.
     fn accept(&self, document: &Document) -> Result<(), ConfigError>;
 
-    /// Told when the platform is back after it was away so long that registrations may have run out
-    /// there: what is missing from its next lists may live all the same.
-    fn expect_lapsed(&self) {}
+    /// Told that the platform is back since `returned_age_ms`, after it was away so long that registrations may have
+    /// run out there: what is missing from its next lists may live all the same.
+    fn expect_lapsed(&self, _returned_age_ms: u64) {}
 
     /// Told how long after a node read it from the platform a document came in force here, in µs.
     fn note_delay(&self, _delay_us: u64) {}
--- a/crates/laurelstall_peer/tests/spreading.rs
+++ b/crates/laurelstall_peer/tests/spreading.rs
@@ -50,6 +50,9 @@
     }
 }
 
+/// Age of a return of the platform up to which registrations may have run out, in ms.
+const LAPSE_AGE_MAX_MS: u64 = 2_000;
+
 /// Takes every document, and counts how often registrations may have run out.
 #[derive(Debug, Default)]
 struct AcceptAll {
@@ -61,8 +64,9 @@
         Ok(())
     }
 
-    fn expect_lapsed(&self) {
-        self.lapses.fetch_add(1, Ordering::Relaxed);
+    fn expect_lapsed(&self, returned_age_ms: u64) {
+        let count = usize::from(returned_age_ms < LAPSE_AGE_MAX_MS);
+        self.lapses.fetch_add(count, Ordering::Relaxed);
     }
 }
 
--- a/crates/laurelstall_peer/tests/support/mesh.rs
+++ b/crates/laurelstall_peer/tests/support/mesh.rs
@@ -87,8 +87,6 @@
     fn accept(&self, _: &Document) -> Result<(), ConfigError> {
         Ok(())
     }
-
-    fn expect_lapsed(&self) {}
 }
 
 #[derive(Debug)]
