The node beside a target that leaves is told of the list that drops it

Callers' requests reached targets that had left without a word: the node beside such a target went on sending it its own callers' requests for up to two seconds, as long as is allowed, and longer when a partner it asked was lost.

Cause: versions are offered to the partners of a node, which are picked from the list in force. The list that drops a host takes its node out of everybody's partners, so the one node that must stop first was told by nobody, and heard of it by its own next exchange, 0.5 to 1.5 s later, and 0.3 s more for each partner that did not answer.

Change: whoever reads a list itself offers it to all nodes that it drops, others to those that were their partners before. One that does not answer is replaced by nobody: it may be gone with its host.

Why it holds: a node stops being told only after it was told of the list that lacks it, by several nodes at once.

--- a/crates/laurelstall_peer/src/spread.rs
+++ b/crates/laurelstall_peer/src/spread.rs
@@ -126,6 +126,8 @@
     changed: Mutex<HashMap<DocumentName, Change>>,
     /// When the versions held were read from the platform, by whichever node, in µs of this node's clock.
     read_us: Mutex<HashMap<DocumentName, u64>>,
+    /// Nodes whose hosts the list of hosts lacks since it changed last, which were not told so yet.
+    dropped: Mutex<HashSet<SocketAddr>>,
     has_changed: Notify,
     /// Nodes ahead of this one in the order of readers that cannot read.
     unable_readers: Mutex<HashSet<SocketAddr>>,
@@ -171,6 +173,7 @@
             is_read_failing: AtomicBool::new(false),
             changed: Mutex::default(),
             read_us: Mutex::default(),
+            dropped: Mutex::default(),
             has_changed: Notify::new(),
             unable_readers: Mutex::default(),
             role_changed: Notify::new(),
@@ -287,6 +290,7 @@
         let name = document.name.clone();
         let version = document.version;
         let held = self.store().version(&name);
+        let fleet_before = self.view.fleet();
         let offer = self.store().offer(document, &*self.acceptor);
         match offer {
             Offer::Taken => {
@@ -294,6 +298,9 @@
                 self.note_origin(&name, version, held, origin);
                 if !origin.is_stale {
                     let change = Change { version, is_read_here: origin.peer.is_none() };
+                    if name == DocumentName::Fleet {
+                        self.note_dropped(&fleet_before, change.is_read_here);
+                    }
                     self.changed.lock().unwrap_or_else(PoisonError::into_inner).insert(name, change);
                     self.has_changed.notify_one();
                 }
@@ -483,19 +490,23 @@
     }
 
     fn partners(&self) -> Vec<SocketAddr> {
-        self.partners_where(|_| true)
+        self.partners_where(&self.view.fleet(), |_| true)
     }
 
     /// The partners in the own data centre.
     fn near_partners(&self) -> Vec<SocketAddr> {
-        self.partners_where(|host| host.data_centre == self.options.data_centre)
+        self.near_partners_in(&self.view.fleet())
     }
 
-    fn partners_where(&self, is_wanted: impl Fn(&Host) -> bool) -> Vec<SocketAddr> {
-        let fleet = self.view.fleet();
+    /// The partners in the own data centre by some list of hosts.
+    fn near_partners_in(&self, fleet: &Fleet) -> Vec<SocketAddr> {
+        self.partners_where(fleet, |host| host.data_centre == self.options.data_centre)
+    }
+
+    fn partners_where(&self, fleet: &Fleet, is_wanted: impl Fn(&Host) -> bool) -> Vec<SocketAddr> {
         let count = self.view.spread().partners;
         let seed = self.partner_seed.load(Ordering::Relaxed);
-        let partners = pick_partners(&fleet, &self.options.host, &self.options.data_centre, count, seed);
+        let partners = pick_partners(fleet, &self.options.host, &self.options.data_centre, count, seed);
         partners.into_iter().filter(|host| is_wanted(host)).map(|host| host.node_address).collect()
     }
 }
--- a/crates/laurelstall_peer/src/spread/offering.rs
+++ b/crates/laurelstall_peer/src/spread/offering.rs
@@ -3,8 +3,12 @@
 use super::Spread;
 use crate::message::PeerRequest;
 use futures_util::stream::{FuturesUnordered, StreamExt};
-use laurelstall_config::document::{DocumentName, Version};
+use laurelstall_config::{
+    document::{DocumentName, Version},
+    fleet::Fleet,
+};
 use std::{
+    collections::HashSet,
     net::SocketAddr,
     sync::{Arc, PoisonError},
 };
@@ -37,21 +41,44 @@
             if changed.is_empty() {
                 continue;
             }
+            let dropped = std::mem::take(&mut *self.dropped.lock().unwrap_or_else(PoisonError::into_inner));
             let is_read_here = changed.values().any(|change| change.is_read_here);
             let versions =
                 changed.into_iter().map(|(name, change)| (name, change.version)).collect::<Vec<_>>();
             while rounds.try_join_next().is_some() {}
             let this = self.clone();
-            rounds.spawn(async move { this.offer(&versions, is_read_here).await });
+            rounds.spawn(async move { this.offer(&versions, is_read_here, dropped).await });
         }
     }
 
-    /// Offers to the partners, and to another node for each that does not answer.
+    /// Notes which nodes a new list of hosts lacks, so that they are told of it as well: nobody's partners any more, they
+    /// would hear last that the targets beside them have left, and let them be called until then.
+    ///
+    /// Whoever has read the list itself tells all of them, others those that were their partners.
+    pub(super) fn note_dropped(&self, before: &Fleet, is_read_here: bool) {
+        let fleet = self.view.fleet();
+        let listed = fleet.hosts.iter().map(|host| host.node_address).collect::<HashSet<_>>();
+        let told = match is_read_here {
+            true => before.hosts.iter().map(|host| host.node_address).collect(),
+            false => self.near_partners_in(before),
+        };
+        let is_dropped =
+            |address: &SocketAddr| !listed.contains(address) && *address != self.options.peer_address;
+        let mut dropped = self.dropped.lock().unwrap_or_else(PoisonError::into_inner);
+        dropped.extend(told.into_iter().filter(is_dropped));
+    }
+
+    /// Offers to nodes that were dropped and to the partners, and to another node for each of these that does not answer.
     ///
     /// Whoever has read the versions itself offers them to some nodes of other data centres too, whose readers may
     /// be lost; news that came from another node has gone there already. When every node told far partners of
     /// every version, this was most of what control sent between data centres.
-    async fn offer(&self, versions: &[(DocumentName, Version)], is_read_here: bool) {
+    async fn offer(
+        &self,
+        versions: &[(DocumentName, Version)],
+        is_read_here: bool,
+        dropped: HashSet<SocketAddr>,
+    ) {
         let mut partners = self.near_partners();
         if is_read_here {
             partners.extend(self.far_nodes(FAR_OFFERS));
@@ -59,12 +86,16 @@
         let mut substitutes =
             self.substitutes(&partners, partners.len() * SUBSTITUTES_PER_PARTNER).into_iter();
         let offer = |address| self.is_told(address, versions);
+        let dropped = dropped.into_iter().map(offer).collect::<FuturesUnordered<_>>();
         let mut offers = partners.into_iter().map(offer).collect::<FuturesUnordered<_>>();
-        while let Some(is_told) = offers.next().await {
-            if !is_told {
-                offers.extend(substitutes.next().map(offer));
+        let told = async {
+            while let Some(is_told) = offers.next().await {
+                if !is_told {
+                    offers.extend(substitutes.next().map(offer));
+                }
             }
-        }
+        };
+        tokio::join!(told, dropped.count());
     }
 
     /// Offers to one node; whether it answered soon.
