A guard looks once more before a call reaches its target

A call could reach a target that had left while the call waited.

Cause: the guard looked whether its target was still listed, and for how long it had been leaving, when the call got its slot. After that the target may be asked who it is, and the body of a call that may not be repeated waited for (0.5 s), and nothing looked again.

Ruled out: the way to the target itself, which is on the same host.

Change: the same look, whether the target is still listed here and has not been leaving for more than a second, stands last before the request is made. What is refused there has not run and goes elsewhere.

Why it holds: no wait is left between that look and the connection to the target.

Figures: in the test a call whose body came after the list had dropped its target was answered with 200 by that target before; now no request arrives.

--- a/crates/laurelstall_guard/src/guard.rs
+++ b/crates/laurelstall_guard/src/guard.rs
@@ -99,6 +99,11 @@
         (since_us != 0).then(|| self.clock.now_us().saturating_sub(since_us))
     }
 
+    /// Whether the target has been leaving for so long that nothing that waited may begin there.
+    pub fn is_past_drain(&self) -> bool {
+        self.draining_for_us().is_some_and(|draining_us| draining_us > DRAIN_START_MAX_US)
+    }
+
     /// Waits until nothing runs and nothing waits.
     pub async fn drained(&self) {
         loop {
@@ -356,19 +361,13 @@
             permit.release_uncounted();
             return Err(Refusal::new(RefusalReason::Deadline));
         }
-        if self.is_drain_old(permit.start_us()) {
+        if self.is_past_drain() {
             permit.release_uncounted();
             return Err(Refusal::new(RefusalReason::Draining));
         }
         Ok(permit)
     }
 
-    /// Whether the target has been leaving for so long that nothing that waited may begin there.
-    fn is_drain_old(&self, now_us: u64) -> bool {
-        let since_us = self.draining_since_us.load(Ordering::SeqCst);
-        since_us != 0 && now_us.saturating_sub(since_us) > DRAIN_START_MAX_US
-    }
-
     fn leave_queue(
         self: &Arc<Self>,
         mut waiting: Waiting,
--- a/crates/laurelstall_node/src/target_guard.rs
+++ b/crates/laurelstall_node/src/target_guard.rs
@@ -339,11 +339,15 @@
         self.settings.as_ref().is_some_and(|settings| settings.service == service)
     }
 
-    /// Whether the target that an attempt was meant for is still here by the configuration in force: what
-    /// is known from before a wait may be out of date.
-    fn is_still_named(&self, head: &AttemptHead) -> bool {
+    /// Why a call that waited may not begin any more: by the configuration in force, the target that it was meant for
+    /// is not here, or has been leaving for long.
+    fn left_for(&self, head: &AttemptHead) -> Option<RefusalReason> {
         let in_force = self.active.load();
-        self.own_target(&in_force).is_some_and(|(_, target)| self.is_named(target, head))
+        let is_named = self.own_target(&in_force).is_some_and(|(_, target)| self.is_named(target, head));
+        if !is_named {
+            return Some(RefusalReason::OtherTarget);
+        }
+        self.guard.is_past_drain().then_some(RefusalReason::Draining)
     }
 
     fn hint(&self) -> Hint {
@@ -415,11 +419,11 @@
         };
         let asked_us = self.clock.now_us();
         match self.guard.admit(ask).await {
-            Ok(permit) if !self.is_still_named(&run.head) => {
-                permit.release_uncounted();
-                refused(RefusalReason::OtherTarget, Some(run.body))
-            }
             Ok(permit) => {
+                if let Some(reason) = self.left_for(&run.head) {
+                    permit.release_uncounted();
+                    return refused(reason, Some(run.body));
+                }
                 // It may have ended other targets while it waited here.
                 if let Some(refusal) = self.held_back(run.head.digest) {
                     permit.release_uncounted();
--- a/crates/laurelstall_node/src/target_guard/sending.rs
+++ b/crates/laurelstall_node/src/target_guard/sending.rs
@@ -77,6 +77,11 @@
             },
             body => body,
         };
+        // It may have left while the call waited for its name and for the body.
+        if let Some(reason) = self.left_for(&head) {
+            permit.release_uncounted();
+            return refused(reason, Some(body));
+        }
         let request = target_request(settings, &head.method, &head.uri, headers.clone(), body);
         let Some(request) = request else {
             permit.release_uncounted();
