A restarted target that is slow to say who it is keeps its first word

Callers were refused by a host that had restarted with another instance of its target, while the platform was away, until the platform named it.

Cause: the guard asks the target who it is before its first call. Without an answer within 20 ms, as on a busy machine, that counted as a target that does not tell its name: it was called by the listed name, denied it, and what it said later was no first word any more.

Ruled out: pauses after failed connections to the restarted node (its own callers were refused by its own guard too: 66 calls at it, 3 arrivals, 3 denials); a lost list (both restarted nodes had it in force 7 ms after they started).

Change: no answer is no word; the target is asked again, once a second, or when it has denied its name.

Why it holds: only what the target answers, or a run, ends the time in which its first word counts.

A test with a target that does not answer fails without the change.

--- a/crates/laurelstall_guard/src/target_identity.rs
+++ b/crates/laurelstall_guard/src/target_identity.rs
@@ -13,6 +13,10 @@
 /// twenty requests a minute by all entries together.
 const PAUSE_DOUBLINGS_MAX: u32 = 5;
 
+/// How long an instance that did not answer is not asked for its first word again, in µs: each question holds up the
+/// calls that wait for its answer.
+const SILENCE_PAUSE_US: u64 = 1_000_000;
+
 /// How a call may be sent to the instance.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Claim {
@@ -58,6 +62,8 @@
     successor: Option<String>,
     /// Whether the instance has said or shown who it is since the start.
     has_spoken: bool,
+    /// Until when it is not asked for its first word, since it did not answer, in µs of the guard's clock.
+    silent_until_us: u64,
     /// Whether it ran requests under a name that it said is not its own.
     is_word_wrong: bool,
     doubt: Option<Doubt>,
@@ -75,6 +81,7 @@
             listed: String::new(),
             successor: None,
             has_spoken: false,
+            silent_until_us: 0,
             is_word_wrong: false,
             doubt: None,
         }
@@ -118,7 +125,8 @@
             return Claim::Refuse { wait_us };
         }
         let is_first = !self.has_spoken && !self.listed.is_empty() && now_us < self.first_word_until_us;
-        if can_ask && (is_first || self.doubt.is_some()) {
+        let is_first_asked = is_first && now_us >= self.silent_until_us;
+        if can_ask && (is_first_asked || self.doubt.is_some()) {
             return Claim::Ask;
         }
         self.send(now_us)
@@ -141,6 +149,11 @@
         }
     }
 
+    /// Notes that the instance was asked and did not answer: that is no word, and the next one is its first.
+    pub fn note_silence(&mut self, now_us: u64) {
+        self.silent_until_us = now_us + SILENCE_PAUSE_US;
+    }
+
     /// How the call that asked the instance may be sent, once its word was taken.
     pub fn claim_after_word(&mut self, now_us: u64) -> Claim {
         self.claim(false, now_us)
--- a/crates/laurelstall_guard/tests/target_identity.rs
+++ b/crates/laurelstall_guard/tests/target_identity.rs
@@ -191,3 +191,20 @@
     identity.note_denied("new", START_US);
     assert!(!identity.is_in_doubt());
 }
+
+#[test]
+fn an_instance_that_does_not_answer_has_its_first_word_yet_and_is_asked_once_a_second() {
+    let mut identity = started();
+    assert_eq!(identity.claim(true, START_US), Claim::Ask);
+    identity.note_silence(START_US);
+    assert_eq!(identity.claim_after_word(START_US), send_as("old"));
+    assert_eq!(identity.claim(true, START_US + 900_000), send_as("old"), "calls do not wait for it");
+    assert_eq!(identity.claim(true, START_US + 1_100_000), Claim::Ask);
+    identity.note_silence(START_US + 1_100_000);
+    identity.note_denied("old", START_US + 1_200_000);
+    assert_eq!(identity.claim(true, START_US + 1_200_000), Claim::Ask, "it is another one");
+    identity.note_word(Some("new"), START_US + 1_200_000);
+    assert_eq!(identity.claim_after_word(START_US + 1_200_000), send_as("new"));
+    identity.note_ran("new");
+    assert_eq!(identity.claim(true, LATE_US), send_as("new"));
+}
--- a/crates/laurelstall_node/src/pace_look.rs
+++ b/crates/laurelstall_node/src/pace_look.rs
@@ -38,6 +38,8 @@
 /// What a target told of itself.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct LookReport {
+    /// Whether it answered at all.
+    pub is_answered: bool,
     /// The name it gives itself.
     pub instance: Option<String>,
     /// How busy it is.
@@ -71,7 +73,7 @@
         }
         let instance = self.dialect.instance(&parts.headers).map(str::to_owned);
         let load = self.dialect.load(&parts.headers);
-        Ok(LookReport { instance, load, cold_ms: self.dialect.cold_ms(&parts.headers) })
+        Ok(LookReport { is_answered: true, instance, load, cold_ms: self.dialect.cold_ms(&parts.headers) })
     }
 
     fn request(self, path: &str) -> Option<Request<AnswerBody>> {
--- a/crates/laurelstall_node/src/target_guard/instance.rs
+++ b/crates/laurelstall_node/src/target_guard/instance.rs
@@ -73,7 +73,12 @@
         if let Some(cold_ms) = report.cold_ms {
             self.guard.note_cold(cold_ms, asked_us);
         }
-        self.note_word(report.instance.as_deref());
+        // A target that was too slow to answer has not said that it has no name.
+        if report.is_answered {
+            self.note_word(report.instance.as_deref());
+        } else {
+            self.identity().note_silence(self.clock.now_us());
+        }
         Ok(())
     }
 
