--- a/crates/laurelstall_node/tests/lapsed.rs
+++ b/crates/laurelstall_node/tests/lapsed.rs
@@ -75,7 +75,7 @@
 
 // Whoever heard of the platform's return kept missing targets for two seconds from then on, and the word is passed on for
 // three. A target that left was so kept by some nodes for up to five seconds after the return, where two are allowed: in a
-// fleet of 295 hosts the first nodes wrote `kept for now` 0.1 s after a return, the last ones 2.0 s after it.
+// fleet of 295 hosts the first nodes wrote `kept for now` 0.1 s after a return, the last ones 1.9 s after it.
 #[tokio::test(start_paused = true)]
 async fn a_return_that_is_heard_of_late_keeps_targets_for_the_rest_of_the_time_only() {
     let active = active_with(&list(1, &[("a", "h-a", "live"), ("b", "h-b", "live")]));
