--- a/crates/laurelstall_node/src/target_guard.rs
+++ b/crates/laurelstall_node/src/target_guard.rs
@@ -341,7 +341,7 @@
 
     /// Why a call that waited may not begin any more: by the configuration in force, the target that it was meant for
     /// is not here, or has been leaving for long.
-    fn left_for(&self, head: &AttemptHead) -> Option<RefusalReason> {
+    fn refusal_after_wait(&self, head: &AttemptHead) -> Option<RefusalReason> {
         let in_force = self.active.load();
         let is_named = self.own_target(&in_force).is_some_and(|(_, target)| self.is_named(target, head));
         if !is_named {
@@ -420,7 +420,7 @@
         let asked_us = self.clock.now_us();
         match self.guard.admit(ask).await {
             Ok(permit) => {
-                if let Some(reason) = self.left_for(&run.head) {
+                if let Some(reason) = self.refusal_after_wait(&run.head) {
                     permit.release_uncounted();
                     return refused(reason, Some(run.body));
                 }
--- a/crates/laurelstall_node/src/target_guard/sending.rs
+++ b/crates/laurelstall_node/src/target_guard/sending.rs
@@ -78,7 +78,7 @@
             body => body,
         };
         // It may have left while the call waited for its name and for the body.
-        if let Some(reason) = self.left_for(&head) {
+        if let Some(reason) = self.refusal_after_wait(&head) {
             permit.release_uncounted();
             return refused(reason, Some(body));
         }
