Reads from before a node's start are told on as they were

Callers could be refused for two seconds after a true outage of the platform in which nodes restarted: live targets were let go that had not registered again.

Cause: times of reads were kept as positive times of the node's own clock, so a read from before its start became its start, and was told on as read without an outage for ever; a node that heard so did not believe in the outage.

Ruled out: the age of the last read, which a node that has just started still counts as never heard of, as before.

Change: these times may be negative, and what never was is none instead of 0.

Why it holds: an age that a node hears is told on with the time since, whatever its own age is.

Found in reading the change through; not seen in a fleet.

--- a/crates/laurelstall_peer/src/spread.rs
+++ b/crates/laurelstall_peer/src/spread.rs
@@ -99,12 +99,12 @@
     acceptor: Arc<dyn Acceptor>,
     view: Arc<dyn SpreadView>,
     store: Mutex<Store>,
-    /// The platform reads that this node heard of, its own and others'.
-    reads: Mutex<ReadSpan>,
+    /// The platform reads that this node heard of, its own and others'; none before the first.
+    reads: Mutex<Option<ReadSpan>>,
     /// The documents held are at least as new as the platform's were then, in µs of this node's clock; 0 for never.
     in_step_us: AtomicU64,
-    /// When the platform came back the last time, in µs of its clock; 0 for never.
-    platform_return_us: AtomicU64,
+    /// When the platform came back the last time, in µs of its clock, negative before its start; none if it never was away.
+    platform_return_us: Mutex<Option<i64>>,
     /// Whether this node's last read failed.
     is_read_failing: AtomicBool,
     changed: Mutex<HashMap<DocumentName, Change>>,
@@ -153,7 +153,7 @@
             store: Mutex::default(),
             reads: Mutex::default(),
             in_step_us: AtomicU64::new(0),
-            platform_return_us: AtomicU64::new(0),
+            platform_return_us: Mutex::default(),
             is_read_failing: AtomicBool::new(false),
             changed: Mutex::default(),
             read_us: Mutex::default(),
--- a/crates/laurelstall_peer/tests/read_span.rs
+++ b/crates/laurelstall_peer/tests/read_span.rs
@@ -2,14 +2,11 @@
 
 use laurelstall_peer::read_span::{OUTAGE_MIN_US, ReadSpan};
 
-const SECOND_US: u64 = 1_000_000;
+const SECOND_US: i64 = 1_000_000;
 
-fn reads(times_s: impl IntoIterator<Item = u64>) -> ReadSpan {
-    let mut span = ReadSpan::default();
-    for time_s in times_s {
-        span.join(ReadSpan::new(time_s * SECOND_US));
-    }
-    span
+fn reads(times_s: impl IntoIterator<Item = i64>) -> ReadSpan {
+    let reads = times_s.into_iter().map(|time_s| ReadSpan::new(time_s * SECOND_US));
+    reads.reduce(ReadSpan::joined).expect("there are some")
 }
 
 #[test]
@@ -40,19 +37,14 @@
     let late = ReadSpan::new(14 * SECOND_US);
     let whole = ReadSpan { first_us: SECOND_US, last_us: 14 * SECOND_US };
     for order in [[early, middle, late], [late, middle, early], [middle, late, early]] {
-        let mut span = ReadSpan::default();
-        order.into_iter().for_each(|other| span.join(other));
-        assert_eq!(span, whole);
+        assert_eq!(order.into_iter().reduce(ReadSpan::joined), Some(whole));
     }
-    let mut span = late;
-    span.join(early);
-    assert_eq!(span, late, "between them lies an outage, as far as is known");
+    assert_eq!(late.joined(early), late, "between them lies an outage, as far as is known");
 }
 
 #[test]
-fn a_node_that_heard_of_nothing_denies_nothing() {
-    assert!(!ReadSpan::default().denies_outage_before(20 * SECOND_US));
-    let mut span = ReadSpan::new(9 * SECOND_US);
-    span.join(ReadSpan::default());
-    assert_eq!(span, ReadSpan::new(9 * SECOND_US));
+fn reads_from_before_the_start_of_a_node_count_like_others() {
+    let span = reads(-20..=2);
+    assert_eq!(span, ReadSpan { first_us: -20 * SECOND_US, last_us: 2 * SECOND_US });
+    assert!(span.denies_outage_before(SECOND_US) && !span.denies_outage_before(-20 * SECOND_US));
 }
--- a/crates/laurelstall_peer/tests/spreading.rs
+++ b/crates/laurelstall_peer/tests/spreading.rs
@@ -389,3 +389,23 @@
     node.answer_exchange(&back);
     assert_eq!(acceptor.lapses.load(Ordering::Relaxed), 0, "this node heard of reads all the while");
 }
+
+// A node that has just started hears of reads from before its start. It told them on as read without an outage for ever, and
+// so talked nodes that did not know it yet out of a true return of the platform.
+#[tokio::test(start_paused = true)]
+async fn a_node_that_has_just_started_tells_reads_from_before_its_start_as_they_were() {
+    let (fleet, platform) = (fleet(2), Arc::new(OneDocument::default()));
+    let node = node(&fleet, 0, &platform);
+    sleep(Duration::from_millis(500)).await;
+    let theirs = Exchange {
+        versions_hash: 1,
+        platform_read_age_ms: 100,
+        platform_reads_from_age_ms: 5_000,
+        platform_return_age_ms: None,
+        crashes_hash: 0,
+        documents_age_ms: 0,
+    };
+    let answer = node.answer_exchange(&theirs);
+    let PeerAnswer::Versions(ours, _) = answer else { panic!("it has nothing: {answer:?}") };
+    assert!((5_000..5_100).contains(&ours.platform_reads_from_age_ms), "{ours:?}");
+}
