The platform's era is part of a version, and a reader that meets another one reads all again

What callers saw: nothing yet by itself; a change that was written while the store came back could be missed by a reader for good, until the next one.

Cause: a revision stood for a version everywhere. A watch after revision N tells what came after N; where N was given out a second time, what stands under the second N and below is never told, and no 410 says so once the counter has passed N. A list of hosts from after the return had a lower version and lost against the one from before it, at all nodes.

Change: a version has an era before its number. The product's own platform counts its era in listings, for the list of hosts alone: authors number the other documents. Messages between nodes have version 6, and versions in logs and the administration API are texts.

Ruled out: an era for configurations too (an older one of the copy would go before the newest one that nodes hold).

--- a/crates/laurelstall_cli/tests/check.rs
+++ b/crates/laurelstall_cli/tests/check.rs
@@ -4,7 +4,7 @@
 use laurelstall_cli::check::{FileKind, check_text, decide, explain_route, kind_of};
 use laurelstall_config::{
     configuration::{Checked, Configuration},
-    document::{Document, DocumentName},
+    document::{Document, DocumentName, Version},
     team::Team,
 };
 use laurelstall_policy::plan::Plan;
@@ -27,9 +27,9 @@
         for (file, text) in &files {
             assert_eq!(check_text(file, text), Vec::new(), "{file}");
             let Some(FileKind::Document(name)) = kind_of(text) else { continue };
-            let document = Document { name: name.clone(), version: 1, text: text.clone() };
+            let document = Document { name: name.clone(), version: Version::new(1), text: text.clone() };
             let checked = Checked::from_document(&document).expect("it was checked");
-            configuration = configuration.with_document(&name, 1, checked);
+            configuration = configuration.with_document(&name, Version::new(1), checked);
         }
         assert_eq!(configuration.services().count(), 4, "{name}");
         for (service, plan) in configuration.services() {
--- a/crates/laurelstall_config/src/configuration.rs
+++ b/crates/laurelstall_config/src/configuration.rs
@@ -92,9 +92,9 @@
         next
     }
 
-    /// The version in force of a document; 0 when there is none.
+    /// The version in force of a document; [`Version::NONE`] when there is none.
     pub fn version(&self, name: &DocumentName) -> Version {
-        self.versions.get(name).copied().unwrap_or(0)
+        self.versions.get(name).copied().unwrap_or_default()
     }
 
     /// The host called `name`, found in a time that does not depend on the size of the fleet.
--- a/crates/laurelstall_config/src/document.rs
+++ b/crates/laurelstall_config/src/document.rs
@@ -12,7 +12,43 @@
 pub const DOCUMENTS_MAX: usize = 256;
 
 /// A document's version; it only grows.
-pub type Version = u64;
+///
+/// A platform that comes back from an older copy of itself gives its numbers out again, in the next era: a version of a
+/// later era is newer, whatever its number.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct Version {
+    /// How often the platform that counts the number had come back from an older copy; 0 for numbers that go on all the
+    /// same.
+    pub era: u64,
+    /// The number within the era.
+    pub number: u64,
+}
+
+impl Version {
+    /// No version: below all that are published.
+    pub const NONE: Self = Self { era: 0, number: 0 };
+    /// Above all versions that are published.
+    pub const MAX: Self = Self { era: u64::MAX, number: u64::MAX };
+
+    /// The version with this number where numbers never go back.
+    pub fn new(number: u64) -> Self {
+        Self { era: 0, number }
+    }
+
+    /// The version with this number in an era of the platform.
+    pub fn in_era(era: u64, number: u64) -> Self {
+        Self { era, number }
+    }
+}
+
+impl fmt::Display for Version {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self.era {
+            0 => write!(f, "{}", self.number),
+            era => write!(f, "{era}/{}", self.number),
+        }
+    }
+}
 
 /// Which document.
 #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
--- a/crates/laurelstall_config/tests/documents.rs
+++ b/crates/laurelstall_config/tests/documents.rs
@@ -2,7 +2,7 @@
 
 use laurelstall_config::{
     configuration::{Checked, Configuration},
-    document::{Document, DocumentName},
+    document::{Document, DocumentName, Version},
     fleet::Fleet,
     settings::Settings,
     system::SystemLimits,
@@ -26,7 +26,11 @@
 }
 
 fn team_document(team: &str, host: &str) -> Document {
-    Document { name: DocumentName::Team(team.to_owned()), version: 1, text: team_text(team, host) }
+    Document {
+        name: DocumentName::Team(team.to_owned()),
+        version: Version::new(1),
+        text: team_text(team, host),
+    }
 }
 
 #[test]
@@ -54,11 +58,11 @@
             )
         };
         let text = names.iter().map(host).collect::<String>();
-        Document { name: DocumentName::Fleet, version: 1, text }
+        Document { name: DocumentName::Fleet, version: Version::new(1), text }
     };
     let with = |configuration: &Configuration, names: &[&str]| {
         let checked = Checked::from_document(&list(names)).expect("it is right");
-        configuration.with_document(&DocumentName::Fleet, 1, checked)
+        configuration.with_document(&DocumentName::Fleet, Version::new(1), checked)
     };
     let first = with(&Configuration::default(), &["a-1", "a-2"]);
     assert_eq!(first.host("a-2").map(|host| host.name.as_str()), Some("a-2"));
@@ -113,7 +117,7 @@
         let mut configuration = Configuration::default();
         for document in documents {
             let checked = Checked::from_document(document).expect("each alone is right");
-            configuration = configuration.with_document(&document.name, 1, checked);
+            configuration = configuration.with_document(&document.name, Version::new(1), checked);
         }
         configuration
     };
--- a/crates/laurelstall_node/benches/decisions.rs
+++ b/crates/laurelstall_node/benches/decisions.rs
@@ -8,7 +8,7 @@
     service_balancer::{Choosing, ServiceBalancer},
     target_view::TargetView,
 };
-use laurelstall_config::{settings::DecisionFormat, team::ServiceLimits};
+use laurelstall_config::{document::Version, settings::DecisionFormat, team::ServiceLimits};
 use laurelstall_crash::request_digest::{RequestDigest, RequestHead};
 use laurelstall_guard::{
     clock::Clock,
@@ -103,14 +103,14 @@
         call: 1,
         request_id: String::new(),
         digest: String::new(),
-        fleet_version: 1,
+        fleet_version: Version::new(1),
         hint_age_us: Some(1),
         attempt: 1,
         importance: 0,
         is_return: false,
         left_us: 0,
         service: "team/service".to_owned(),
-        version: 1,
+        version: Version::new(1),
         target: "target-1".to_owned(),
         why: "least expected time".to_owned(),
         expected_us: 100,
--- a/crates/laurelstall_node/src/admin.rs
+++ b/crates/laurelstall_node/src/admin.rs
@@ -339,9 +339,9 @@
     fn config(&self) -> Value {
         let in_force = self.active.load();
         let versions = in_force.configuration.versions.iter();
-        let versions = versions.map(|(name, version)| (name.to_string(), (*version).into()));
+        let versions = versions.map(|(name, version)| (name.to_string(), version.to_string().into()));
         let store = self.spread.store();
-        let refused = store.refused().map(|(name, version)| (name.to_string(), version.into()));
+        let refused = store.refused().map(|(name, version)| (name.to_string(), version.to_string().into()));
         let conflicts = in_force.configuration.caller_host_conflicts();
         value!({
             "versions": serde_json::Map::from_iter(versions),
--- a/crates/laurelstall_node/src/decision_log.rs
+++ b/crates/laurelstall_node/src/decision_log.rs
@@ -8,7 +8,7 @@
     wall_clock::unix_ms,
 };
 use laurelstall_config::{document::Version, settings::DecisionFormat};
-use serde::Serialize;
+use serde::{Serialize, Serializer};
 use std::{
     collections::VecDeque,
     fmt,
@@ -51,8 +51,10 @@
     /// Full name of the service.
     pub service: String,
     /// Version of the team's document that was followed.
+    #[serde(serialize_with = "as_text")]
     pub version: Version,
     /// Version of the list of hosts that was chosen from.
+    #[serde(serialize_with = "as_text")]
     pub fleet_version: Version,
     /// The target chosen; empty when none was.
     pub target: String,
@@ -88,6 +90,10 @@
     }
 }
 
+fn as_text<S: Serializer>(version: &Version, serializer: S) -> Result<S::Ok, S::Error> {
+    serializer.collect_str(version)
+}
+
 /// How a call ended: what its caller was told.
 #[derive(Debug, Clone, Serialize)]
 pub struct CallEnd {
@@ -102,6 +108,7 @@
     /// Its path.
     pub path: String,
     /// Version of the team's document in force; 0 when there was none.
+    #[serde(serialize_with = "as_text")]
     pub version: Version,
     /// Status of the answer.
     pub status: u16,
--- a/crates/laurelstall_node/src/entry.rs
+++ b/crates/laurelstall_node/src/entry.rs
@@ -186,7 +186,7 @@
             method: asked.method.to_string(),
             host: asked.host,
             path: asked.path,
-            version: name.map_or(0, |name| configuration.version(&name)),
+            version: name.map(|name| configuration.version(&name)).unwrap_or_default(),
             status: status.as_u16(),
             outcome,
             reason: reason.to_owned(),
--- a/crates/laurelstall_node/tests/lapsed.rs
+++ b/crates/laurelstall_node/tests/lapsed.rs
@@ -9,7 +9,7 @@
 const A_MOMENT: Duration = Duration::from_millis(1);
 
 /// A list of targets, each with a host of its own: name of the target, host, state of the host.
-fn list(version: Version, targets: &[(&str, &str, &str)]) -> Document {
+fn list(number: u64, targets: &[(&str, &str, &str)]) -> Document {
     let mut text = String::new();
     for (number, (_, host, state)) in targets.iter().enumerate() {
         write!(text, "[[host]]\nname = \"{host}\"\nnode_address = \"127.0.0.1:{}\"\n", 7_000 + number)
@@ -20,7 +20,7 @@
         write!(text, "[[target]]\nservice = \"t/shop\"\nname = \"{name}\"\nhost = \"{host}\"\nslots = 4\n")
             .expect("a string takes it");
     }
-    Document { name: DocumentName::Fleet, version, text }
+    Document { name: DocumentName::Fleet, version: Version::new(number), text }
 }
 
 fn targets(active: &Active) -> Vec<String> {
--- a/crates/laurelstall_peer/examples/pack_cost.rs
+++ b/crates/laurelstall_peer/examples/pack_cost.rs
@@ -1,7 +1,7 @@
 //! What it costs a node to give a list of hosts, over sizes of the fleet and numbers of nodes that ask for it.
 
 use laurelstall_config::{
-    document::{Document, DocumentName},
+    document::{Document, DocumentName, Version},
     fleet::{Fleet, Host, HostState, host_name},
     problem::ConfigError,
 };
@@ -39,7 +39,7 @@
     };
     let fleet = Fleet { hosts: (0..hosts).map(host).collect(), ..Fleet::default() };
     let text = serde_json::to_string(&fleet).expect("it is a document");
-    Document { name: DocumentName::Fleet, version, text }
+    Document { name: DocumentName::Fleet, version: Version::new(version), text }
 }
 
 fn main() {
@@ -49,12 +49,12 @@
         let known_checksum = old.checksum();
         store.offer(old, &AcceptAll);
         store.offer(new, &AcceptAll);
-        for (what, known_version) in [("delta", 1), ("whole", 0)] {
+        for (what, known_version) in [("delta", Version::new(1)), ("whole", Version::NONE)] {
             let item = PullItem { name: DocumentName::Fleet, known_version, known_checksum };
             let times = (0..ASKERS).map(|_| {
                 let started = Instant::now();
                 let transfer = store.pack(&item).expect("it is newer");
-                assert_eq!(transfer.version, 2);
+                assert_eq!(transfer.version, Version::new(2));
                 started.elapsed()
             });
             println!("{hosts} hosts, {what}: {:.1?}", times.collect::<Vec<_>>());
--- a/crates/laurelstall_peer/src/frame.rs
+++ b/crates/laurelstall_peer/src/frame.rs
@@ -10,7 +10,7 @@
 ///
 /// A message of any other version, or with a field this version does not know, is refused and
 /// never guessed at.
-pub const MESSAGE_VERSION: u8 = 5;
+pub const MESSAGE_VERSION: u8 = 6;
 /// Longest head of an attempt or answer in bytes.
 pub const HEAD_BYTES_MAX: usize = 256 * 1024;
 /// Longest message with documents in bytes.
--- a/crates/laurelstall_peer/src/message.rs
+++ b/crates/laurelstall_peer/src/message.rs
@@ -133,7 +133,7 @@
 pub struct PullItem {
     /// Which document.
     pub name: DocumentName,
-    /// The version the asker has; 0 for none.
+    /// The version the asker has; [`Version::NONE`] for none.
     pub known_version: Version,
     /// Checksum of that version's text.
     pub known_checksum: u64,
--- a/crates/laurelstall_peer/src/platform.rs
+++ b/crates/laurelstall_peer/src/platform.rs
@@ -11,6 +11,9 @@
 /// What the platform has.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Listing {
+    /// How often the platform had come back from an older copy: its sequence and the versions that it counts itself
+    /// may have gone back each time.
+    pub era: u64,
     /// Grows with each change; a watch waits for one above the last seen.
     pub sequence: u64,
     /// The newest version of each document.
@@ -20,6 +23,8 @@
 /// What the platform had some seconds ago, as far as a stale read tells.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct StaleListing {
+    /// How often the platform had come back from an older copy.
+    pub era: u64,
     /// The version of each document.
     pub versions: Vec<(DocumentName, Version)>,
     /// Documents of these whose parts may be from different moments: no other node need have the same text
@@ -49,6 +54,9 @@
         async { Ok(None) }.boxed()
     }
 
+    /// Told of the latest era of the platform that another node has read in, for sources whose answers may not say it.
+    fn note_era(&self, _era: u64) {}
+
     /// Takes changed settings; a source that has none of them keeps what it was made with.
     fn set_settings(&self, _settings: &PlatformSettings) {}
 
--- a/crates/laurelstall_peer/src/spread.rs
+++ b/crates/laurelstall_peer/src/spread.rs
@@ -103,6 +103,8 @@
     reads: Mutex<Option<ReadSpan>>,
     /// The documents held are at least as new as the platform's were then, in µs of this node's clock; 0 for never.
     in_step_us: AtomicU64,
+    /// The latest era of the platform that was read here.
+    platform_era: AtomicU64,
     /// When the platform came back the last time, in µs of its clock, negative before its start; none if it never was away.
     platform_return_us: Mutex<Option<i64>>,
     /// Whether this node's last read failed.
@@ -153,6 +155,7 @@
             store: Mutex::default(),
             reads: Mutex::default(),
             in_step_us: AtomicU64::new(0),
+            platform_era: AtomicU64::new(0),
             platform_return_us: Mutex::default(),
             is_read_failing: AtomicBool::new(false),
             changed: Mutex::default(),
--- a/crates/laurelstall_peer/src/spread/platform_news.rs
+++ b/crates/laurelstall_peer/src/spread/platform_news.rs
@@ -5,6 +5,7 @@
     message::Exchange,
     read_span::{OUTAGE_MIN_US, ReadSpan},
 };
+use laurelstall_config::document::DocumentName;
 use std::sync::{MutexGuard, PoisonError, atomic::Ordering};
 
 /// Two returns of the platform that are noticed within so long are one, in µs.
@@ -37,6 +38,17 @@
         }
     }
 
+    /// How often the platform had come back from an older copy, as far as this node has read or holds documents.
+    pub fn platform_era(&self) -> u64 {
+        let held = self.store().version(&DocumentName::Fleet).era;
+        held.max(self.platform_era.load(Ordering::Relaxed))
+    }
+
+    /// Notes that this node read the platform in this era.
+    pub(super) fn note_platform_era(&self, era: u64) {
+        self.platform_era.fetch_max(era, Ordering::Relaxed);
+    }
+
     fn now_us(&self) -> i64 {
         self.clock.now_us() as i64
     }
--- a/crates/laurelstall_peer/src/spread/pulling.rs
+++ b/crates/laurelstall_peer/src/spread/pulling.rs
@@ -77,7 +77,11 @@
                 Err(error) => {
                     log::debug!("{} from {address}: {error}", transfer.name);
                     self.counts.deltas_failed.fetch_add(1, Ordering::Relaxed);
-                    again.push(PullItem { name: transfer.name, known_version: 0, known_checksum: 0 });
+                    again.push(PullItem {
+                        name: transfer.name,
+                        known_version: Version::NONE,
+                        known_checksum: 0,
+                    });
                 }
             }
         }
--- a/crates/laurelstall_peer/src/spread/reading.rs
+++ b/crates/laurelstall_peer/src/spread/reading.rs
@@ -99,6 +99,7 @@
         let Some(listing) = self.platform.read_stale().await? else { return Ok(false) };
         self.counts.platform_calls.fetch_add(1, Ordering::Relaxed);
         self.has_read_stale.store(true, Ordering::Relaxed);
+        self.note_platform_era(listing.era);
         for (name, _) in listing.versions {
             let document = self.platform.read(name.clone()).await?;
             if listing.mixed.contains(&name) {
@@ -124,7 +125,9 @@
     pub(super) async fn read_platform(&self, after: Option<u64>) -> Result<u64, PlatformError> {
         self.counts.platform_calls.fetch_add(1, Ordering::Relaxed);
         let asked_us = self.clock.now_us();
+        self.platform.note_era(self.platform_era());
         let listing: Listing = self.platform.watch(after).await?;
+        self.note_platform_era(listing.era);
         self.note_platform_read();
         let wanted = {
             let store = self.store();
--- a/crates/laurelstall_peer/src/store.rs
+++ b/crates/laurelstall_peer/src/store.rs
@@ -55,7 +55,7 @@
     current: Document,
     checksum: u64,
     older: VecDeque<Document>,
-    /// What was packed of the current version, by the version that its receivers had; 0 for the whole text.
+    /// What was packed of the current version, by the version that its receivers had; none for the whole text.
     packed: Vec<(Version, TransferText)>,
 }
 
@@ -73,7 +73,9 @@
     /// Offers a document, from wherever it came.
     pub fn offer(&mut self, document: Document, acceptor: &dyn Acceptor) -> Offer {
         let held = self.version(&document.name);
-        if document.version < held.max(self.mixed_version(&document.name)) || document.version == 0 {
+        if document.version < held.max(self.mixed_version(&document.name))
+            || document.version == Version::NONE
+        {
             return Offer::NotNewer;
         }
         if document.version == held {
@@ -109,12 +111,12 @@
     }
 
     fn mixed_version(&self, name: &DocumentName) -> Version {
-        self.mixed.get(name).copied().unwrap_or(0)
+        self.mixed.get(name).copied().unwrap_or_default()
     }
 
-    /// The version held; 0 for none.
+    /// The version held; [`Version::NONE`] for none.
     pub fn version(&self, name: &DocumentName) -> Version {
-        self.entries.get(name).map_or(0, |entry| entry.current.version)
+        self.entries.get(name).map(|entry| entry.current.version).unwrap_or_default()
     }
 
     /// The document held.
@@ -132,7 +134,8 @@
         let mut hash = Xxh3::new();
         for (name, entry) in &self.entries {
             hash.write(name.to_string().as_bytes());
-            hash.write_u64(entry.current.version);
+            hash.write_u64(entry.current.version.era);
+            hash.write_u64(entry.current.version.number);
             hash.write_u64(entry.checksum);
         }
         hash.finish()
@@ -151,7 +154,7 @@
 
     /// Whether `version` is worth fetching: newer than what is held and not refused before.
     pub fn wants(&self, name: &DocumentName, version: Version) -> bool {
-        let refused = self.refused.get(name).copied().unwrap_or(0);
+        let refused = self.refused.get(name).copied().unwrap_or_default();
         version > self.version(name) && version >= self.mixed_version(name) && version != refused
     }
 
@@ -163,7 +166,10 @@
 
     /// The versions held that are newer than `theirs`.
     pub fn ahead(&self, theirs: &[(DocumentName, Version)]) -> Vec<(DocumentName, Version)> {
-        let known = |name: &DocumentName| theirs.iter().find(|(n, _)| n == name).map_or(0, |(_, v)| *v);
+        let known = |name: &DocumentName| {
+            let found = theirs.iter().find(|(n, _)| n == name);
+            found.map(|(_, version)| *version).unwrap_or_default()
+        };
         self.versions().into_iter().filter(|(name, version)| *version > known(name)).collect()
     }
 
@@ -180,7 +186,7 @@
         let is_base =
             |old: &&Document| old.version == item.known_version && old.checksum() == item.known_checksum;
         let base = entry.older.iter().find(is_base);
-        let base_version = base.map_or(0, |base| base.version);
+        let base_version = base.map(|base| base.version).unwrap_or_default();
         let known = entry.packed.iter().find(|(version, _)| *version == base_version);
         let text = known.map(|(_, text)| text.clone()).unwrap_or_else(|| match base {
             Some(base) => TransferText::Delta(pack_delta(&base.text, &current.text)),
@@ -224,7 +230,7 @@
         let entry = self.entries.get(name);
         PullItem {
             name: name.clone(),
-            known_version: entry.map_or(0, |entry| entry.current.version),
+            known_version: entry.map(|entry| entry.current.version).unwrap_or_default(),
             known_checksum: entry.map_or(0, |entry| entry.checksum),
         }
     }
--- a/crates/laurelstall_peer/tests/dropped_hosts.rs
+++ b/crates/laurelstall_peer/tests/dropped_hosts.rs
@@ -88,10 +88,10 @@
     }
 
     /// A list of the first few hosts.
-    fn list(&self, version: Version, count: usize) -> Document {
+    fn list(&self, number: u64, count: usize) -> Document {
         let fleet = Fleet { hosts: self.hosts[..count].to_vec(), ..Fleet::default() };
         let text = serde_json::to_string(&fleet).expect("it is a list");
-        Document { name: DocumentName::Fleet, version, text }
+        Document { name: DocumentName::Fleet, version: Version::new(number), text }
     }
 
     /// Exchanges that a node began.
@@ -100,10 +100,10 @@
     }
 
     /// Whether a node holds this version of the list before long.
-    async fn gets(&self, number: usize, version: Version) -> bool {
+    async fn gets(&self, number: usize, version: u64) -> bool {
         let started = Instant::now();
         while started.elapsed() < LONGEST {
-            if self.nodes[number].store().version(&DocumentName::Fleet) >= version {
+            if self.nodes[number].store().version(&DocumentName::Fleet) >= Version::new(version) {
                 return true;
             }
             sleep(Duration::from_millis(10)).await;
--- a/crates/laurelstall_peer/tests/lost_nodes.rs
+++ b/crates/laurelstall_peer/tests/lost_nodes.rs
@@ -15,7 +15,10 @@
 
 mod support;
 
-use laurelstall_config::{document::DocumentName, system::SpreadLimits};
+use laurelstall_config::{
+    document::{DocumentName, Version},
+    system::SpreadLimits,
+};
 use laurelstall_peer::{message::Exchange, partners::hosts_ahead};
 use rand::{SeedableRng, rngs::SmallRng, seq::SliceRandom};
 use std::sync::atomic::Ordering;
@@ -48,7 +51,7 @@
     let (first, _) = &mesh.nodes[seed as usize % 13];
     let second = &mesh.nodes[(seed as usize + 1) % 13].1;
     // Whoever hears of version 2 asks for it, and then there is no answer.
-    let heard = [(DocumentName::System, 2)];
+    let heard = [(DocumentName::System, Version::new(2))];
     mesh.darkness.add(*first);
     for (_, spread) in mesh.nodes.iter().filter(|(address, _)| address != first) {
         let news = Exchange {
--- a/crates/laurelstall_peer/tests/messages.rs
+++ b/crates/laurelstall_peer/tests/messages.rs
@@ -1,7 +1,7 @@
 //! Messages: what they cost, and that nothing from outside is misread.
 
 use laurelstall_balance::hint::{HINT_BYTES, Hint, TargetState};
-use laurelstall_config::document::DocumentName;
+use laurelstall_config::document::{DocumentName, Version};
 use laurelstall_crash::{
     crash_record::{CrashNews, EndNews},
     request_digest::RequestDigest,
@@ -94,7 +94,11 @@
 
 #[test]
 fn a_right_message_with_any_byte_changed_is_read_without_a_panic() {
-    let item = PullItem { name: DocumentName::Team("a".to_owned()), known_version: 3, known_checksum: 4 };
+    let item = PullItem {
+        name: DocumentName::Team("a".to_owned()),
+        known_version: Version::new(3),
+        known_checksum: 4,
+    };
     let news = CrashNews {
         digest: RequestDigest { whole: 1, head: 2 },
         service: "t/s".to_owned(),
--- a/crates/laurelstall_peer/tests/spreading.rs
+++ b/crates/laurelstall_peer/tests/spreading.rs
@@ -2,7 +2,7 @@
 
 use futures_util::future::{BoxFuture, FutureExt, join_all};
 use laurelstall_config::{
-    document::{Document, DocumentName},
+    document::{Document, DocumentName, Version},
     fleet::{Fleet, Host, HostState},
     problem::ConfigError,
     system::SpreadLimits,
@@ -109,7 +109,7 @@
                 sleep(Duration::from_secs(30)).await;
                 self.check()?;
             }
-            Ok(Listing { sequence: 1, versions: vec![(DocumentName::System, 1)] })
+            Ok(Listing { era: 0, sequence: 1, versions: vec![(DocumentName::System, Version::new(1))] })
         }
         .boxed()
     }
@@ -121,8 +121,9 @@
             }
             self.check()?;
             self.stale_reads.fetch_add(1, Ordering::Relaxed);
-            let versions = vec![(DocumentName::System, 1), (DocumentName::Fleet, 1)];
-            Ok(Some(StaleListing { versions, mixed: vec![DocumentName::Fleet] }))
+            let versions =
+                vec![(DocumentName::System, Version::new(1)), (DocumentName::Fleet, Version::new(1))];
+            Ok(Some(StaleListing { era: 0, versions, mixed: vec![DocumentName::Fleet] }))
         }
         .boxed()
     }
@@ -130,7 +131,7 @@
     fn read(&self, name: DocumentName) -> BoxFuture<'_, Result<Document, PlatformError>> {
         async move {
             self.check()?;
-            Ok(Document { name, version: 1, text: "text".to_owned() })
+            Ok(Document { name, version: Version::new(1), text: "text".to_owned() })
         }
         .boxed()
     }
@@ -188,7 +189,7 @@
     let before = nodes.iter().map(|node| calls(node)).sum::<u64>();
     sleep(HOUR).await;
     let spent = nodes.iter().map(|node| calls(node)).sum::<u64>() - before;
-    assert!(nodes.iter().all(|node| node.store().version(&DocumentName::System) == 1));
+    assert!(nodes.iter().all(|node| node.store().version(&DocumentName::System) == Version::new(1)));
     // Two readers that try each 10 s or so, and 16 fallback reads a minute in the whole fleet.
     assert!(spent < 3_000, "{spent} calls in an hour");
     assert!(spent > 500, "{spent} calls: nobody looks for the platform any more");
@@ -257,7 +258,7 @@
         let started = Instant::now();
         node.join().await;
         assert!(started.elapsed() < Duration::from_millis(most_ms), "{:?}", started.elapsed());
-        assert_eq!(node.store().version(&DocumentName::System), 1);
+        assert_eq!(node.store().version(&DocumentName::System), Version::new(1));
     }
 }
 
@@ -286,7 +287,11 @@
     let nodes = (0..300).map(node).collect::<Vec<_>>();
     let started = Instant::now();
     join_all(nodes.iter().map(|node| node.join())).await;
-    assert!(nodes.iter().all(|node| node.is_joined() && node.store().version(&DocumentName::System) == 1));
+    assert!(
+        nodes
+            .iter()
+            .all(|node| node.is_joined() && node.store().version(&DocumentName::System) == Version::new(1))
+    );
     let plain = nodes.iter().map(|node| calls(node)).sum::<u64>();
     let stale = platform.stale_reads.load(Ordering::Relaxed);
     (plain - stale as u64, stale, started.elapsed().as_millis())
@@ -327,12 +332,12 @@
     let seeds = vec![([127, 0, 0, 1], 999).into()];
     let node = node_with(&fleet, 0, &platform, seeds, Arc::new(AllCut), Arc::default());
     node.join().await;
-    assert_eq!(node.store().versions(), [(DocumentName::System, 1)]);
+    assert_eq!(node.store().versions(), [(DocumentName::System, Version::new(1))]);
     // A whole document replaces it unless it is older.
     let whole = |version| Document { name: DocumentName::Fleet, version, text: format!("whole {version}") };
-    assert!(!node.take(whole(0)));
-    assert!(node.take(whole(1)), "the same version from a node that read it whole");
-    assert_eq!(node.store().version(&DocumentName::Fleet), 1);
+    assert!(!node.take(whole(Version::NONE)));
+    assert!(node.take(whole(Version::new(1))), "the same version from a node that read it whole");
+    assert_eq!(node.store().version(&DocumentName::Fleet), Version::new(1));
 }
 
 #[tokio::test(start_paused = true)]
--- a/crates/laurelstall_peer/tests/store.rs
+++ b/crates/laurelstall_peer/tests/store.rs
@@ -1,7 +1,7 @@
 //! Documents: only newer ones are taken, whole or not at all, whatever comes in whatever order.
 
 use laurelstall_config::{
-    document::{Document, DocumentName},
+    document::{Document, DocumentName, Version},
     problem::{Checker, ConfigError},
 };
 use laurelstall_peer::{
@@ -22,13 +22,13 @@
         let mut check = Checker::new("test", &document.text);
         check.ensure(document.text != "bad", "text", "is bad");
         check.finish()?;
-        self.taken.lock().expect("no panic").push(document.version);
+        self.taken.lock().expect("no panic").push(document.version.number);
         Ok(())
     }
 }
 
 fn document(version: u64, text: &str) -> Document {
-    Document { name: DocumentName::System, version, text: text.to_owned() }
+    Document { name: DocumentName::System, version: Version::new(version), text: text.to_owned() }
 }
 
 #[test]
@@ -46,9 +46,9 @@
     let (mut store, acceptor) = (Store::default(), Accepting::default());
     store.offer(document(1, "one"), &acceptor);
     assert!(matches!(store.offer(document(2, "bad"), &acceptor), Offer::Refused(_)));
-    assert_eq!(store.version(&DocumentName::System), 1);
-    assert!(!store.wants(&DocumentName::System, 2));
-    assert!(store.wants(&DocumentName::System, 3));
+    assert_eq!(store.version(&DocumentName::System), Version::new(1));
+    assert!(!store.wants(&DocumentName::System, Version::new(2)));
+    assert!(store.wants(&DocumentName::System, Version::new(3)));
     assert_eq!(store.refused().count(), 1);
     store.offer(document(3, "three"), &acceptor);
     assert_eq!(store.refused().count(), 0);
@@ -75,7 +75,7 @@
     let transfer = ahead.pack(&items[0]).expect("it is newer");
     let TransferText::Delta(packed) = &transfer.text else { panic!("the base is known") };
     assert!(packed.len() * 20 < long.len(), "{} bytes", packed.len());
-    assert_eq!(behind.unpack(&transfer).expect("the base fits").version, 2);
+    assert_eq!(behind.unpack(&transfer).expect("the base fits").version, Version::new(2));
     // Another node whose version 1 has another text: the checksum does not match.
     let mut other = Store::default();
     other.offer(document(1, &long.replace("document", "paragraph")), &acceptor);
@@ -110,7 +110,7 @@
     let acceptor = Accepting::default();
     let mut store = Store::default();
     store.offer(document(1, "some text that is long enough to be packed"), &acceptor);
-    let item = PullItem { name: DocumentName::System, known_version: 0, known_checksum: 0 };
+    let item = PullItem { name: DocumentName::System, known_version: Version::NONE, known_checksum: 0 };
     let whole = store.pack(&item).expect("it is newer");
     let empty = Store::default();
     bolero::check!().with_type::<(usize, u8, u32)>().with_iterations(3_000).for_each(|(at, byte, bytes)| {
@@ -140,7 +140,7 @@
             if is_good {
                 newest = newest.max(version);
             }
-            assert_eq!(store.version(&DocumentName::System), newest);
+            assert_eq!(store.version(&DocumentName::System), Version::new(newest));
         }
         let taken = acceptor.taken.lock().expect("no panic");
         assert!(taken.windows(2).all(|pair| pair[0] < pair[1]));
--- a/crates/laurelstall_peer/tests/support/mesh.rs
+++ b/crates/laurelstall_peer/tests/support/mesh.rs
@@ -4,7 +4,7 @@
 
 use futures_util::future::{BoxFuture, FutureExt, join_all};
 use laurelstall_config::{
-    document::{Document, DocumentName},
+    document::{Document, DocumentName, Version},
     fleet::{Fleet, Host, HostState},
     problem::ConfigError,
     system::SpreadLimits,
@@ -159,7 +159,7 @@
                 let _ = timeout(WATCH_WAIT, changed).await;
             }
             let sequence = self.check().await?;
-            Ok(Listing { sequence, versions: vec![(DocumentName::System, sequence)] })
+            Ok(Listing { era: 0, sequence, versions: vec![(DocumentName::System, Version::new(sequence))] })
         }
         .boxed()
     }
@@ -230,7 +230,8 @@
 }
 
 pub fn version(number: u64) -> Document {
-    Document { name: DocumentName::System, version: number, text: format!("version {number}") }
+    let text = format!("version {number}");
+    Document { name: DocumentName::System, version: Version::new(number), text }
 }
 
 impl Mesh {
@@ -278,7 +279,9 @@
     pub fn behind(&self, number: u64) -> usize {
         let lives = |(address, _): &&(SocketAddr, Arc<Spread>)| !self.darkness.is_dark(*address);
         let nodes = self.nodes.iter().filter(lives);
-        nodes.filter(|(_, spread)| spread.store().version(&DocumentName::System) < number).count()
+        nodes
+            .filter(|(_, spread)| spread.store().version(&DocumentName::System) < Version::new(number))
+            .count()
     }
 }
 
--- a/crates/laurelstall_standin/src/platform.rs
+++ b/crates/laurelstall_standin/src/platform.rs
@@ -10,7 +10,7 @@
     server::conn::auto::Builder,
 };
 use laurelstall_config::document::{Document, DocumentName, Version};
-use laurelstall_node::platform_http::{VERSION_HEADER, WireListing, WireValue};
+use laurelstall_node::platform_http::{ERA_HEADER, VERSION_HEADER, WireListing, WireValue, version_of};
 use laurelstall_peer::platform::{Listing, PlatformError, PlatformSource};
 use std::{
     collections::BTreeMap,
@@ -32,6 +32,8 @@
 
 #[derive(Debug, Clone, Default)]
 struct Values {
+    /// How often the platform came back from an older copy.
+    era: u64,
     sequence: u64,
     documents: BTreeMap<String, Document>,
 }
@@ -44,6 +46,8 @@
 #[derive(Debug)]
 pub struct StandinPlatform {
     values: Mutex<Values>,
+    /// The version that authors gave each document last: they count on, whatever the platform has lost.
+    authored: Mutex<BTreeMap<DocumentName, u64>>,
     /// What a stale platform shows instead.
     stale: Mutex<Option<Values>>,
     sequence: watch::Sender<u64>,
@@ -58,6 +62,7 @@
         let (sequence, _) = watch::channel(0);
         Arc::new(Self {
             values: Mutex::default(),
+            authored: Mutex::default(),
             stale: Mutex::default(),
             sequence,
             is_away: AtomicBool::new(false),
@@ -72,7 +77,8 @@
             let mut values = self.values();
             values.sequence += 1;
             let key = name.to_string();
-            let version = values.documents.get(&key).map_or(0, |document| document.version) + 1;
+            let held = values.documents.get(&key).map_or(0, |document| document.version.number);
+            let version = version_of(name, values.era, self.next_number(name, held));
             let document = Document { name: name.clone(), version, text: text.to_owned() };
             values.documents.insert(key, document);
             (version, values.sequence)
@@ -81,6 +87,30 @@
         version
     }
 
+    /// The number of a document's next version: the platform counts the list of hosts itself, from what it holds.
+    fn next_number(&self, name: &DocumentName, held: u64) -> u64 {
+        if *name == DocumentName::Fleet {
+            return held + 1;
+        }
+        let mut authored = self.authored.lock().unwrap_or_else(PoisonError::into_inner);
+        let number = authored.entry(name.clone()).or_default();
+        *number += 1;
+        *number
+    }
+
+    /// Comes back from an older copy, in the next era: what was published since is lost, and the sequence and the
+    /// versions of the list of hosts are given out again.
+    pub fn return_from(&self, copy: Snapshot) {
+        let sequence = copy.0.sequence;
+        {
+            let mut values = self.values();
+            let era = values.era + 1;
+            *values = Values { era, ..copy.0 };
+        }
+        // Watches that wait notice.
+        self.sequence.send_replace(sequence);
+    }
+
     /// The text published last.
     pub fn text(&self, name: &DocumentName) -> Option<String> {
         self.values().documents.get(&name.to_string()).map(|document| document.text.clone())
@@ -152,11 +182,12 @@
                 pair.and_then(|value| value.parse::<u64>().ok())
             };
             let wait_ms = number("wait_ms").unwrap_or(0).min(WAIT_MS_MAX);
-            return match self.list(number("after"), wait_ms).await {
+            return match self.list(number("after"), number("era"), wait_ms).await {
                 Ok(values) => {
                     let list = values.documents.values();
-                    let list = list.map(|d| WireValue { key: d.name.to_string(), version: d.version });
-                    let listing = WireListing { sequence: values.sequence, values: list.collect() };
+                    let list = list.map(|d| WireValue { key: d.name.to_string(), version: d.version.number });
+                    let listing =
+                        WireListing { era: values.era, sequence: values.sequence, values: list.collect() };
                     let text = serde_json::to_vec(&listing).unwrap_or_default();
                     Response::new(Full::new(text.into()))
                 }
@@ -167,7 +198,9 @@
         match self.read_key(key).await {
             Ok(Some(document)) => {
                 let mut response = Response::new(Full::new(document.text.into()));
-                response.headers_mut().insert(VERSION_HEADER, HeaderValue::from(document.version));
+                let headers = response.headers_mut();
+                headers.insert(VERSION_HEADER, HeaderValue::from(document.version.number));
+                headers.insert(ERA_HEADER, HeaderValue::from(document.version.era));
                 response
             }
             Ok(None) => status(StatusCode::NOT_FOUND),
@@ -175,11 +208,19 @@
         }
     }
 
-    async fn list(&self, after: Option<u64>, wait_ms: u64) -> Result<Values, PlatformError> {
+    /// What there is, once the sequence has passed `after` or the platform has come back since `era`.
+    async fn list(
+        &self,
+        after: Option<u64>,
+        era: Option<u64>,
+        wait_ms: u64,
+    ) -> Result<Values, PlatformError> {
         self.enter().await?;
         if let Some(after) = after {
             let mut sequence = self.sequence.subscribe();
-            let is_due = |sequence: &u64| *sequence > after || self.is_away.load(Ordering::Relaxed);
+            let has_returned = || era.is_some_and(|era| era != self.values().era);
+            let is_due =
+                |sequence: &u64| *sequence > after || has_returned() || self.is_away.load(Ordering::Relaxed);
             // A watch that ends without a change answers with what there is.
             let _ = timeout(Duration::from_millis(wait_ms), sequence.wait_for(is_due)).await;
             self.check_away()?;
@@ -224,12 +265,14 @@
     platform: Arc<StandinPlatform>,
     is_cut: Arc<AtomicBool>,
     watch_wait_ms: u64,
+    /// The era of the last listing.
+    era: AtomicU64,
 }
 
 impl PlatformWay {
     /// A way that is cut while `is_cut` is set.
     pub fn new(platform: Arc<StandinPlatform>, is_cut: Arc<AtomicBool>, watch_wait_ms: u64) -> Self {
-        Self { platform, is_cut, watch_wait_ms }
+        Self { platform, is_cut, watch_wait_ms, era: AtomicU64::new(0) }
     }
 
     fn check(&self) -> Result<(), PlatformError> {
@@ -244,10 +287,12 @@
     fn watch(&self, after: Option<u64>) -> BoxFuture<'_, Result<Listing, PlatformError>> {
         async move {
             self.check()?;
-            let values = self.platform.list(after, self.watch_wait_ms).await?;
+            let era = self.era.load(Ordering::Relaxed);
+            let values = self.platform.list(after, Some(era), self.watch_wait_ms).await?;
+            self.era.store(values.era, Ordering::Relaxed);
             self.check()?;
             let versions = values.documents.into_values().map(|d| (d.name, d.version)).collect();
-            Ok(Listing { sequence: values.sequence, versions })
+            Ok(Listing { era: values.era, sequence: values.sequence, versions })
         }
         .boxed()
     }
--- a/crates/laurelstall_standin/tests/whole_path.rs
+++ b/crates/laurelstall_standin/tests/whole_path.rs
@@ -4,7 +4,10 @@
 
 use bytes::Bytes;
 use http::{Method, StatusCode};
-use laurelstall_config::{document::DocumentName, fleet::HostState};
+use laurelstall_config::{
+    document::{DocumentName, Version},
+    fleet::HostState,
+};
 use laurelstall_standin::harness::{Harness, TEAM};
 use support::{ask, entry, plan, start};
 use tokio::time::{Duration, sleep, timeout};
@@ -221,10 +224,9 @@
     harness.set_host_state("market-board-1-host", HostState::Leaving);
     let nodes = harness.nodes();
     let is_known = async {
-        while !nodes
-            .iter()
-            .all(|(_, node)| node.active.load().configuration.version(&DocumentName::Fleet) == 2)
-        {
+        while !nodes.iter().all(|(_, node)| {
+            node.active.load().configuration.version(&DocumentName::Fleet) == Version::new(2)
+        }) {
             sleep(Duration::from_millis(5)).await;
         }
         while !nodes[0].1.guard.guard().is_draining() {
