What targets and operators said before a return of the platform corrects the copy's list

Cause: the list of hosts was taken as it stood in the copy, at entries and at the guard beside the target. The class: the store's word was taken for all that was said, though it can forget what it acknowledged.

When a list of a later era comes, that corrects it: who had said that it leaves does so still, who was gone is gone, hosts that the copy lacks stay for two seconds, evacuations stay as they were said last; what is written anew in the era counts at once, and after 30 s the list holds as it is published. The documents themselves stay what the store says, so all readers publish one text. Exchanges compare a hash of what is carried, so nodes that start after the return, or were cut off before it, get it from others.

Weighed: correcting in the readers (two readers with other memories would publish two texts under one version).

Ruled out: a new version of the list by the reader for each correction (its text would depend on time).

--- a/crates/laurelstall_config/src/configuration.rs
+++ b/crates/laurelstall_config/src/configuration.rs
@@ -17,7 +17,7 @@
 #[derive(Debug, Clone)]
 pub enum Checked {
     /// The hosts.
-    Fleet(Fleet),
+    Fleet(Arc<Fleet>),
     /// The system's limits.
     System(SystemLimits),
     /// One team.
@@ -34,7 +34,7 @@
         let file = document.name.to_string();
         let text = &document.text;
         match &document.name {
-            DocumentName::Fleet => Fleet::from_text(&file, text).map(Self::Fleet),
+            DocumentName::Fleet => Fleet::from_text(&file, text).map(|fleet| Self::Fleet(Arc::new(fleet))),
             DocumentName::System => SystemLimits::from_text(&file, text).map(Self::System),
             DocumentName::Team(name) => {
                 let team = Team::from_text(&file, text)?;
@@ -77,7 +77,7 @@
             Checked::Fleet(fleet) => {
                 let places = fleet.hosts.iter().enumerate().map(|(place, host)| (host.name.clone(), place));
                 next.host_places = Arc::new(places.collect());
-                next.fleet = Arc::new(fleet);
+                next.fleet = fleet;
                 next.index_services();
             }
             Checked::System(system) => next.system = Arc::new(system),
--- a/crates/laurelstall_node/src/active.rs
+++ b/crates/laurelstall_node/src/active.rs
@@ -10,14 +10,22 @@
     system::SpreadLimits,
     team::Team,
 };
-use laurelstall_peer::{spread::SpreadView, store::Acceptor};
+use laurelstall_peer::{
+    carried_news::CarriedNews,
+    recent_fleet::{REGISTER_GRACE, RecentFleet},
+    spread::SpreadView,
+    store::Acceptor,
+};
 use laurelstall_policy::program::{Program, ProgramError};
 use laurelstall_workspace::key_directory::KeyDirectory;
 use prometheus_client::metrics::histogram::Histogram;
 use std::{
     collections::BTreeMap,
     future::pending,
-    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    sync::{
+        Arc, Mutex, MutexGuard, PoisonError,
+        atomic::{AtomicU64, Ordering},
+    },
 };
 use tokio::{
     sync::watch,
@@ -37,28 +45,20 @@
     pub generation: u64,
 }
 
-/// How long targets that are missing from the list are kept after the platform was away: those that
-/// live have registered again by then.
-const LAPSE_GRACE: Duration = Duration::from_millis(2_000);
-
 /// Most targets that one log line names: a list may lack hundreds.
 const NAMES_LOGGED_MAX: usize = 8;
 
-/// Targets that are kept although the list lacks them.
-#[derive(Debug)]
-struct Lapsed {
-    /// The fleet as it was listed last.
-    listed: Arc<Fleet>,
-    /// Until when.
-    until: Instant,
-}
-
 /// Holds the configuration in force and takes new documents into it.
 #[derive(Debug)]
 pub struct Active {
     in_force: ArcSwap<InForce>,
     changed: watch::Sender<u64>,
-    lapsed: Mutex<Option<Lapsed>>,
+    /// Until when targets are kept although the list lacks them, after the platform was away.
+    keeps_until: Mutex<Option<Instant>>,
+    /// The list of hosts as it was published, and what was said before the platform came back from an older copy.
+    recent: Mutex<RecentFleet>,
+    /// Times that the platform came back from an older copy, as far as its lists tell.
+    pub returns: AtomicU64,
     /// How long after a node read it from the platform each version came in force here.
     pub delays: Histogram,
 }
@@ -70,7 +70,9 @@
         Arc::new(Self {
             in_force: ArcSwap::default(),
             changed,
-            lapsed: Mutex::default(),
+            keeps_until: Mutex::default(),
+            recent: Mutex::default(),
+            returns: AtomicU64::new(0),
             delays: latency_histogram(),
         })
     }
@@ -80,21 +82,31 @@
         self.in_force.load_full()
     }
 
-    /// Waits until targets that are kept have had their time, and lets those go that are missing
-    /// still; for ever when none is kept.
-    pub async fn drop_lapsed(&self) {
-        let until = self.lapsed().as_ref().map(|lapsed| lapsed.until);
-        let Some(until) = until else { return pending().await };
-        sleep_until(until).await;
-        let Some(lapsed) = self.lapsed().take() else { return };
+    /// Waits until the list in force changes though none is taken, since hosts that are kept have had their time, or what
+    /// was carried over a return of the platform has; for ever when there is nothing of the kind.
+    pub async fn follow_time(&self) {
+        let kept_end = *self.keeps_until();
+        let carried_end = self.recent().next_change(Instant::now());
+        let Some(next) = kept_end.into_iter().chain(carried_end).min() else { return pending().await };
+        sleep_until(next).await;
+        self.refresh_fleet();
+    }
+
+    /// Puts the list in force that holds now, if it is another one.
+    fn refresh_fleet(&self) {
         let old = self.in_force.load_full();
-        let missing = old.configuration.fleet.targets.len().saturating_sub(lapsed.listed.targets.len());
-        if missing == 0 {
+        let before = &old.configuration.fleet;
+        let listed = self.recent().fleet(Instant::now());
+        let fleet = self.with_lapsed(listed, before);
+        if fleet == *before {
             return;
         }
-        log::info!("{missing} targets are still missing from the list: they are gone");
+        let missing = before.targets.len().saturating_sub(fleet.targets.len());
+        if missing > 0 {
+            log::info!("{missing} targets are still missing from the list: they are gone");
+        }
         let version = old.configuration.version(&DocumentName::Fleet);
-        let checked = Checked::Fleet((*lapsed.listed).clone());
+        let checked = Checked::Fleet(fleet);
         let configuration = old.configuration.with_document(&DocumentName::Fleet, version, checked);
         self.put_in_force(InForce {
             configuration,
@@ -110,27 +122,49 @@
         self.changed.send_replace(generation);
     }
 
-    /// The fleet to put in force for a listed one: with what it lacks, while registrations may have
-    /// run out.
-    fn with_lapsed(&self, listed: Fleet, before: &Fleet) -> Fleet {
-        let mut lapsed = self.lapsed();
+    /// The list to put in force for one of the platform's: as far as it does not know better what was said before the
+    /// platform came back from an older copy, and with what it lacks while registrations may have run out.
+    fn corrected(&self, listed: Arc<Fleet>, era: u64, before: &Fleet) -> Arc<Fleet> {
+        let now = Instant::now();
+        let mut recent = self.recent();
+        let has_returned = recent.take(listed, era, before, now);
+        let corrected = recent.fleet(now);
+        drop(recent);
+        if has_returned {
+            self.returns.fetch_add(1, Ordering::Relaxed);
+            log::warn!(
+                "the platform came back from an older copy: its list of hosts is corrected, era {era}"
+            );
+        }
+        self.with_lapsed(corrected, before)
+    }
+
+    /// A list with the targets that it lacks, while registrations may have run out.
+    fn with_lapsed(&self, listed: Arc<Fleet>, before: &Fleet) -> Arc<Fleet> {
+        let mut keeps_until = self.keeps_until();
         // A list that comes when their time is over is taken as it is.
-        lapsed.take_if(|lapsed| Instant::now() >= lapsed.until);
-        let Some(lapsed) = lapsed.as_mut() else { return listed };
-        lapsed.listed = Arc::new(listed);
-        let Some(kept) = lapsed.listed.with_lost_targets(before) else { return (*lapsed.listed).clone() };
+        keeps_until.take_if(|until| Instant::now() >= *until);
+        if keeps_until.is_none() {
+            return listed;
+        }
+        drop(keeps_until);
+        let Some(kept) = listed.with_lost_targets(before) else { return listed };
         // The kept ones stand behind those that are listed.
-        let missing = &kept.targets[lapsed.listed.targets.len()..];
+        let missing = &kept.targets[listed.targets.len()..];
         let count = missing.len();
         let names = first_names(missing);
         log::info!(
             "{count} targets are missing from the list after the platform was away: kept for now: {names}"
         );
-        kept
+        Arc::new(kept)
     }
 
-    fn lapsed(&self) -> MutexGuard<'_, Option<Lapsed>> {
-        self.lapsed.lock().unwrap_or_else(PoisonError::into_inner)
+    fn keeps_until(&self) -> MutexGuard<'_, Option<Instant>> {
+        self.keeps_until.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn recent(&self) -> MutexGuard<'_, RecentFleet> {
+        self.recent.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
     /// Tells of each change, by generation.
@@ -184,7 +218,10 @@
         let (checked, program) = check_document(document)?;
         let old = self.in_force.load_full();
         let checked = match checked {
-            Checked::Fleet(listed) => Checked::Fleet(self.with_lapsed(listed, &old.configuration.fleet)),
+            Checked::Fleet(listed) => {
+                let before = &old.configuration.fleet;
+                Checked::Fleet(self.corrected(listed, document.version.era, before))
+            }
             other => other,
         };
         let configuration = old.configuration.with_document(&document.name, document.version, checked);
@@ -203,19 +240,36 @@
         Ok(())
     }
 
+    fn carried_hash(&self) -> u64 {
+        self.recent().hash(Instant::now())
+    }
+
+    fn carried(&self) -> Option<CarriedNews> {
+        self.recent().news(Instant::now())
+    }
+
+    fn take_carried(&self, news: &CarriedNews) {
+        if self.recent().take_news(news, Instant::now()) {
+            log::info!("the list of hosts is corrected by what another node carries, era {}", news.era);
+        }
+        self.refresh_fleet();
+        // Whoever waits for the end of the time must look at it anew.
+        self.changed.send_replace(self.in_force.load().generation);
+    }
+
     fn note_delay(&self, delay_us: u64) {
         observe_us(&self.delays, delay_us);
     }
 
     fn expect_lapsed(&self, returned_age_ms: u64) {
         // Counted from the return itself: whoever hears of it late must not keep a target that has left for longer.
-        let left = LAPSE_GRACE.saturating_sub(Duration::from_millis(returned_age_ms));
-        let mut lapsed = self.lapsed();
-        if left.is_zero() || lapsed.is_some() {
+        let left = REGISTER_GRACE.saturating_sub(Duration::from_millis(returned_age_ms));
+        let mut keeps_until = self.keeps_until();
+        if left.is_zero() || keeps_until.is_some() {
             return;
         }
-        let listed = self.in_force.load().configuration.fleet.clone();
-        *lapsed = Some(Lapsed { listed, until: Instant::now() + left });
+        *keeps_until = Some(Instant::now() + left);
+        drop(keeps_until);
         // Whoever waits for the end of the time must look at it anew.
         self.changed.send_replace(self.in_force.load().generation);
     }
--- a/crates/laurelstall_node/src/background.rs
+++ b/crates/laurelstall_node/src/background.rs
@@ -37,7 +37,7 @@
         quotas.follow_fleet();
         tokio::select! {
             changed = changes.changed() => if changed.is_err() { return },
-            () = active.drop_lapsed() => {}
+            () = active.follow_time() => {}
         }
     }
 }
--- a/crates/laurelstall_node/src/node.rs
+++ b/crates/laurelstall_node/src/node.rs
@@ -214,6 +214,7 @@
                 PeerRequest::TakeTokens(key, wanted) => self.quotas.answer_take(&key, wanted),
                 PeerRequest::ReturnTokens(key, tokens) => self.quotas.answer_return(&key, tokens),
                 PeerRequest::CompareCrashes(news) => self.spread.answer_crashes(&news),
+                PeerRequest::CompareCarried(news) => self.spread.answer_carried(news.as_ref()),
                 PeerRequest::Attempt(_) => PeerAnswer::Refused(Refusal::new(RefusalReason::Unreadable)),
             }
         }
--- a/crates/laurelstall_node/tests/lapsed.rs
+++ b/crates/laurelstall_node/tests/lapsed.rs
@@ -44,10 +44,10 @@
     assert_eq!(targets(&active), ["a", "b", "c"]);
     active.accept(&list(3, &[("a", "h-a", "live"), ("b", "h-b", "live")])).expect("it is a list");
     advance(Duration::from_millis(1_900)).await;
-    assert!(timeout(A_MOMENT, active.drop_lapsed()).await.is_err(), "its time is not over");
+    assert!(timeout(A_MOMENT, active.follow_time()).await.is_err(), "its time is not over");
     assert_eq!(targets(&active), ["a", "b", "c"]);
     advance(Duration::from_millis(200)).await;
-    timeout(A_MOMENT, active.drop_lapsed()).await.expect("its time is over");
+    timeout(A_MOMENT, active.follow_time()).await.expect("its time is over");
     assert_eq!(targets(&active), ["a", "b"], "what is missing still is gone");
     active.accept(&list(4, &[("a", "h-a", "live")])).expect("it is a list");
     assert_eq!(targets(&active), ["a"], "what is taken from the list later goes at once");
@@ -69,7 +69,7 @@
     active.accept(&list(2, &[("a", "h-a", "live")])).expect("it is a list");
     advance(Duration::from_millis(2_100)).await;
     active.accept(&list(3, &[("a", "h-a", "live"), ("c", "h-c", "live")])).expect("it is a list");
-    assert!(timeout(A_MOMENT, active.drop_lapsed()).await.is_err(), "there is nothing left to drop");
+    assert!(timeout(A_MOMENT, active.follow_time()).await.is_err(), "there is nothing left to drop");
     assert_eq!(targets(&active), ["a", "c"]);
 }
 
@@ -83,7 +83,7 @@
     active.accept(&list(2, &[("a", "h-a", "live")])).expect("it is a list");
     assert_eq!(targets(&active), ["a", "b"]);
     advance(Duration::from_millis(600)).await;
-    timeout(A_MOMENT, active.drop_lapsed()).await.expect("its time is over");
+    timeout(A_MOMENT, active.follow_time()).await.expect("its time is over");
     assert_eq!(targets(&active), ["a"]);
 }
 
--- a/crates/laurelstall_peer/src/lib.rs
+++ b/crates/laurelstall_peer/src/lib.rs
@@ -3,6 +3,7 @@
 
 pub mod attempt;
 pub mod body;
+pub mod carried_news;
 pub mod client;
 pub mod crash_registry;
 pub mod delta;
@@ -15,6 +16,7 @@
 pub mod platform;
 pub mod pool;
 pub mod read_span;
+pub mod recent_fleet;
 pub mod server;
 pub mod spread;
 pub mod spread_state;
--- a/crates/laurelstall_peer/src/message.rs
+++ b/crates/laurelstall_peer/src/message.rs
@@ -1,5 +1,6 @@
 //! The messages between nodes.
 
+use crate::carried_news::CarriedNews;
 use laurelstall_balance::hint::{Hint, TargetState};
 use laurelstall_config::document::{DocumentName, Version};
 use laurelstall_crash::{crash_record::CrashNews, request_digest::RequestDigest};
@@ -179,6 +180,8 @@
     pub platform_return_age_ms: Option<u64>,
     /// Hash of what is known of requests that ended targets.
     pub crashes_hash: u64,
+    /// Hash of what is carried over the last return of the platform; 0 for nothing.
+    pub carried_hash: u64,
     /// The documents held are at least as new as the platform's were so long ago, in ms.
     pub documents_age_ms: u64,
 }
@@ -204,6 +207,8 @@
     CrashNews(Vec<CrashNews>),
     /// The sender knows this of requests that ended targets, and nothing else: say what you know besides.
     CompareCrashes(Vec<CrashNews>),
+    /// The sender carries this over the last return of the platform: say what you do.
+    CompareCarried(Option<CarriedNews>),
     /// Give so many tokens of a share that you own.
     TakeTokens(ShareKey, u32),
     /// The calls of so many tokens did not run.
@@ -269,6 +274,8 @@
     CanRead(bool),
     /// What is known here of requests that ended targets.
     Crashes(Vec<CrashNews>),
+    /// What is carried here over the last return of the platform.
+    Carried(Option<CarriedNews>),
     /// Tokens; none when another node may own the share.
     Tokens(Option<Grant>),
     /// Not done, for this reason.
--- a/crates/laurelstall_peer/src/spread.rs
+++ b/crates/laurelstall_peer/src/spread.rs
@@ -36,6 +36,7 @@
     time::Duration,
 };
 
+mod carrying;
 mod crash_news;
 mod exchanging;
 mod joining;
@@ -339,6 +340,7 @@
             platform_reads_from_age_ms: self.platform_reads_from_age_ms(),
             platform_return_age_ms: self.platform_return_age_ms(),
             crashes_hash: self.crashes.hash(),
+            carried_hash: self.acceptor.carried_hash(),
             documents_age_ms: self.documents_age_ms(),
         }
     }
--- a/crates/laurelstall_peer/src/spread/exchanging.rs
+++ b/crates/laurelstall_peer/src/spread/exchanging.rs
@@ -116,6 +116,7 @@
             PeerAnswer::Same(theirs) => {
                 self.note_news(&theirs);
                 self.note_in_step_with(&theirs, asked_us);
+                self.exchange_carried(address, theirs.carried_hash).await?;
                 self.exchange_crashes(address, theirs.crashes_hash).await
             }
             PeerAnswer::Versions(theirs, versions) => {
@@ -126,6 +127,7 @@
                 }
                 self.exchange_crashes(address, theirs.crashes_hash).await?;
                 self.pull(address, &versions).await?;
+                self.exchange_carried(address, theirs.carried_hash).await?;
                 if self.store().behind(&versions).is_empty() {
                     self.note_in_step_with(&theirs, asked_us);
                 }
--- a/crates/laurelstall_peer/src/store.rs
+++ b/crates/laurelstall_peer/src/store.rs
@@ -1,6 +1,7 @@
 //! The documents that a node holds, the newest accepted version of each.
 
 use crate::{
+    carried_news::CarriedNews,
     delta::{DeltaError, pack_delta, pack_whole, unpack_delta, unpack_whole},
     message::{PullItem, Transfer, TransferText},
 };
@@ -31,6 +32,19 @@
     /// run out there: what is missing from its next lists may live all the same.
     fn expect_lapsed(&self, _returned_age_ms: u64) {}
 
+    /// A hash of what is carried over the last return of the platform from an older copy; 0 for nothing.
+    fn carried_hash(&self) -> u64 {
+        0
+    }
+
+    /// What is carried over the last return of the platform, for other nodes.
+    fn carried(&self) -> Option<CarriedNews> {
+        None
+    }
+
+    /// Takes what another node carries over the last return of the platform.
+    fn take_carried(&self, _news: &CarriedNews) {}
+
     /// Told how long after a node read it from the platform a document came in force here, in µs.
     fn note_delay(&self, _delay_us: u64) {}
 }
--- a/crates/laurelstall_peer/tests/lost_nodes.rs
+++ b/crates/laurelstall_peer/tests/lost_nodes.rs
@@ -60,6 +60,7 @@
             platform_reads_from_age_ms: 0,
             platform_return_age_ms: None,
             crashes_hash: 0,
+            carried_hash: 0,
             documents_age_ms: 0,
         };
         spread.note_offer(first.ip(), *first, &news, heard.to_vec());
--- /dev/null
+++ b/crates/laurelstall_peer/tests/recent_fleet.rs
@@ -0,0 +1,307 @@
+//! What is carried over a return of the platform from an older copy, with time standing still.
+
+use laurelstall_config::fleet::{Fleet, FleetTarget, Host, HostState};
+use laurelstall_peer::recent_fleet::{REGISTER_GRACE, RecentFleet};
+use rand::{RngExt, SeedableRng, rngs::SmallRng};
+use std::{collections::BTreeMap, sync::Arc};
+use tokio::time::{Duration, Instant};
+
+/// Longer than a copy's word is corrected.
+const LONG: Duration = Duration::from_secs(40);
+
+/// One target on a host of its own.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+struct Entry {
+    name: &'static str,
+    started_unix_ms: u64,
+    state: HostState,
+}
+
+fn live(name: &'static str) -> Entry {
+    Entry { name, started_unix_ms: 7, state: HostState::Live }
+}
+
+fn leaving(name: &'static str) -> Entry {
+    Entry { state: HostState::Leaving, ..live(name) }
+}
+
+fn list(entries: &[Entry], evacuated: &[&str]) -> Arc<Fleet> {
+    let host = |entry: &Entry| Host {
+        name: format!("h-{}", entry.name),
+        node_address: ([127, 0, 0, 1], 7_000).into(),
+        data_centre: "north".to_owned(),
+        state: entry.state,
+    };
+    let target = |entry: &Entry| FleetTarget {
+        service: "t/shop".to_owned(),
+        name: entry.name.to_owned(),
+        host: format!("h-{}", entry.name),
+        slots: 4,
+        cold_ms: 0,
+        started_unix_ms: entry.started_unix_ms,
+    };
+    Arc::new(Fleet {
+        evacuated: evacuated.iter().map(|name| (*name).to_owned()).collect(),
+        hosts: entries.iter().map(host).collect(),
+        targets: entries.iter().map(target).collect(),
+    })
+}
+
+/// A node's view: the list that it follows, as time goes on.
+struct View {
+    recent: RecentFleet,
+    now: Instant,
+    in_force: Arc<Fleet>,
+}
+
+impl View {
+    fn new() -> Self {
+        Self { recent: RecentFleet::default(), now: Instant::now(), in_force: Arc::default() }
+    }
+
+    fn take(&mut self, era: u64, entries: &[Entry], evacuated: &[&str]) {
+        self.recent.take(list(entries, evacuated), era, &self.in_force, self.now);
+        self.look();
+    }
+
+    fn look(&mut self) {
+        self.in_force = self.recent.fleet(self.now);
+    }
+
+    fn wait(&mut self, time: Duration) {
+        self.now += time;
+        self.look();
+    }
+
+    fn tell(&self, other: &mut Self) {
+        if let Some(news) = self.recent.news(self.now) {
+            other.recent.take_news(&news, other.now);
+            other.look();
+        }
+    }
+
+    /// The targets in service.
+    fn serving(&self) -> Vec<&str> {
+        let targets = self.in_force.targets.iter();
+        let is_live = |target: &&FleetTarget| {
+            self.in_force.host(&target.host).expect("it is listed").state == HostState::Live
+        };
+        let mut names = targets.filter(is_live).map(|target| target.name.as_str()).collect::<Vec<_>>();
+        names.sort_unstable();
+        names
+    }
+}
+
+#[test]
+fn what_had_left_does_not_come_back_by_the_copy() {
+    let mut view = View::new();
+    view.take(0, &[live("a"), live("b"), live("c")], &[]);
+    view.take(0, &[live("a"), leaving("b"), live("c")], &[]);
+    view.take(0, &[live("a"), leaving("b")], &[]);
+    view.take(1, &[live("a"), live("b"), live("c")], &[]);
+    assert_eq!(view.serving(), ["a"]);
+    assert!(view.in_force.host("h-b").is_some(), "its node goes on, and it serves what it has");
+    assert!(view.in_force.host("h-c").is_none());
+    // The list goes on to tell what becomes of them.
+    view.take(1, &[live("a"), leaving("b"), live("c")], &[]);
+    view.wait(Duration::from_secs(5));
+    view.take(1, &[live("a")], &[]);
+    assert_eq!(view.serving(), ["a"]);
+    view.wait(LONG);
+    assert_eq!(view.serving(), ["a"]);
+}
+
+#[test]
+fn another_start_of_what_had_left_is_taken_at_once() {
+    let mut view = View::new();
+    view.take(0, &[live("a"), live("b")], &[]);
+    view.take(0, &[leaving("a")], &[]);
+    let again = |name| Entry { started_unix_ms: 8, ..live(name) };
+    view.take(1, &[again("a"), again("b")], &[]);
+    assert_eq!(view.serving(), ["a", "b"]);
+}
+
+#[test]
+fn what_is_gone_and_writes_its_entry_again_is_back() {
+    let mut view = View::new();
+    view.take(0, &[live("a"), live("b")], &[]);
+    view.take(0, &[live("a")], &[]);
+    view.take(1, &[live("a"), live("b")], &[]);
+    assert_eq!(view.serving(), ["a"]);
+    view.take(1, &[live("a")], &[]);
+    view.take(1, &[live("a"), live("b")], &[]);
+    assert_eq!(view.serving(), ["a", "b"]);
+}
+
+#[test]
+fn what_the_copy_lacks_stays_for_its_time() {
+    let mut view = View::new();
+    view.take(3, &[live("a")], &[]);
+    view.take(3, &[live("a"), live("b"), live("c")], &[]);
+    view.take(4, &[live("a")], &[]);
+    assert_eq!(view.serving(), ["a", "b", "c"]);
+    view.take(4, &[live("a"), live("b")], &[]);
+    // What was listed in the new era is followed there, also when it goes.
+    view.take(4, &[live("a")], &[]);
+    assert_eq!(view.serving(), ["a", "c"]);
+    view.wait(REGISTER_GRACE);
+    assert_eq!(view.serving(), ["a"]);
+}
+
+#[test]
+fn evacuations_stay_as_they_were_said_last() {
+    let mut view = View::new();
+    view.take(0, &[live("a")], &["south"]);
+    view.take(0, &[live("a")], &["north"]);
+    view.take(1, &[live("a")], &["south"]);
+    assert_eq!(view.in_force.evacuated, ["north"]);
+    view.take(1, &[live("a"), live("b")], &["south"]);
+    assert_eq!(view.in_force.evacuated, ["north"]);
+    // What is said after the return counts at once.
+    view.take(1, &[live("a"), live("b")], &["north"]);
+    assert_eq!(view.in_force.evacuated, ["north"]);
+    view.take(1, &[live("a"), live("b")], &[]);
+    assert!(view.in_force.evacuated.is_empty());
+}
+
+#[test]
+fn after_its_time_the_list_holds_as_it_is_published() {
+    let mut view = View::new();
+    view.take(0, &[live("a"), live("b")], &["south"]);
+    view.take(0, &[leaving("a")], &["south"]);
+    view.take(1, &[live("a"), live("b")], &[]);
+    let next = view.recent.next_change(view.now).expect("something is carried");
+    assert_eq!(next, view.now + REGISTER_GRACE);
+    view.wait(LONG);
+    assert_eq!(view.serving(), ["a", "b"]);
+    assert!(view.in_force.evacuated.is_empty());
+    assert_eq!(view.recent.next_change(view.now), None);
+    assert_eq!(view.recent.hash(view.now), 0);
+}
+
+#[test]
+fn a_node_that_starts_after_the_return_is_told_what_the_others_carry() {
+    let (mut old, mut new) = (View::new(), View::new());
+    old.take(0, &[live("a"), live("b"), live("c")], &["south"]);
+    old.take(0, &[live("a"), leaving("b"), live("d")], &["south"]);
+    let copy = [live("a"), live("b"), live("c")];
+    old.take(1, &copy, &[]);
+    new.now = old.now;
+    new.take(1, &copy, &[]);
+    assert_eq!(new.serving(), ["a", "b", "c"], "it knows nothing but the copy");
+    assert_ne!(old.recent.hash(old.now), new.recent.hash(new.now));
+    old.tell(&mut new);
+    assert_eq!(old.recent.hash(old.now), new.recent.hash(new.now));
+    assert_eq!(old.serving(), ["a", "d"]);
+    assert_eq!(new.serving(), old.serving());
+    assert_eq!(new.in_force.evacuated, ["south"]);
+    new.wait(REGISTER_GRACE);
+    assert_eq!(new.serving(), ["a"]);
+}
+
+#[test]
+fn news_of_another_era_or_of_long_ago_count_for_nothing() {
+    let mut old = View::new();
+    old.take(0, &[live("a"), live("b")], &[]);
+    old.take(0, &[leaving("a")], &[]);
+    old.take(1, &[live("a"), live("b")], &[]);
+    let mut other = View::new();
+    other.now = old.now;
+    other.take(2, &[live("a"), live("b")], &[]);
+    old.tell(&mut other);
+    assert_eq!(other.serving(), ["a", "b"]);
+    let mut late = View::new();
+    old.now += LONG;
+    late.now = old.now;
+    late.take(1, &[live("a"), live("b")], &[]);
+    old.tell(&mut late);
+    assert_eq!(late.serving(), ["a", "b"]);
+}
+
+#[test]
+fn two_returns_in_a_row_forget_nothing() {
+    let mut view = View::new();
+    view.take(0, &[live("a"), live("b"), live("c")], &[]);
+    view.take(0, &[live("a"), live("b")], &[]);
+    view.take(1, &[live("a"), live("b"), live("c")], &[]);
+    view.take(1, &[live("a"), leaving("b"), live("c")], &[]);
+    view.take(2, &[live("a"), live("b"), live("c")], &[]);
+    assert_eq!(view.serving(), ["a"]);
+}
+
+#[test]
+fn what_a_node_was_told_it_carries_over_the_next_return() {
+    let (mut old, mut new) = (View::new(), View::new());
+    old.take(0, &[live("a"), live("b")], &["south"]);
+    old.take(0, &[live("a"), leaving("b")], &["south"]);
+    old.take(1, &[live("a"), live("b")], &[]);
+    new.now = old.now;
+    new.take(1, &[live("a"), live("b")], &[]);
+    old.tell(&mut new);
+    new.take(2, &[live("a"), live("b")], &[]);
+    assert_eq!(new.serving(), ["a"]);
+    assert_eq!(new.in_force.evacuated, ["south"]);
+}
+
+/// What targets said last, in a random history, against what nodes follow.
+#[test]
+fn no_word_is_forgotten_in_random_histories() {
+    const NAMES: [&str; 5] = ["a", "b", "c", "d", "e"];
+    for seed in 0..400 {
+        let mut rng = SmallRng::seed_from_u64(seed);
+        // What the store holds, and what had been said and acknowledged, whatever the store has lost of it.
+        let mut stored = BTreeMap::<&str, Entry>::new();
+        let mut departed = BTreeMap::<(&str, u64), ()>::new();
+        let mut starts = 1;
+        let mut era = 0;
+        let mut copy = stored.clone();
+        let mut nodes = [View::new(), View::new(), View::new()];
+        for step in 0..60 {
+            let name = NAMES[rng.random_range(0..NAMES.len())];
+            match rng.random_range(0..10) {
+                0..=2 => {
+                    starts += 1;
+                    stored.insert(name, Entry { started_unix_ms: starts, ..live(name) });
+                }
+                3 | 4 => {
+                    if let Some(entry) = stored.get_mut(name) {
+                        entry.state = HostState::Leaving;
+                        departed.insert((name, entry.started_unix_ms), ());
+                    }
+                }
+                5 => {
+                    if let Some(entry) = stored.remove(name) {
+                        departed.insert((name, entry.started_unix_ms), ());
+                    }
+                }
+                6 => copy = stored.clone(),
+                7 => {
+                    stored = copy.clone();
+                    era += 1;
+                }
+                _ => {
+                    // A node is restarted, and asks another one once it has the list.
+                    let restarted = rng.random_range(1..nodes.len());
+                    let now = nodes[0].now;
+                    nodes[restarted] = View { now, ..View::new() };
+                }
+            }
+            let entries = stored.values().copied().collect::<Vec<_>>();
+            for node in &mut nodes {
+                node.take(era, &entries, &[]);
+                node.wait(Duration::from_millis(100));
+            }
+            let [first, others @ ..] = &mut nodes;
+            for other in others {
+                first.tell(other);
+                let serving = other.in_force.targets.iter().filter(|target| {
+                    other.in_force.host(&target.host).is_some_and(|host| host.state == HostState::Live)
+                });
+                for target in serving {
+                    let is_departed = departed.contains_key(&(target.name.as_str(), target.started_unix_ms));
+                    assert!(!is_departed, "seed {seed}, step {step}: {} had left", target.name);
+                }
+            }
+        }
+    }
+}
--- a/crates/laurelstall_peer/tests/spreading.rs
+++ b/crates/laurelstall_peer/tests/spreading.rs
@@ -240,6 +240,7 @@
         platform_reads_from_age_ms: 0,
         platform_return_age_ms: None,
         crashes_hash: 0,
+        carried_hash: 0,
         documents_age_ms: 0,
     };
     assert!(matches!(node.answer_exchange(&theirs), PeerAnswer::Versions(..)));
@@ -360,6 +361,7 @@
         platform_reads_from_age_ms: 0,
         platform_return_age_ms: Some(50_000),
         crashes_hash: 0,
+        carried_hash: 0,
         documents_age_ms: 0,
     };
     node.answer_exchange(&news);
@@ -384,6 +386,7 @@
         platform_reads_from_age_ms: 900,
         platform_return_age_ms: None,
         crashes_hash: 0,
+        carried_hash: 0,
         documents_age_ms: 0,
     };
     for _ in 0..20 {
@@ -408,6 +411,7 @@
         platform_reads_from_age_ms: 5_000,
         platform_return_age_ms: None,
         crashes_hash: 0,
+        carried_hash: 0,
         documents_age_ms: 0,
     };
     let answer = node.answer_exchange(&theirs);
--- a/crates/laurelstall_peer/tests/support/mesh.rs
+++ b/crates/laurelstall_peer/tests/support/mesh.rs
@@ -213,6 +213,7 @@
                 PeerAnswer::Noted
             }
             PeerRequest::CompareCrashes(news) => self.spread.answer_crashes(&news),
+            PeerRequest::CompareCarried(news) => self.spread.answer_carried(news.as_ref()),
             _ => PeerAnswer::Noted,
         };
         async { answer }.boxed()
