A node that starts after a return of the platform asks others before it serves

What callers saw: a node that started between the return and the second writing followed configuration 1 of the copy while all others held 2, and knew a leaving target as ready and an evacuated data centre as in service.

Cause: the platform's word was the newest there is, for a node that joins, and a seed that had read it served at once. After a return that word may be older than what others hold.

The exchange that it had begun is dropped first: it held up the pulls of those that follow (seen in a trace: both exchanges waited for it until the time was over).

--- a/crates/laurelstall_peer/src/spread/joining.rs
+++ b/crates/laurelstall_peer/src/spread/joining.rs
@@ -2,7 +2,7 @@
 
 use super::Spread;
 use futures_util::{
-    future::{Either, select},
+    future::{Either, FutureExt, select},
     stream::StreamExt,
 };
 use std::{
@@ -43,7 +43,8 @@
 
     /// Asks platform and peers for what they have and takes the newest of each document.
     ///
-    /// The platform's word is the newest there is. That of peers does as well while some node reads
+    /// The platform's word is the newest there is, unless it came back from an older copy: then peers are asked besides.
+    /// That of peers does as well while some node reads
     /// the platform, and costs no call there; without the platform it has to do. While the whole fleet
     /// starts, seeds know nothing yet and only they and the readers read the newest; the others make a
     /// stale read, a tenth of the cost, and hear of the newest from these within a second. Returns when one
@@ -58,13 +59,17 @@
     }
 
     async fn ask_platform_and_peers(&self) {
-        let mut peers = pin!(self.ask_seeds_and_peers());
+        let mut peers = self.ask_seeds_and_peers().boxed();
         if !self.reads_first() {
             let answered = timeout(SEEDS_PATIENCE, peers.as_mut()).await;
             if self.has_documents() && self.platform_read_age_ms() < FRESH_READ_AGE_MS {
                 return;
             }
             match self.read_platform_stale().await {
+                Ok(true) if self.may_have_lost() => {
+                    self.ask_peers_what_was_lost().await;
+                    return;
+                }
                 Ok(true) => {
                     let _ = timeout(NEWEST_PATIENCE, self.ask_peers_for_newest()).await;
                     return;
@@ -73,6 +78,7 @@
                 Ok(false) if answered.is_ok() => {
                     // A failure is caught up with by the exchanges.
                     let _ = self.read_platform(None).await;
+                    self.ask_peers_what_was_lost().await;
                     return;
                 }
                 Ok(false) => {}
@@ -87,15 +93,44 @@
         }
         let platform = pin!(self.read_platform(None));
         match select(platform, peers).await {
-            Either::Left((Ok(_), _)) => {}
+            Either::Left((Ok(_), peers)) => {
+                // What it was about to pull would hold up others.
+                drop(peers);
+                self.ask_peers_what_was_lost().await;
+            }
             Either::Left((Err(_), peers)) => peers.await,
             Either::Right(((), platform)) if self.has_documents() => {
                 let _ = timeout(PLATFORM_PATIENCE, platform).await;
             }
-            Either::Right(((), platform)) => drop(platform.await),
+            Either::Right(((), platform)) => {
+                // A failure is caught up with by the exchanges.
+                let _ = platform.await;
+                self.ask_peers_what_was_lost().await;
+            }
+        }
+    }
+
+    /// Whether the platform may lack what it had acknowledged: it came back from an older copy, and this node has held
+    /// nothing that tells when.
+    fn may_have_lost(&self) -> bool {
+        self.platform_era() > 0
+    }
+
+    /// Asks some peers for what the platform may have lost: the newest that it shows may be older than what they hold.
+    ///
+    /// All of them, since one that has just started itself knows no more; whoever says nothing is caught up with by the
+    /// exchanges.
+    async fn ask_peers_what_was_lost(&self) {
+        if self.may_have_lost() {
+            self.ask_some_peers().await;
         }
     }
 
+    async fn ask_some_peers(&self) {
+        let peers = self.exchange_with_each(self.partners().into_iter().take(JOIN_PEERS));
+        let _ = timeout(PEERS_PATIENCE, peers.count()).await;
+    }
+
     /// Reads the platform once more, and plainly, when this node joined by a stale read and has heard from nobody since
     /// who has read it lately: its way to other nodes may be cut.
     pub(super) async fn confirm_stale_read(&self) {
@@ -139,7 +174,6 @@
                 break;
             }
         }
-        let peers = self.exchange_with_each(self.partners().into_iter().take(JOIN_PEERS));
-        let _ = timeout(PEERS_PATIENCE, peers.count()).await;
+        self.ask_some_peers().await;
     }
 }
