Stand-ins of the platform come back from an older copy

The stand-in platform can be copied and come back from the copy: its sequence and the versions of the list of hosts go back in a new era, while authors count their documents on.

--- a/crates/laurelstall_standin/src/bin/laurelstall-standin-platform.rs
+++ b/crates/laurelstall_standin/src/bin/laurelstall-standin-platform.rs
@@ -16,6 +16,9 @@
 /// Pause between two looks at the folder.
 const LOOK_INTERVAL: Duration = Duration::from_millis(200);
 
+/// Time from a return until the folder's files are published again.
+const REWRITE_PAUSE: Duration = Duration::from_secs(1);
+
 #[derive(Debug, Options)]
 struct Arguments {
     #[options(help = "print this help")]
@@ -26,6 +29,14 @@
     listen: String,
     #[options(help = "folder with fleet.toml, system.toml and team-NAME.toml", no_short, meta = "FOLDER")]
     documents: Option<PathBuf>,
+    #[options(help = "make a copy after so many s", no_short, meta = "N")]
+    copy_at: Option<u64>,
+    #[options(
+        help = "come back from that copy after so many s; files are published again a s later",
+        no_short,
+        meta = "N"
+    )]
+    return_at: Option<u64>,
     #[options(help = "end by itself after so many s", no_short, default = "3600", meta = "N")]
     seconds: u64,
 }
@@ -53,9 +64,23 @@
     runtime.block_on(async {
         let platform = StandinPlatform::new();
         platform.serve(listener);
-        let end = Instant::now() + Duration::from_secs(arguments.seconds);
+        let started = Instant::now();
+        let end = started + Duration::from_secs(arguments.seconds);
+        let copy_at = arguments.copy_at.map(|s| started + Duration::from_secs(s));
+        let return_at = arguments.return_at.map(|s| started + Duration::from_secs(s));
+        let (mut copy, mut is_back) = (None, false);
         let mut published = HashMap::new();
         while Instant::now() < end {
+            if copy.is_none() && is_due(copy_at) {
+                copy = Some(platform.snapshot());
+            }
+            if let Some(copy) = copy.as_ref().filter(|_| !is_back && is_due(return_at)) {
+                println!("came back from its copy");
+                platform.return_from(copy);
+                is_back = true;
+                tokio::time::sleep(REWRITE_PAUSE).await;
+                published.clear();
+            }
             publish_changes(&platform, &folder, &mut published);
             tokio::time::sleep(LOOK_INTERVAL).await;
         }
@@ -64,6 +89,10 @@
     ExitCode::SUCCESS
 }
 
+fn is_due(at: Option<Instant>) -> bool {
+    at.is_some_and(|at| Instant::now() >= at)
+}
+
 /// Publishes each file whose text is not the one published last.
 fn publish_changes(platform: &Arc<StandinPlatform>, folder: &Path, published: &mut HashMap<PathBuf, String>) {
     let Ok(entries) = fs::read_dir(folder) else { return };
--- a/crates/laurelstall_standin/src/fault.rs
+++ b/crates/laurelstall_standin/src/fault.rs
@@ -5,6 +5,7 @@
     fault_plan::{FaultKind, FaultPlan},
     harness::Harness,
     node_thread::NodeThread,
+    platform::Snapshot,
     target::StandinTarget,
 };
 use futures_util::future::{BoxFuture, FutureExt};
@@ -15,6 +16,9 @@
 /// Steps in which a cold target gets up to speed.
 const COLD_STEPS: u64 = 10;
 
+/// How long a platform is away before it comes back from a copy, and then until what it lost is published again.
+const RETURN_PAUSE: Duration = Duration::from_millis(500);
+
 /// Where a fault acts.
 #[derive(Debug, Clone)]
 pub struct FaultContext {
@@ -58,6 +62,7 @@
         FaultKind::CutDataCentre => Box::new(CutDataCentre { number: plan.data_centre }),
         FaultKind::PlatformAway => Box::new(PlatformFault { is_stale: false }),
         FaultKind::PlatformStale => Box::new(PlatformFault { is_stale: true }),
+        FaultKind::PlatformReturn => Box::new(PlatformReturn { copy: Mutex::default() }),
     }
 }
 
@@ -303,3 +308,33 @@
         async { self.set(context, false) }.boxed()
     }
 }
+
+struct PlatformReturn {
+    copy: Mutex<Option<Snapshot>>,
+}
+
+impl Fault for PlatformReturn {
+    fn start<'a>(&'a self, context: &'a FaultContext) -> BoxFuture<'a, ()> {
+        async {
+            let copy = context.harness.platform.snapshot();
+            *self.copy.lock().unwrap_or_else(PoisonError::into_inner) = Some(copy);
+        }
+        .boxed()
+    }
+
+    fn end<'a>(&'a self, context: &'a FaultContext) -> BoxFuture<'a, ()> {
+        async {
+            let copy = self.copy.lock().unwrap_or_else(PoisonError::into_inner).take();
+            let Some(copy) = copy else { return };
+            let platform = &context.harness.platform;
+            platform.set_away(true);
+            sleep(RETURN_PAUSE).await;
+            let lost = platform.snapshot();
+            platform.return_from(&copy);
+            platform.set_away(false);
+            sleep(RETURN_PAUSE).await;
+            platform.publish_again(&lost);
+        }
+        .boxed()
+    }
+}
--- a/crates/laurelstall_standin/src/fault_plan.rs
+++ b/crates/laurelstall_standin/src/fault_plan.rs
@@ -59,4 +59,7 @@
     PlatformAway,
     /// The platform shows what it had at the start.
     PlatformStale,
+    /// The platform is away for a moment at the end, and comes back from a copy made at the start; what was published
+    /// since is published again a moment later.
+    PlatformReturn,
 }
--- a/crates/laurelstall_standin/src/fleet_bench.rs
+++ b/crates/laurelstall_standin/src/fleet_bench.rs
@@ -5,7 +5,7 @@
     harness::{Sockets, to_toml},
     latency::Latency,
     node_thread::NodeThread,
-    platform::{PlatformWay, StandinPlatform},
+    platform::{PlatformWay, Snapshot, StandinPlatform},
     process::{cpu_s, memory_bytes},
     threads::RuntimeThread,
 };
@@ -59,6 +59,8 @@
     Stale,
     /// The platform is away for the middle third.
     Away,
+    /// The platform comes back, after the middle third, from the copy that it had before it.
+    Returned,
 }
 
 impl Disturbance {
@@ -70,6 +72,7 @@
             "cut" => Some(Self::Cut),
             "stale" => Some(Self::Stale),
             "away" => Some(Self::Away),
+            "returned" => Some(Self::Returned),
             _ => None,
         }
     }
@@ -357,6 +360,10 @@
             Disturbance::Cut => self.cuts.set_cut(DATA_CENTRES[1], is_middle),
             Disturbance::Stale => self.platform.set_stale(is_middle),
             Disturbance::Away => self.platform.set_away(is_middle),
+            Disturbance::Returned => match disturbed.copy.take() {
+                Some(copy) => self.platform.return_from(&copy),
+                None => disturbed.copy = Some(self.platform.snapshot()),
+            },
             Disturbance::None | Disturbance::Restarts => {}
         }
         Ok(())
@@ -405,6 +412,8 @@
 #[derive(Debug, Default)]
 struct Disturbed {
     is_on: bool,
+    /// What the platform comes back from.
+    copy: Option<Snapshot>,
     restarted: usize,
 }
 
--- a/crates/laurelstall_standin/src/platform.rs
+++ b/crates/laurelstall_standin/src/platform.rs
@@ -100,17 +100,29 @@
 
     /// Comes back from an older copy, in the next era: what was published since is lost, and the sequence and the
     /// versions of the list of hosts are given out again.
-    pub fn return_from(&self, copy: Snapshot) {
+    pub fn return_from(&self, copy: &Snapshot) {
         let sequence = copy.0.sequence;
         {
             let mut values = self.values();
             let era = values.era + 1;
-            *values = Values { era, ..copy.0 };
+            *values = Values { era, ..copy.0.clone() };
+            for document in values.documents.values_mut() {
+                document.version = version_of(&document.name, era, document.version.number);
+            }
         }
         // Watches that wait notice.
         self.sequence.send_replace(sequence);
     }
 
+    /// Publishes again what it had when `lost` was taken and has no more, as authors do after it came back from a copy.
+    pub fn publish_again(&self, lost: &Snapshot) {
+        for document in lost.0.documents.values() {
+            if self.text(&document.name).as_ref() != Some(&document.text) {
+                self.publish(&document.name, &document.text);
+            }
+        }
+    }
+
     /// The text published last.
     pub fn text(&self, name: &DocumentName) -> Option<String> {
         self.values().documents.get(&name.to_string()).map(|document| document.text.clone())
--- a/crates/laurelstall_standin/tests/scenarios.rs
+++ b/crates/laurelstall_standin/tests/scenarios.rs
@@ -37,6 +37,7 @@
         "partition",
         "paused",
         "night",
+        "returned_platform",
         "everything",
     ] {
         assert!(names.contains(&format!("{wanted}.toml")), "{wanted}");
--- a/crates/laurelstall_standin/tests/whole_path.rs
+++ b/crates/laurelstall_standin/tests/whole_path.rs
@@ -8,7 +8,10 @@
     document::{DocumentName, Version},
     fleet::HostState,
 };
-use laurelstall_standin::harness::{Harness, TEAM};
+use laurelstall_standin::{
+    harness::{Harness, TEAM},
+    node_thread::NodeThread,
+};
 use support::{ask, entry, plan, start};
 use tokio::time::{Duration, sleep, timeout};
 
@@ -294,6 +297,42 @@
     all_have(&harness).await;
 }
 
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_platform_that_comes_back_from_a_copy_takes_back_nothing() {
+    let harness = start(plan(2)).await;
+    let name = DocumentName::Team(TEAM.to_owned());
+    let text = harness.platform.text(&name).expect("it was published");
+    let copy = harness.platform.snapshot();
+    let newest = harness.platform.publish(&name, &text.replace("tries: 3", "tries: 2"));
+    harness.set_host_state("market-board-1-host", HostState::Leaving);
+    let nodes = harness.nodes();
+    let is_leaving = |node: &NodeThread| {
+        let in_force = node.active.load();
+        let host = in_force.configuration.host("market-board-1-host").map(|host| host.state);
+        host == Some(HostState::Leaving) && in_force.configuration.version(&name) == newest
+    };
+    let known = async {
+        while !nodes.iter().all(|(_, node)| is_leaving(node)) {
+            sleep(Duration::from_millis(5)).await;
+        }
+    };
+    timeout(PATIENCE, known).await.expect("both reach all nodes");
+    harness.platform.return_from(&copy);
+    let read_again = async {
+        let era = |node: &NodeThread| node.active.load().configuration.version(&DocumentName::Fleet).era;
+        while !nodes.iter().all(|(_, node)| era(node) == 1) {
+            sleep(Duration::from_millis(5)).await;
+        }
+    };
+    timeout(PATIENCE, read_again).await.expect("the copy's list reaches all nodes");
+    assert!(nodes.iter().all(|(_, node)| is_leaving(node)), "the copy does not know of either");
+    for call in 0..10 {
+        let answer = ask(entry(&harness, call % 2), Method::GET, "/market-board/x", &[], Bytes::new()).await;
+        assert_eq!(answer.expect("an answer").status, StatusCode::OK);
+    }
+    assert_eq!(harness.targets.get("market-board-1").expect("it runs").seen(), 0);
+}
+
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn a_node_starts_while_the_platform_is_away() {
     let harness = start(plan(3)).await;
