Model of a store that comes back from an older copy; its era in metrics and the administration API

The model: two nodes that read the store whole or follow it, two returns, three writes that are made again, a restart, exchanges, joins.

The gauges platform_era and platform_returns, and both in the answer that laurelstall-ctl config shows, tell an operator of a return.

--- a/crates/laurelstall_node/src/admin.rs
+++ b/crates/laurelstall_node/src/admin.rs
@@ -245,7 +245,7 @@
 
     fn metrics(&self) -> Answer {
         let meter = self.entry.context.client.pool().meter();
-        let gauges = gauges(&self.guard, meter);
+        let gauges = gauges(&self.guard, meter, &self.active);
         let text =
             metrics::text(self.counters.clone(), &self.entry.context.latencies, &self.active.delays, gauges);
         let mut response = Response::new(whole(text.into()));
@@ -350,6 +350,8 @@
             "caller_host_conflicts": conflicts,
             "is_reader": self.spread.is_reader(),
             "platform_read_age_ms": self.spread.platform_read_age_ms(),
+            "platform_era": self.spread.platform_era(),
+            "platform_returns": self.active.returns.load(Ordering::Relaxed),
         })
     }
 
--- a/crates/laurelstall_node/src/background.rs
+++ b/crates/laurelstall_node/src/background.rs
@@ -9,6 +9,7 @@
     quotas::Quotas,
     target_guard::TargetGuard,
 };
+use laurelstall_config::document::DocumentName;
 use laurelstall_guard::clock::Clock;
 use laurelstall_peer::{client::PeerClient, meter::Meter, spread::Spread};
 use std::sync::{Arc, atomic::Ordering};
@@ -75,17 +76,19 @@
     counters: Arc<Counters>,
     guard: TargetGuard,
     meter: Arc<Meter>,
+    active: Arc<Active>,
 ) {
     loop {
         sleep(interval).await;
-        let gauges = gauges(&guard, &meter);
+        let gauges = gauges(&guard, &meter, &active);
         sender.send(&counters, &gauges);
     }
 }
 
 /// What is measured at the moment when it is asked for.
-pub fn gauges(guard: &TargetGuard, meter: &Meter) -> Gauges {
+pub fn gauges(guard: &TargetGuard, meter: &Meter, active: &Active) -> Gauges {
     let load = guard.guard().load();
+    let fleet_version = active.load().configuration.version(&DocumentName::Fleet);
     vec![
         ("in_flight", u64::from(load.in_flight)),
         ("queued", u64::from(load.queued)),
@@ -95,5 +98,7 @@
         ("is_evacuated", u64::from(guard.is_evacuated())),
         ("control_bytes", meter.control_bytes.load(Ordering::Relaxed)),
         ("peer_connections", meter.open.load(Ordering::Relaxed)),
+        ("platform_era", fleet_version.era),
+        ("platform_returns", active.returns.load(Ordering::Relaxed)),
     ]
 }
--- a/crates/laurelstall_node/src/node.rs
+++ b/crates/laurelstall_node/src/node.rs
@@ -348,7 +348,14 @@
         background.spawn(async move { watched.watch_pace().await });
         let sender = MetricSender::new(log.statsd_address, &host);
         let interval = Duration::from_millis(log.metrics_interval_ms);
-        background.spawn(send_metrics(sender, interval, counters.clone(), guard.clone(), meter));
+        background.spawn(send_metrics(
+            sender,
+            interval,
+            counters.clone(),
+            guard.clone(),
+            meter,
+            active.clone(),
+        ));
 
         let (stopping, is_stopping) = watch::channel(false);
         let admin = Arc::new(Admin {
--- a/crates/laurelstall_spec/src/bin/laurelstall-spec.rs
+++ b/crates/laurelstall_spec/src/bin/laurelstall-spec.rs
@@ -3,6 +3,7 @@
 use laurelstall_spec::{
     attempts::{self, AttemptModel},
     quotas::{self, QuotaModel},
+    returns::{self, ReturnModel},
     search::{Model, search},
     spread::{self, SpreadModel},
     tickets::{self, TicketModel},
@@ -10,7 +11,10 @@
 use std::{fmt::Debug, time::Instant};
 
 fn main() {
-    use {attempts::Weakness as A, quotas::Weakness as Q, spread::Weakness as S, tickets::Weakness as T};
+    use {
+        attempts::Weakness as A, quotas::Weakness as Q, returns::Weakness as R, spread::Weakness as S,
+        tickets::Weakness as T,
+    };
     for weakness in
         [T::None, T::AnyIncarnation, T::NoLedger, T::NoVoid, T::TimeoutIsNotRun, T::ForgetsRunning]
     {
@@ -22,6 +26,16 @@
     for weakness in [Q::None, Q::NoHandover, Q::NoSilence, Q::FullAtStart] {
         show("quotas", &weakness, &QuotaModel { weakness });
     }
+    for weakness in [
+        R::None,
+        R::KeepsRevision,
+        R::ComparesRevisions,
+        R::OrdersByRevision,
+        R::TakesCopysWord,
+        R::JoinsAlone,
+    ] {
+        show("returns", &weakness, &ReturnModel { weakness });
+    }
     for weakness in [S::None, S::TakesAny, S::ServesBeforeAsking, S::NoExchange] {
         show("spread", &weakness, &SpreadModel { weakness });
     }
--- a/crates/laurelstall_spec/src/lib.rs
+++ b/crates/laurelstall_spec/src/lib.rs
@@ -1,4 +1,5 @@
-//! Model-checked specification of outcomes, tickets, quotas and the spreading of configuration.
+//! Model-checked specification of outcomes, tickets, quotas, the spreading of configuration and returns of the
+//! platform from older copies.
 //!
 //! Each model is a small state with its possible steps, explored breadth first until no state is
 //! new. A broken invariant is the goal of the search, so that a fault comes with its shortest
@@ -7,6 +8,7 @@
 
 pub mod attempts;
 pub mod quotas;
+pub mod returns;
 pub mod search;
 pub mod spread;
 pub mod tickets;
@@ -16,6 +18,7 @@
     pub use crate::{
         attempts::AttemptModel,
         quotas::QuotaModel,
+        returns::ReturnModel,
         search::{Found, Model, search},
         spread::SpreadModel,
         tickets::TicketModel,
--- a/crates/laurelstall_spec/tests/models.rs
+++ b/crates/laurelstall_spec/tests/models.rs
@@ -3,6 +3,7 @@
 use laurelstall_spec::{
     attempts::{self, AttemptModel},
     quotas::{self, QuotaModel},
+    returns::{self, ReturnModel},
     search::{Model, search},
     spread::{self, SpreadModel},
     tickets::{self, TicketModel},
@@ -72,3 +73,30 @@
         breaks(&QuotaModel { weakness }, "more tokens were given out than the bound allows");
     }
 }
+
+#[test]
+fn returns_hold() {
+    holds(&ReturnModel { weakness: returns::Weakness::None }, 1_000);
+}
+
+#[test]
+fn returns_break_without_each_rule() {
+    use returns::Weakness as W;
+    breaks(
+        &ReturnModel { weakness: W::OrdersByRevision },
+        "a configuration that was written again is not in force",
+    );
+    breaks(
+        &ReturnModel { weakness: W::KeepsRevision },
+        "a configuration that was written again is not in force",
+    );
+    breaks(&ReturnModel { weakness: W::TakesCopysWord }, "a target that said it leaves is in service again");
+    breaks(
+        &ReturnModel { weakness: W::JoinsAlone },
+        "a node serves by an older configuration than others hold",
+    );
+    breaks(
+        &ReturnModel { weakness: W::ComparesRevisions },
+        "nodes that have read the store hold another list",
+    );
+}
