A new list of hosts is compared with the one before only where they differ

Each list that a node takes is compared with the one before, to remember who left.

Ruled out: comparing only every so often (who leaves and comes back in between would be missed). recent_fleet.rs: 11 of 11 cases pass.

--- a/crates/laurelstall_peer/src/recent_fleet.rs
+++ b/crates/laurelstall_peer/src/recent_fleet.rs
@@ -179,7 +179,9 @@
 
     /// Notes what a list says that the one before it did not, in the same era.
     fn note_changes(&mut self, listed: &Fleet, now: Instant) {
-        let (before, after) = (starts(&self.listed), starts(listed));
+        let changed = changed_hosts(&self.listed, listed);
+        let before = starts(&self.listed, |host| changed.contains(host));
+        let after = starts(listed, |host| changed.contains(host));
         let mut said = Vec::new();
         for (start, listed) in &before {
             match after.get(start) {
@@ -233,7 +235,7 @@
 
     /// Takes out hosts that were gone, and marks those that had said that they leave.
     fn apply_departed(&self, fleet: &mut Fleet) {
-        let words = starts(fleet).into_iter().filter_map(|(start, listed)| {
+        let words = starts(fleet, |_| true).into_iter().filter_map(|(start, listed)| {
             let word = self.departed.get(&start.owned())?;
             Some((listed.host.name.clone(), *word))
         });
@@ -289,7 +291,7 @@
 
 /// The hosts in service of a list, by name.
 fn live_hosts(fleet: &Fleet) -> impl Iterator<Item = (String, UnlistedHost)> {
-    let live = starts(fleet).into_values().filter(ListedHost::is_live);
+    let live = starts(fleet, |_| true).into_values().filter(ListedHost::is_live);
     live.map(|ListedHost { host, target }| {
         (host.name.clone(), UnlistedHost { host: host.clone(), target: target.cloned() })
     })
@@ -334,17 +336,35 @@
     }
 }
 
-/// The hosts of a list, by what was started there.
-fn starts(fleet: &Fleet) -> HashMap<StartRef<'_>, ListedHost<'_>> {
-    let targets = fleet.targets.iter().map(|target| (target.host.as_str(), target));
-    let targets = targets.collect::<HashMap<_, _>>();
-    let found = fleet.hosts.iter().map(|host| {
+/// The wanted hosts of a list, by what was started there.
+fn starts(fleet: &Fleet, is_wanted: impl Fn(&str) -> bool) -> HashMap<StartRef<'_>, ListedHost<'_>> {
+    let targets = fleet.targets.iter().filter(|target| is_wanted(&target.host));
+    let targets = targets.map(|target| (target.host.as_str(), target)).collect::<HashMap<_, _>>();
+    let hosts = fleet.hosts.iter().filter(|host| is_wanted(&host.name));
+    let found = hosts.map(|host| {
         let target = targets.get(host.name.as_str()).copied();
         (StartRef::new(host, target), ListedHost { host, target })
     });
     found.collect()
 }
 
+/// The names of all hosts that two lists may show in other ways, found without looking each of them up: of a list of a
+/// thousand hosts, a change concerns one or two.
+fn changed_hosts<'a>(before: &'a Fleet, after: &'a Fleet) -> HashSet<&'a str> {
+    let hosts = differing(&before.hosts, &after.hosts).map(|host| host.name.as_str());
+    let targets = differing(&before.targets, &after.targets).map(|target| target.host.as_str());
+    hosts.chain(targets).collect()
+}
+
+/// What stands in two lists between their common beginning and their common end.
+fn differing<'a, T: PartialEq>(before: &'a [T], after: &'a [T]) -> impl Iterator<Item = &'a T> {
+    let start = before.iter().zip(after).take_while(|(before, after)| before == after).count();
+    let (before, after) = (&before[start..], &after[start..]);
+    let end =
+        before.iter().rev().zip(after.iter().rev()).take_while(|(before, after)| before == after).count();
+    before[..before.len() - end].iter().chain(&after[..after.len() - end])
+}
+
 fn forget_old<K: Clone + Eq + Hash, T>(words: &mut HashMap<K, Heard<T>>, now: Instant) {
     words.retain(|_, heard| now < heard.at + REMEMBERED_FOR);
     while words.len() > WORDS_MAX {
