--- a/crates/laurelstall_peer/src/recent_fleet.rs
+++ b/crates/laurelstall_peer/src/recent_fleet.rs
@@ -99,6 +99,16 @@
         ends.into_iter().find(|end| *end > now).or(Some(now))
     }
 
+    /// What is carried over a return, in numbers, for a log line.
+    pub fn carried_numbers(&self) -> String {
+        let Some(carried) = &self.carried else { return "nothing is carried over".to_owned() };
+        let (departed, unlisted) = (carried.departed.len(), carried.unlisted.len());
+        let evacuations = carried.evacuations.len();
+        format!(
+            "{departed} hosts had departed, {unlisted} are kept that it lacks, {evacuations} data centres were spoken of"
+        )
+    }
+
     /// What other nodes are told of it; none when nothing is carried over a return.
     pub fn news(&self, now: Instant) -> Option<CarriedNews> {
         let carried = self.carried.as_ref()?;
