--- a/crates/laurelstall_node/src/active.rs
+++ b/crates/laurelstall_node/src/active.rs
@@ -129,12 +129,11 @@
         let mut recent = self.recent();
         let has_returned = recent.take(listed, era, before, now);
         let corrected = recent.fleet(now);
+        let carried = has_returned.then(|| recent.carried_numbers());
         drop(recent);
-        if has_returned {
+        if let Some(carried) = carried {
             self.returns.fetch_add(1, Ordering::Relaxed);
-            log::warn!(
-                "the platform came back from an older copy: its list of hosts is corrected, era {era}"
-            );
+            log::warn!("the platform came back from an older copy, era {era}: {carried}");
         }
         self.with_lapsed(corrected, before)
     }
