Putting the list in force anew loses no configuration that is taken meanwhile

What callers could have seen: a configuration that had been accepted is not in force until the next one.

Cause: the value in force is made from the one before it, by whoever takes a document, by the end of a time for which hosts are kept, and since the carrying over of returns by each exchange that brings something. Of two made at once one was lost.

Change: one change at a time.

--- a/crates/laurelstall_node/src/active.rs
+++ b/crates/laurelstall_node/src/active.rs
@@ -52,6 +52,8 @@
 #[derive(Debug)]
 pub struct Active {
     in_force: ArcSwap<InForce>,
+    /// Held while the next value is made: of two made from the same one, the first would be lost.
+    changing: Mutex<()>,
     changed: watch::Sender<u64>,
     /// Until when targets are kept although the list lacks them, after the platform was away.
     keeps_until: Mutex<Option<Instant>>,
@@ -69,6 +71,7 @@
         let (changed, _) = watch::channel(0);
         Arc::new(Self {
             in_force: ArcSwap::default(),
+            changing: Mutex::default(),
             changed,
             keeps_until: Mutex::default(),
             recent: Mutex::default(),
@@ -94,6 +97,7 @@
 
     /// Puts the list in force that holds now, if it is another one.
     fn refresh_fleet(&self) {
+        let _changing = self.changing();
         let old = self.in_force.load_full();
         let before = &old.configuration.fleet;
         let listed = self.recent().fleet(Instant::now());
@@ -158,6 +162,10 @@
         Arc::new(kept)
     }
 
+    fn changing(&self) -> MutexGuard<'_, ()> {
+        self.changing.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     fn keeps_until(&self) -> MutexGuard<'_, Option<Instant>> {
         self.keeps_until.lock().unwrap_or_else(PoisonError::into_inner)
     }
@@ -215,6 +223,7 @@
 impl Acceptor for Active {
     fn accept(&self, document: &Document) -> Result<(), ConfigError> {
         let (checked, program) = check_document(document)?;
+        let _changing = self.changing();
         let old = self.in_force.load_full();
         let checked = match checked {
             Checked::Fleet(listed) => {
--- a/crates/laurelstall_node/tests/lapsed.rs
+++ b/crates/laurelstall_node/tests/lapsed.rs
@@ -2,11 +2,15 @@
 
 use laurelstall_config::document::{Document, DocumentName, Version};
 use laurelstall_node::active::Active;
-use laurelstall_peer::store::Acceptor;
-use std::{fmt::Write, sync::Arc};
+use laurelstall_peer::{
+    carried_news::{CarriedNews, Departed, DepartedHost, HostStart},
+    store::Acceptor,
+};
+use std::{fmt::Write, sync::Arc, thread};
 use tokio::time::{Duration, advance, timeout};
 
 const A_MOMENT: Duration = Duration::from_millis(1);
+const ROUNDS: u64 = 3_000;
 
 /// A list of targets, each with a host of its own: name of the target, host, state of the host.
 fn list(number: u64, targets: &[(&str, &str, &str)]) -> Document {
@@ -94,3 +98,39 @@
     active.accept(&list(2, &[("a", "h-a", "live")])).expect("it is a list");
     assert_eq!(targets(&active), ["a"]);
 }
+
+// The list in force is also put anew when time goes on or another node tells what it carries, from other tasks than those
+// that take documents. Each value is made from the one before it: of two that were made at once one was lost, and with it
+// a configuration that had been accepted.
+#[test]
+fn a_configuration_that_is_taken_while_the_list_is_put_anew_is_not_lost() {
+    let active = active_with(&list(1, &[("a", "h-a", "live"), ("b", "h-b", "live")]));
+    let news = |started_unix_ms: u64| CarriedNews {
+        era: 0,
+        age_ms: 0,
+        departed: vec![DepartedHost {
+            start: HostStart { host: "h-b".to_owned(), target: "b".to_owned(), started_unix_ms },
+            departed: Departed::Leaving,
+        }],
+        unlisted: "{}".to_owned(),
+        evacuations: Vec::new(),
+    };
+    thread::scope(|scope| {
+        let carrying = active.clone();
+        scope.spawn(move || {
+            for round in 0..ROUNDS {
+                carrying
+                    .accept(&list(2 + round, &[("a", "h-a", "live"), ("b", "h-b", "live")]))
+                    .expect("a list");
+                carrying.take_carried(&news(round % 2));
+            }
+        });
+        for number in 1..=ROUNDS {
+            let version = Version::new(number);
+            let limits = Document { name: DocumentName::System, version, text: "{}".to_owned() };
+            active.accept(&limits).expect("all limits have defaults");
+            thread::yield_now();
+            assert_eq!(active.load().configuration.version(&DocumentName::System), version);
+        }
+    });
+}
