--- a/crates/laurelstall_standin/src/bin/laurelstall-try.rs
+++ b/crates/laurelstall_standin/src/bin/laurelstall-try.rs
@@ -3,7 +3,8 @@
 use gumdrop::Options;
 use laurelstall_standin::{
     callers::{CallPlan, Callers, Entries, Totals, latency_of},
-    harness::{Harness, HarnessPlan},
+    harness::Harness,
+    harness_plan::HarnessPlan,
     threads::RuntimeThread,
 };
 use serde::Serialize;
--- a/crates/laurelstall_standin/src/experiment.rs
+++ b/crates/laurelstall_standin/src/experiment.rs
@@ -3,7 +3,8 @@
 use crate::{
     callers::{CallPlan, Callers, Entries, Finished, Seen, Totals, latency_of},
     fault::FaultContext,
-    harness::{ChooserMaker, Harness, HarnessPlan, ServicePlan},
+    harness::Harness,
+    harness_plan::{ChooserMaker, HarnessPlan, ServicePlan},
     latency::Latency,
     process::{cpu_s, threads_cpu_s},
     scenario::{Noise, Scenario},
--- a/crates/laurelstall_standin/src/fleet_bench.rs
+++ b/crates/laurelstall_standin/src/fleet_bench.rs
@@ -3,6 +3,7 @@
 use crate::{
     cuts::{Cuts, HostLink},
     harness::{Sockets, to_toml},
+    harness_plan::PROGRAM,
     latency::Latency,
     node_thread::NodeThread,
     platform::{PlatformWay, Snapshot, StandinPlatform},
@@ -470,7 +471,7 @@
         let team = Team {
             team: format!("team-{number:02}"),
             caller_hosts: vec![format!("team-{number:02}.example")],
-            program: crate::harness::PROGRAM.to_owned(),
+            program: PROGRAM.to_owned(),
             routes: Vec::new(),
             services: services.to_vec(),
             ..Team::default()
--- a/crates/laurelstall_standin/src/lib.rs
+++ b/crates/laurelstall_standin/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod fault_plan;
 pub mod fleet_bench;
 pub mod harness;
+pub mod harness_plan;
 pub mod latency;
 pub mod node_thread;
 pub mod platform;
@@ -25,7 +26,8 @@
 pub mod prelude {
     pub use crate::{
         callers::{CallPlan, Callers, Totals},
-        harness::{Harness, HarnessPlan},
+        harness::Harness,
+        harness_plan::HarnessPlan,
         platform::StandinPlatform,
         records::Records,
         target::StandinTarget,
--- a/crates/laurelstall_standin/tests/support/mod.rs
+++ b/crates/laurelstall_standin/tests/support/mod.rs
@@ -10,10 +10,7 @@
     rt::TokioExecutor,
 };
 use laurelstall_config::settings::DecisionFormat;
-use laurelstall_standin::{
-    call_uri::CALLER_HOST,
-    harness::{Harness, HarnessPlan},
-};
+use laurelstall_standin::{call_uri::CALLER_HOST, harness::Harness, harness_plan::HarnessPlan};
 use std::net::SocketAddr;
 
 /// A deployment of one service with `targets` targets that work for about a ms.
