An operator's look at the configuration does not lock up the node

What an operator would have seen: laurelstall-ctl config gets no answer, and the node stands still from then on.

Cause: the answer was made while the documents were locked, and the platform's era, since part of it, locks them again. Traced: administration.rs hung for nine minutes after 'status', 'targets' and 'members' with 0.6 % of a core; 'config' is next.

Change: the era is looked up before.

Ruled out: other places that lock the documents and ask for the era (the others let go of them first; read through).

--- a/crates/laurelstall_node/src/admin.rs
+++ b/crates/laurelstall_node/src/admin.rs
@@ -340,6 +340,8 @@
         let in_force = self.active.load();
         let versions = in_force.configuration.versions.iter();
         let versions = versions.map(|(name, version)| (name.to_string(), version.to_string().into()));
+        // Before the documents are locked: it looks at them itself.
+        let platform_era = self.spread.platform_era();
         let store = self.spread.store();
         let refused = store.refused().map(|(name, version)| (name.to_string(), version.to_string().into()));
         let conflicts = in_force.configuration.caller_host_conflicts();
@@ -350,7 +352,7 @@
             "caller_host_conflicts": conflicts,
             "is_reader": self.spread.is_reader(),
             "platform_read_age_ms": self.spread.platform_read_age_ms(),
-            "platform_era": self.spread.platform_era(),
+            "platform_era": platform_era,
             "platform_returns": self.active.returns.load(Ordering::Relaxed),
         })
     }
--- a/crates/laurelstall_standin/tests/administration.rs
+++ b/crates/laurelstall_standin/tests/administration.rs
@@ -44,6 +44,8 @@
     }
     let targets = json(&ask(admin, Method::GET, "/v1/targets", &[], Bytes::new()).await.expect("an answer"));
     assert_eq!(targets.as_array().map(Vec::len), Some(2));
+    let config = json(&ask(admin, Method::GET, "/v1/config", &[], Bytes::new()).await.expect("an answer"));
+    assert_eq!((&config["platform_era"], &config["platform_returns"]), (&0.into(), &0.into()));
     let status = json(&ask(admin, Method::GET, "/v1/status", &[], Bytes::new()).await.expect("an answer"));
     assert_eq!(status["counters"]["calls"], 1);
     let drained = ask(admin, Method::POST, "/v1/drain", &[], Bytes::new()).await.expect("an answer");
