A slow seed does not hold up what a joining node asks after a stale read

What callers could have seen: a node that starts while its seed is slow, after the store came back from a copy, follows the copy's configuration until its next exchange. Found in reading the change, not in a run of processes.

Change: it is dropped before others are asked, also where no era is named.

--- a/crates/laurelstall_peer/src/spread/joining.rs
+++ b/crates/laurelstall_peer/src/spread/joining.rs
@@ -66,12 +66,14 @@
                 return;
             }
             match self.read_platform_stale().await {
-                Ok(true) if self.may_have_lost() => {
-                    self.ask_peers_what_was_lost().await;
-                    return;
-                }
                 Ok(true) => {
-                    let _ = timeout(NEWEST_PATIENCE, self.ask_peers_for_newest()).await;
+                    // What it was about to pull would hold up others.
+                    drop(peers);
+                    if self.may_have_lost() {
+                        self.ask_some_peers().await;
+                    } else {
+                        let _ = timeout(NEWEST_PATIENCE, self.ask_peers_for_newest()).await;
+                    }
                     return;
                 }
                 // The platform knows no stale reads.
--- a/crates/laurelstall_peer/tests/eras.rs
+++ b/crates/laurelstall_peer/tests/eras.rs
@@ -2,9 +2,20 @@
 
 mod support;
 
+use futures_util::future::{BoxFuture, FutureExt, pending};
 use laurelstall_config::document::{Document, DocumentName, Version};
-use support::mesh::Mesh;
-use tokio::time::{Duration, Instant, sleep};
+use laurelstall_peer::{
+    attempt::AttemptHandler,
+    message::{PeerAnswer, PeerRequest},
+    platform::{Listing, PlatformError, PlatformSource, StaleListing},
+    server::{PeerHandler, PeerServer},
+};
+use std::{net::IpAddr, sync::Arc};
+use support::mesh::{Handler, HostLink, Mesh, node, version};
+use tokio::{
+    net::TcpListener,
+    time::{Duration, Instant, sleep},
+};
 
 /// Within which a version is in force at all nodes.
 const BOUND: Duration = Duration::from_secs(2);
@@ -52,3 +63,63 @@
         assert!(mesh.nodes.iter().all(|(_, spread)| spread.platform_era() == 2));
     }
 }
+
+/// A node that answers all but pulls.
+#[derive(Debug)]
+struct WithoutPulls(Handler);
+
+impl PeerHandler for WithoutPulls {
+    fn attempts(&self) -> &dyn AttemptHandler {
+        self.0.attempts()
+    }
+
+    fn is_member(&self, ip: IpAddr) -> bool {
+        self.0.is_member(ip)
+    }
+
+    fn answer(&self, from: IpAddr, request: PeerRequest) -> BoxFuture<'_, PeerAnswer> {
+        match request {
+            PeerRequest::Pull(_) => pending().boxed(),
+            other => self.0.answer(from, other),
+        }
+    }
+}
+
+/// A platform that came back from a copy with version 1, and knows stale reads.
+#[derive(Debug)]
+struct Returned;
+
+impl PlatformSource for Returned {
+    fn watch(&self, _: Option<u64>) -> BoxFuture<'_, Result<Listing, PlatformError>> {
+        pending().boxed()
+    }
+
+    fn read_stale(&self) -> BoxFuture<'_, Result<Option<StaleListing>, PlatformError>> {
+        let versions = vec![(DocumentName::System, Version::new(1))];
+        async { Ok(Some(StaleListing { era: 1, versions, mixed: Vec::new() })) }.boxed()
+    }
+
+    fn read(&self, _: DocumentName) -> BoxFuture<'_, Result<Document, PlatformError>> {
+        async { Ok(version(1)) }.boxed()
+    }
+}
+
+// A node that started while its seed was slow read the copy's configuration, and then asked others what the copy had lost.
+// Nobody's documents came: the pull from the seed, which nobody waited for any more, still held its turn.
+#[tokio::test]
+async fn a_seed_that_is_slow_does_not_hold_up_those_that_know_better_than_the_copy() {
+    let mesh = Mesh::start(5, 1).await;
+    mesh.nodes[0].1.take(version(2));
+    mesh.time_to_all(2).await;
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+    let seed = listener.local_addr().expect("it listens");
+    let handler = Arc::new(WithoutPulls(Handler::new(mesh.nodes[0].1.clone())));
+    let serving = tokio::spawn(PeerServer::new(handler, Arc::default()).serve(listener));
+    let (own, _) = mesh.nodes[4];
+    let link = Arc::new(HostLink::new(own, mesh.darkness.clone()));
+    let started = node(&mesh.fleet, 4, 9, link, Arc::new(Returned));
+    started.set_seeds(vec![seed]);
+    started.join().await;
+    assert_eq!(started.store().version(&DocumentName::System), Version::new(2));
+    serving.abort();
+}
