What is carried over a return fits into a question between nodes

What callers could have seen: in a fleet of over 600 hosts whose copy lacks most of them, nodes that compare what they carry refuse each other's question for the two seconds in which these hosts are kept; a node that starts then knows the copy alone. Found in reading: a question holds 256 KB, an answer 4 MB.

Change: hosts that the copy lacks are told in answers only, and 1,500 words at most, which fit with the longest names (before, 2,000 would not).

Before: what_is_carried_over_a_return_fits_into_a_question fails (1,273,676 bytes); after: passes.

--- a/crates/laurelstall_peer/src/carried_news.rs
+++ b/crates/laurelstall_peer/src/carried_news.rs
@@ -2,6 +2,9 @@
 
 use serde::{Deserialize, Serialize};
 
+/// A list of no hosts.
+const NO_HOSTS: &str = "{}";
+
 /// One start of a target on a host: what was said of it says nothing of the next start.
 #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct HostStart {
@@ -54,3 +57,11 @@
     /// Data centres of which operators had spoken before.
     pub evacuations: Vec<EvacuationWord>,
 }
+
+impl CarriedNews {
+    /// These news as they are told in a question, without the hosts that the copy lacks: of these there may be hundreds,
+    /// more than a question holds, and whoever lacks them asks itself.
+    pub fn in_question(self) -> Self {
+        Self { unlisted: NO_HOSTS.to_owned(), ..self }
+    }
+}
--- a/crates/laurelstall_peer/src/recent_fleet.rs
+++ b/crates/laurelstall_peer/src/recent_fleet.rs
@@ -17,8 +17,9 @@
 
 /// How long what was said is remembered: longer than a copy is old that the platform comes back from.
 const REMEMBERED_FOR: Duration = Duration::from_secs(60);
-/// Most words that are remembered of each kind; the oldest give way.
-const WORDS_MAX: usize = 2_000;
+/// Most words that are remembered of each kind, the oldest give way, and that one node tells another: with the longest names
+/// they fit into a question.
+pub const WORDS_MAX: usize = 1_500;
 /// How long after a return the copy's word is not taken for what was said before: many times as long as it takes until all
 /// of it is written again, or registrations that nobody renews have run out.
 const CARRIED_FOR: Duration = Duration::from_secs(30);
@@ -112,7 +113,7 @@
     /// What other nodes are told of it; none when nothing is carried over a return.
     pub fn news(&self, now: Instant) -> Option<CarriedNews> {
         let carried = self.carried.as_ref()?;
-        let departed = carried.departed.iter();
+        let departed = carried.departed.iter().take(WORDS_MAX);
         let departed =
             departed.map(|(start, departed)| DepartedHost { start: start.clone(), departed: *departed });
         let evacuations = carried.evacuations.iter();
--- a/crates/laurelstall_peer/src/spread/carrying.rs
+++ b/crates/laurelstall_peer/src/spread/carrying.rs
@@ -29,7 +29,8 @@
         if their_hash == self.acceptor.carried_hash() {
             return Ok(());
         }
-        let request = PeerRequest::CompareCarried(self.acceptor.carried());
+        let ours = self.acceptor.carried().map(CarriedNews::in_question);
+        let request = PeerRequest::CompareCarried(ours);
         match self.client.ask(address, &request).await? {
             PeerAnswer::Carried(theirs) => {
                 if let Some(theirs) = theirs {
--- a/crates/laurelstall_peer/tests/messages.rs
+++ b/crates/laurelstall_peer/tests/messages.rs
@@ -1,15 +1,20 @@
 //! Messages: what they cost, and that nothing from outside is misread.
 
 use laurelstall_balance::hint::{HINT_BYTES, Hint, TargetState};
-use laurelstall_config::document::{DocumentName, Version};
+use laurelstall_config::{
+    document::{DocumentName, Version},
+    fleet::EVACUATED_MAX,
+};
 use laurelstall_crash::{
     crash_record::{CrashNews, EndNews},
     request_digest::RequestDigest,
 };
 use laurelstall_guard::refusal::{Refusal, RefusalReason};
 use laurelstall_peer::{
-    frame::{MESSAGE_VERSION, decode, encode},
+    carried_news::{CarriedNews, Departed, DepartedHost, EvacuationWord, HostStart},
+    frame::{HEAD_BYTES_MAX, MESSAGE_VERSION, decode, encode},
     message::{AttemptHead, BodyKind, PeerAnswer, PeerRequest, PullItem},
+    recent_fleet::WORDS_MAX,
 };
 
 /// Version and length before each message.
@@ -84,6 +89,29 @@
     assert!(answer(Some(largest)) - answer(None) <= HINT_BYTES);
 }
 
+#[test]
+fn what_is_carried_over_a_return_fits_into_a_question() {
+    let longest_name = |number: usize| format!("{number:0>63}");
+    let departed = |number: usize| DepartedHost {
+        start: HostStart {
+            host: longest_name(number),
+            target: longest_name(number),
+            started_unix_ms: u64::MAX,
+        },
+        departed: Departed::Gone,
+    };
+    let word = |number: usize| EvacuationWord { data_centre: longest_name(number), is_evacuated: true };
+    let news = CarriedNews {
+        era: u64::MAX,
+        age_ms: u64::MAX,
+        departed: (0..WORDS_MAX).map(departed).collect(),
+        unlisted: "a host of a megabyte ".repeat(50_000),
+        evacuations: (0..EVACUATED_MAX).map(word).collect(),
+    };
+    let question = encode(&PeerRequest::CompareCarried(Some(news.in_question())));
+    assert!(question.len() <= HEAD_BYTES_MAX, "{} bytes", question.len());
+}
+
 #[test]
 fn any_bytes_are_read_without_a_panic_or_much_memory() {
     bolero::check!().with_type::<Vec<u8>>().with_iterations(20_000).for_each(|bytes| {
