Observability: nodes log what a target states of its rate limit and of its leaving

Cause: the lines of attempts named target, cost and outcome, but not what a target states of itself in its answers, so the three hypotheses on the limited targets could not be told apart. The guard writes a line for each change and counts it, the gauge and /v1/status show the current limit, and the lines of attempts carry what the answer stated. Values that are not one decimal number of at least 0 are told apart from no value. No decision uses any of it yet.

--- a/crates/laurelstall_node/benches/decisions.rs
+++ b/crates/laurelstall_node/benches/decisions.rs
@@ -116,6 +116,8 @@
         expected_us: 100,
         runner_up: Some(("target-2".to_owned(), 200)),
         targets: 18,
+        rate_limit_per_s: None,
+        is_leaving: false,
         outcome: "answered".to_owned(),
         took_us: 300,
     };
--- a/crates/laurelstall_node/src/admin.rs
+++ b/crates/laurelstall_node/src/admin.rs
@@ -282,6 +282,7 @@
             "in_flight": load.in_flight,
             "queued": load.queued,
             "limit": load.limit,
+            "rate_limit_milli_per_s": self.guard.rate_limit_milli_per_s(),
             "open_tickets": self.guard.open_tickets(),
             "observe_bytes": observed.bytes,
             "observe_messages": observed.messages,
--- a/crates/laurelstall_node/src/background.rs
+++ b/crates/laurelstall_node/src/background.rs
@@ -95,6 +95,8 @@
         ("slowness_percent", u64::from(load.slowness_percent)),
         ("is_cold", u64::from(guard.guard().is_cold())),
         ("is_evacuated", u64::from(guard.is_evacuated())),
+        ("has_rate_limit", u64::from(guard.rate_limit_milli_per_s().is_some())),
+        ("rate_limit_milli_per_s", guard.rate_limit_milli_per_s().unwrap_or(0)),
         ("control_bytes", meter.control_bytes.load(Ordering::Relaxed)),
         ("peer_connections", meter.open.load(Ordering::Relaxed)),
         ("platform_era", fleet_version.era),
--- a/crates/laurelstall_node/src/call/attempts.rs
+++ b/crates/laurelstall_node/src/call/attempts.rs
@@ -1,7 +1,7 @@
 //! Sends an attempt and, after the hedging delay of its route, a second one to another target.
 
 use super::{Call, Destination};
-use crate::counters::count;
+use crate::{counters::count, dialect::TargetNotice};
 use futures_util::future::{BoxFuture, Either, FutureExt, select};
 use laurelstall_balance::service_balancer::AttemptResult;
 use laurelstall_guard::{
@@ -87,7 +87,7 @@
         if matches!(finished.outcome, AttemptOutcome::Answered { .. }) {
             drop(other);
             self.record_result(&other_to, AttemptResult::Cancelled);
-            self.write_decision(&other_to, "cancelled", 0);
+            self.write_decision(&other_to, "cancelled", TargetNotice::default(), 0);
             return (finished_to, finished);
         }
         self.record_outcome(&finished_to, &finished);
--- a/crates/laurelstall_node/src/call/outcomes.rs
+++ b/crates/laurelstall_node/src/call/outcomes.rs
@@ -1,7 +1,11 @@
 //! Reports the outcome of an attempt to the balancer and the decision log.
 
 use super::{Call, Destination};
-use crate::{decision_log::Decision, metrics::record_us};
+use crate::{
+    decision_log::Decision,
+    dialect::{RateLimitNotice, TargetNotice},
+    metrics::record_us,
+};
 use laurelstall_balance::service_balancer::AttemptResult;
 use laurelstall_config::document::{DocumentName, Version};
 use laurelstall_guard::refusal::{Refusal, TargetSignal};
@@ -33,7 +37,11 @@
         };
         record_us(&self.context.latencies.attempts, took_us);
         self.record_result(destination, result);
-        self.write_decision(destination, outcome_name, took_us);
+        let notice = match &answer.outcome {
+            AttemptOutcome::Answered { headers, .. } => self.context.dialect.notice(headers),
+            AttemptOutcome::NotRun(_) | AttemptOutcome::Unknown(_) => TargetNotice::default(),
+        };
+        self.write_decision(destination, outcome_name, notice, took_us);
     }
 
     /// Updates the balancer's view of the target from a refusal. This is not charged to the observation budget.
@@ -78,10 +86,20 @@
     }
 
     /// Writes an attempt to the decision log, if it is enabled.
-    pub(super) fn write_decision(&self, destination: &Destination, outcome: &str, took_us: u64) {
+    pub(super) fn write_decision(
+        &self,
+        destination: &Destination,
+        outcome: &str,
+        notice: TargetNotice,
+        took_us: u64,
+    ) {
         if !self.context.decisions.is_enabled() {
             return;
         }
+        let rate_limit_per_s = match notice.rate_limit {
+            RateLimitNotice::PerSecond(per_s) => Some(per_s),
+            RateLimitNotice::Absent | RateLimitNotice::Invalid => None,
+        };
         self.context.decisions.write(Decision {
             call: self.request.id,
             request_id: self.request.request_id.clone(),
@@ -99,6 +117,8 @@
             hint_age_us: destination.hint_age_us,
             runner_up: destination.runner_up.clone(),
             targets: destination.targets,
+            rate_limit_per_s,
+            is_leaving: notice.is_leaving,
             outcome: outcome.to_owned(),
             took_us,
         });
--- a/crates/laurelstall_node/src/counters.rs
+++ b/crates/laurelstall_node/src/counters.rs
@@ -67,6 +67,10 @@
     target_sheds,
     /// Answers with which the local target refused a request that names another target.
     target_denials,
+    /// Changes of the rate limit that the local target states in its answers.
+    rate_limit_changes,
+    /// Instances of the local target that stated that they are leaving.
+    target_leavings,
     /// Checks whether the local target has crashed.
     end_looks,
     /// Crashes of the local target while requests were running.
--- a/crates/laurelstall_node/src/decision_log.rs
+++ b/crates/laurelstall_node/src/decision_log.rs
@@ -69,6 +69,10 @@
     pub runner_up: Option<(String, u64)>,
     /// Number of targets of the service.
     pub targets: usize,
+    /// Rate limit in the answer, in requests per second. `None` when there was none.
+    pub rate_limit_per_s: Option<f64>,
+    /// Whether the answer states that the target is leaving.
+    pub is_leaving: bool,
     /// Outcome of the attempt.
     pub outcome: String,
     /// Duration of the attempt in µs.
@@ -87,6 +91,12 @@
         if let Some((name, expected_us)) = &self.runner_up {
             write!(f, "runner_up={name}:{expected_us} ")?;
         }
+        if let Some(per_s) = self.rate_limit_per_s {
+            write!(f, "rate_limit_per_s={per_s} ")?;
+        }
+        if self.is_leaving {
+            write!(f, "is_leaving=true ")?;
+        }
         write!(f, "targets={} outcome={} took_us={}", self.targets, self.outcome, self.took_us)
     }
 }
--- a/crates/laurelstall_node/src/dialect.rs
+++ b/crates/laurelstall_node/src/dialect.rs
@@ -4,8 +4,8 @@
 //! of its environment.
 
 use crate::headers::{
-    BUDGET, CALL, CALLER, DEPTH, OUTCOME, REASON, RETRY_AFTER_MS, TICKET, WORKSPACE, number_value,
-    read_number, text_value, write_workspace,
+    BUDGET, CALL, CALLER, DEPTH, LEAVING, OUTCOME, RATE_LIMIT, REASON, RETRY_AFTER_MS, TICKET, WORKSPACE,
+    number_value, read_number, read_rate_limit, text_value, write_workspace,
 };
 use http::{HeaderMap, HeaderName, HeaderValue, StatusCode, header::RETRY_AFTER};
 use laurelstall_config::team::SHED_HEADER;
@@ -57,6 +57,27 @@
     pub slowness_percent: u32,
 }
 
+/// The rate limit that a target states for itself in an answer, summed over all callers.
+#[derive(Debug, Clone, Copy, PartialEq, Default)]
+pub enum RateLimitNotice {
+    /// The answer states no limit.
+    #[default]
+    Absent,
+    /// The answer states a limit that is not a single decimal number of at least 0.
+    Invalid,
+    /// The target takes this many requests per second.
+    PerSecond(f64),
+}
+
+/// What a target states about itself in an answer.
+#[derive(Debug, Clone, Copy, PartialEq, Default)]
+pub struct TargetNotice {
+    /// Its rate limit.
+    pub rate_limit: RateLimitNotice,
+    /// Whether it is leaving and takes no new requests.
+    pub is_leaving: bool,
+}
+
 /// How a call without an answer is reported to its caller.
 #[derive(Debug, Clone, Copy)]
 pub struct FailureInfo<'a> {
@@ -121,6 +142,9 @@
     /// the answer does not contain it.
     fn cold_ms(&self, answer: &HeaderMap) -> Option<u64>;
 
+    /// Returns what the target states about itself.
+    fn notice(&self, answer: &HeaderMap) -> TargetNotice;
+
     /// Adds the system's fields to a target's answer for the caller.
     fn mark_answer(&self, headers: &mut HeaderMap, call_id: u64);
 
@@ -195,6 +219,11 @@
         None
     }
 
+    fn notice(&self, answer: &HeaderMap) -> TargetNotice {
+        let is_leaving = answer.get(LEAVING).is_some_and(|value| value == "1");
+        TargetNotice { rate_limit: read_rate_limit(answer, &RATE_LIMIT), is_leaving }
+    }
+
     fn mark_answer(&self, headers: &mut HeaderMap, call_id: u64) {
         headers.insert(OUTCOME, HeaderValue::from_static("answered"));
         headers.insert(CALL, call_value(call_id));
--- a/crates/laurelstall_node/src/entry.rs
+++ b/crates/laurelstall_node/src/entry.rs
@@ -373,6 +373,8 @@
             hint_age_us: None,
             runner_up: None,
             targets: 0,
+            rate_limit_per_s: None,
+            is_leaving: false,
             outcome: "not-run".to_owned(),
             took_us: 0,
         });
--- a/crates/laurelstall_node/src/headers.rs
+++ b/crates/laurelstall_node/src/headers.rs
@@ -1,5 +1,6 @@
 //! The system's own header fields, and the removal of hop-by-hop fields.
 
+use crate::dialect::RateLimitNotice;
 use http::{
     HeaderMap, HeaderName, HeaderValue,
     header::{
@@ -28,6 +29,11 @@
 /// The workspace that a call belongs to, sent to targets; a value sent by the caller is removed.
 pub const WORKSPACE: HeaderName = HeaderName::from_static("laurelstall-workspace");
 
+/// Requests per second that a target takes from all callers together, in its answers.
+pub const RATE_LIMIT: HeaderName = HeaderName::from_static("laurelstall-rate-limit");
+/// `1` in the answers of a target that is leaving.
+pub const LEAVING: HeaderName = HeaderName::from_static("laurelstall-leaving");
+
 /// Authentication scheme of a caller's key in `authorization`.
 const KEY_SCHEME: &str = "bearer";
 
@@ -87,6 +93,17 @@
     Ok(number)
 }
 
+/// Reads the rate limit that a target states, in requests per second.
+pub fn read_rate_limit(headers: &HeaderMap, name: &HeaderName) -> RateLimitNotice {
+    let mut values = headers.get_all(name).iter();
+    let Some(value) = values.next() else { return RateLimitNotice::Absent };
+    let number = value.to_str().ok().and_then(|text| text.trim().parse::<f64>().ok());
+    match number.filter(|number| number.is_finite() && *number >= 0.0) {
+        Some(per_s) if values.next().is_none() => RateLimitNotice::PerSecond(per_s),
+        _ => RateLimitNotice::Invalid,
+    }
+}
+
 /// Converts a number to a header value.
 pub fn number_value(number: u64) -> HeaderValue {
     HeaderValue::from(number)
--- a/crates/laurelstall_node/src/target_guard.rs
+++ b/crates/laurelstall_node/src/target_guard.rs
@@ -46,10 +46,12 @@
 mod forwarding;
 mod instance;
 mod listed_target;
+mod notices;
 mod responses;
 
 use crash_detection::{CrashCheck, WatchedRun};
 use listed_target::ListedTarget;
+use notices::InstanceNotices;
 
 /// Queue length in baseline runs, which compare with a conventional load balancer and without a guard.
 const BASELINE_QUEUE_LENGTH: usize = 100_000;
@@ -80,6 +82,8 @@
     listed: Mutex<ListedTarget>,
     /// Which instance of the target is running on this host.
     identity: Mutex<TargetIdentity>,
+    /// What the instance has stated about itself.
+    notices: Mutex<InstanceNotices>,
     /// Serialises identity checks, so that concurrent calls share one.
     identity_check: AsyncMutex<()>,
     /// Requests that are running at the target, for attributing a crash to them.
@@ -159,6 +163,7 @@
             ledger: Mutex::new(Ledger::new(options.incarnation, 0)),
             listed: Mutex::default(),
             identity: Mutex::new(TargetIdentity::new(address_reserved_until_us)),
+            notices: Mutex::default(),
             identity_check: AsyncMutex::default(),
             run_tracker: Mutex::default(),
             crash_check: AsyncMutex::default(),
@@ -251,6 +256,11 @@
         self.inner.hint()
     }
 
+    /// Returns the rate limit that the target stated last, in thousandths of a request per second; `None` without one.
+    pub fn rate_limit_milli_per_s(&self) -> Option<u64> {
+        self.inner.rate_limit_milli_per_s()
+    }
+
     /// Returns the number of open tickets.
     pub fn open_tickets(&self) -> usize {
         self.inner.ledger().open()
--- a/crates/laurelstall_node/src/target_guard/responses.rs
+++ b/crates/laurelstall_node/src/target_guard/responses.rs
@@ -42,6 +42,7 @@
         let refusal = match self.dialect.answer_kind(&request, status, &headers, limits.shed_status) {
             AnswerKind::Ran => {
                 self.note_ran(&target);
+                self.note_notice(&target, self.dialect.notice(&headers));
                 None
             }
             AnswerKind::Shed => Some(RefusalReason::Shed),
