Limit: calls to a target stay within the rate that it states in its answers

Callers saw a target in need get a multiple of what it had said it takes.

The guard is the only way to its target, so it alone counts: a token bucket at the stated rate, with room for half a second. Statements of the instance count, also in refusals and health answers; only a successful answer to a call sent after the last statement ends the limit. A guard that has just started learns the limit from the first attempt of an entry that was told, in a header between nodes that older guards pass on and do not need, so no message changes. A call that another target may take is refused at once, others wait if they can be answered in time. Refused entries get successive times for the next calls and leave the target out until then; going on to a target without a limit is free, since one limit says nothing of the load of others. When all are limited, callers are told times that this entry's part of the limits bears.

--- a/crates/laurelstall_balance/src/service_balancer.rs
+++ b/crates/laurelstall_balance/src/service_balancer.rs
@@ -16,6 +16,7 @@
 
 mod budgets;
 mod outlier_ejection;
+mod rate_limits;
 
 pub use budgets::BalancerTotals;
 use budgets::reserve_per_entry;
@@ -58,10 +59,6 @@
 /// One in this many targets, the quickest ones, is taken to run at the service's current speed.
 const QUICK_TARGETS_DIVISOR: usize = 4;
 
-/// Longest time in µs for which a cold target is left out after its guard refused a call for its cold-start rate
-/// limit. Such a target admits a call about every 40 ms, and other entry nodes use that rate too.
-const COLD_PAUSE_MAX_US: u64 = 60_000;
-
 /// Mean service times after which the caller of a call that found all targets busy should retry.
 const RETRY_AFTER_RUNS: f64 = 4.0;
 /// Shortest retry-after time in ms for a call that no target can take.
@@ -127,6 +124,8 @@
     mean_load: f64,
     class_times: ClassTimes,
     spillover: Spillover,
+    /// Latest retry time given to a caller while all targets stated rate limits, in µs.
+    last_limited_retry_us: u64,
     ejections: u64,
     rng: SmallRng,
 }
@@ -148,6 +147,7 @@
             mean_load: 0.5,
             class_times: ClassTimes::default(),
             spillover: Spillover::default(),
+            last_limited_retry_us: 0,
             ejections: 0,
             rng: SmallRng::seed_from_u64(seed),
         }
@@ -303,13 +303,6 @@
         self.targets[index].skip_for(u64::from(wait_ms) * 1_000, now_us);
     }
 
-    /// Records that a guard refused a call because its cold target admits no further call for `wait_ms`.
-    pub fn note_cold_limit(&mut self, index: usize, name: &str, wait_ms: u32, now_us: u64) {
-        let Some(index) = self.index_of(index, name) else { return };
-        let wait_us = (u64::from(wait_ms) * 1_000).clamp(1, COLD_PAUSE_MAX_US);
-        self.targets[index].skip_for(wait_us, now_us);
-    }
-
     /// Slowness in percent of normal service time from which a target counts as slow compared with the others.
     ///
     /// Where all targets are slow, as after a start of the whole fleet, none is avoided for it.
@@ -389,14 +382,17 @@
 
     /// Time in ms after which the caller of a call that no target can take should retry: when the first ejected,
     /// skipped or draining target may be called again, or else after a few mean service times.
-    pub fn retry_after_ms(&self, now_us: u64) -> u64 {
+    ///
+    /// While all targets state rate limits, successive callers get successive times.
+    pub fn retry_after_ms(&mut self, now_us: u64) -> u64 {
         let live = self.targets.iter().filter(|view| view.is_live);
         let eligible_in_us = live.map(|view| view.eligible_from_us(now_us).saturating_sub(now_us)).min();
-        let wait_ms = match eligible_in_us {
-            Some(eligible_in_us) if eligible_in_us > 0 => eligible_in_us.div_ceil(1_000),
-            _ => (self.mean_us / 1_000.0 * RETRY_AFTER_RUNS) as u64,
+        let wait_us = match eligible_in_us {
+            Some(eligible_in_us) if eligible_in_us > 0 => eligible_in_us,
+            _ => (self.mean_us * RETRY_AFTER_RUNS) as u64,
         };
-        wait_ms.clamp(RETRY_AFTER_MIN_MS, RETRY_AFTER_MAX_MS)
+        let wait_us = self.limited_retry_us(wait_us, now_us).unwrap_or(wait_us);
+        wait_us.div_ceil(1_000).clamp(RETRY_AFTER_MIN_MS, RETRY_AFTER_MAX_MS)
     }
 
     /// The targets, for the decision log and the administration API.
--- a/crates/laurelstall_balance/src/target_view.rs
+++ b/crates/laurelstall_balance/src/target_view.rs
@@ -54,6 +54,8 @@
     /// Time in µs until which no calls are sent: its guard has no target of this name, or its cold-start limit is used
     /// up.
     skipped_until_us: u64,
+    /// Rate limit that the target stated last, in calls per second, and when it did, in µs.
+    rate_limit: Option<(f64, u64)>,
     hint: Option<(Hint, u64)>,
     in_flight: u32,
     in_flight_at_hint: u32,
@@ -78,6 +80,7 @@
             is_live: true,
             ejection: Ejection::new(now_us),
             skipped_until_us: 0,
+            rate_limit: None,
             hint: None,
             in_flight: 0,
             in_flight_at_hint: 0,
@@ -214,6 +217,22 @@
         self.skipped_until_us = now_us + wait_us;
     }
 
+    /// Records that the target stated a rate limit in calls per second.
+    pub fn note_rate_limit(&mut self, per_s: f64, now_us: u64) {
+        self.rate_limit = Some((per_s, now_us));
+    }
+
+    /// Records that an answer to a call sent at `sent_us` stated no rate limit. The limit ends unless it was stated
+    /// after that.
+    pub fn note_no_rate_limit(&mut self, sent_us: u64) {
+        self.rate_limit = self.rate_limit.filter(|(_, stated_at_us)| sent_us <= *stated_at_us);
+    }
+
+    /// The rate limit that the target stated last, in calls per second.
+    pub fn rate_limit_per_s(&self) -> Option<f64> {
+        self.rate_limit.map(|(per_s, _)| per_s)
+    }
+
     /// Records that a guard refused a call because the target drains.
     pub fn note_draining(&mut self, mean_us: f64, now_us: u64) {
         let last_hint = self.hint.map(|(hint, _)| hint);
--- a/crates/laurelstall_guard/src/guard.rs
+++ b/crates/laurelstall_guard/src/guard.rs
@@ -225,6 +225,40 @@
         self.lock().cold.is_cold(self.clock.now_us())
     }
 
+    /// Records that the target stated in an answer how many calls per second it takes.
+    pub fn note_stated_rate(&self, per_s: f64) {
+        let now_us = self.clock.now_us();
+        let mut state = self.lock();
+        state.stated.note_stated(per_s, now_us);
+        state.admit_waiting(now_us);
+        state.refuse_late(now_us);
+    }
+
+    /// Records that an answer to a call sent at `sent_us` stated no such rate.
+    pub fn note_unstated_rate(&self, sent_us: u64) {
+        let mut state = self.lock();
+        let had_limit = state.stated.stated_per_s().is_some();
+        state.stated.note_unstated(sent_us);
+        if had_limit {
+            state.admit_waiting(self.clock.now_us());
+        }
+    }
+
+    /// Records the rate limit of the target that an entry knows of.
+    pub fn note_rate_known_to_entry(&self, per_s: f64) {
+        self.lock().stated.note_known_to_entry(per_s, self.clock.now_us());
+    }
+
+    /// Discards the stated rate because another instance has taken the target's place.
+    pub fn forget_stated_rate(&self) {
+        self.lock().stated.forget();
+    }
+
+    /// Returns the calls per second that the target states it takes; `None` if it states no limit.
+    pub fn stated_rate(&self) -> Option<f64> {
+        self.lock().stated.stated_per_s()
+    }
+
     /// Records the result of a query that [`Guard::report_needed`] asked for: how long work takes at the
     /// target now, in percent of normal, or `None` when the query failed.
     pub fn note_query_result(&self, slowness_percent: Option<u32>) {
@@ -279,6 +313,10 @@
         if request.deadline_us <= now_us {
             return Err(Refusal::new(RefusalReason::Deadline));
         }
+        if state.is_avoidably_limited(request, now_us) {
+            drop(state);
+            return Err(self.refusal(RefusalReason::RateLimited));
+        }
         state.assume_run_time(request);
         let waits_for_report = state.has_slot() && state.is_report_worth_it(request, now_us);
         if !waits_for_report {
@@ -297,11 +335,11 @@
         let wait_max_us = state.wait_max_us(request, now_us);
         let expected_us = state.expected_wait_us(request, now_us);
         if expected_us > wait_max_us {
-            let is_cold = state.cold_wait_us(request, now_us) > wait_max_us;
+            let is_rate_limited = state.rate_wait_us(request, now_us) > wait_max_us;
             drop(state);
             let is_late = now_us + expected_us > request.deadline_us;
             return Err(self.refusal(match is_late {
-                _ if is_cold => RefusalReason::Cold,
+                _ if is_rate_limited => RefusalReason::RateLimited,
                 true => RefusalReason::Deadline,
                 false => RefusalReason::Busy,
             }));
@@ -404,7 +442,7 @@
         let mut state = self.lock();
         let rounds = state.queue.len() as u64 / u64::from(state.limit.limit().max(1)) + 1;
         let retry_after_us = match reason {
-            RefusalReason::Cold => state.next_retry_us(now_us),
+            RefusalReason::RateLimited => state.next_retry_us(now_us),
             _ => rounds * state.service_us(now_us),
         };
         let retry_after_ms = (retry_after_us / 1_000).clamp(1, 60_000) as u32;
@@ -418,7 +456,10 @@
 
 impl PermitOwner for Guard {
     fn note_sent(&self, run: &Run) {
-        self.lock().cold.note_sent(run.is_nested, self.clock.now_us());
+        let now_us = self.clock.now_us();
+        let mut state = self.lock();
+        state.cold.note_sent(run.is_nested, now_us);
+        state.stated.note_sent(now_us);
     }
 
     fn release(&self, run: &Run) {
--- a/crates/laurelstall_guard/src/guard/state.rs
+++ b/crates/laurelstall_guard/src/guard/state.rs
@@ -7,6 +7,7 @@
     guard_limits::GuardLimits,
     refusal::RefusalReason,
     start_decision::{SlotDemand, StartCandidate, StartDecision, StartForecast},
+    stated_rate_limiter::StatedRateLimiter,
     target_speed::TargetSpeed,
     wait_queue::{QueueKey, WaitQueue, Wake},
 };
@@ -42,9 +43,12 @@
 /// Calls are refused as slow only if the target is with at least this probability still in the phase that it
 /// last reported; otherwise trying another target is not worth the time.
 const SAME_PHASE_PROBABILITY_MIN: f64 = 0.8;
-/// How far beyond the next free capacity the retry times given to refused callers are spread, in µs. Callers
-/// retry within a third of their remaining time, which is rarely longer.
+/// How far beyond the next free capacity the retry times given to refused callers are spread during a cold start, in
+/// µs. Callers retry within a third of their remaining time, which is rarely longer.
 const RETRY_SPREAD_MAX_US: u64 = 300_000;
+/// The same for a target that states a rate limit, in µs. Entries leave the target out until then, and with a shorter
+/// spread many of them would ask for each call that it may get.
+const STATED_RETRY_SPREAD_MAX_US: u64 = 3_000_000;
 /// Start time that marks a slot as reserved for a woken call.
 const RESERVED: u64 = u64::MAX;
 
@@ -81,7 +85,9 @@
     pub(super) query_state: QueryState,
     /// Limits calls during the target's cold start.
     pub(super) cold: ColdStartLimiter,
-    /// Latest retry time given to a refused caller during a cold start, in µs.
+    /// Limits calls to the rate that the target states.
+    pub(super) stated: StatedRateLimiter,
+    /// Latest retry time given to a refused caller because of a limit on calls per second, in µs.
     last_retry_us: u64,
     pub(super) limits: GuardLimits,
     pub(super) queue: WaitQueue,
@@ -101,6 +107,7 @@
             speed: TargetSpeed::default(),
             query_state: QueryState::Unsupported,
             cold,
+            stated: StatedRateLimiter::default(),
             last_retry_us: 0,
             limits,
             queue: WaitQueue::default(),
@@ -126,18 +133,40 @@
         }
     }
 
-    /// Returns how many calls may run at once now: fewer than the concurrency limit while the cold-start
-    /// limit lets too few calls through to reach it.
+    /// Returns the calls per second that the limits let through; `None` when none is in force.
+    fn calls_per_s(&self, now_us: u64) -> Option<f64> {
+        let limits = [self.cold.calls_per_s(now_us), self.stated.calls_per_s()];
+        limits.into_iter().flatten().reduce(f64::min)
+    }
+
+    /// Returns when a call with `ahead` calls before it may be sent by the limits on calls per second, in µs.
+    fn next_send_us(&self, is_nested: bool, ahead: usize, now_us: u64) -> u64 {
+        let cold_us = self.cold.next_send_us(is_nested, ahead, now_us);
+        cold_us.max(self.stated.next_send_us(ahead, now_us))
+    }
+
+    /// Returns whether the limits on calls per second let one more call through now.
+    fn has_rate_capacity(&self, is_nested: bool, now_us: u64) -> bool {
+        self.cold.has_capacity(is_nested, now_us) && self.stated.has_capacity(now_us)
+    }
+
+    /// Returns how many calls may run at once now: fewer than the concurrency limit while the limits on calls
+    /// per second let too few through to reach it.
     pub(super) fn effective_limit(&self, now_us: u64) -> u32 {
         let limit = self.limit.limit();
-        let Some(calls_per_s) = self.cold.calls_per_s(now_us) else { return limit };
+        let Some(calls_per_s) = self.calls_per_s(now_us) else { return limit };
         let at_once = calls_per_s * self.service_us(now_us) as f64 / 1e6;
         (at_once.ceil() as u32).clamp(1, limit.max(1))
     }
 
-    /// Returns whether a call may start now: a slot is free and the cold-start limit allows it.
+    /// Returns whether a call may start now: a slot is free and the limits on calls per second allow it.
     pub(super) fn has_slot_and_capacity(&self, request: &AdmissionRequest, now_us: u64) -> bool {
-        self.has_slot() && self.cold.has_capacity(request.rank.is_nested(), now_us)
+        self.has_slot() && self.has_rate_capacity(request.rank.is_nested(), now_us)
+    }
+
+    /// Returns whether the stated limit delays the call although another target may take it at once.
+    pub(super) fn is_avoidably_limited(&self, request: &AdmissionRequest, now_us: u64) -> bool {
+        request.may_hand_back && !self.stated.has_capacity(now_us)
     }
 
     /// Returns whether the target has to be queried about its cold start now.
@@ -148,17 +177,19 @@
     /// Assigns a slot to a call that runs from `start_us` on; returns the run number.
     pub(super) fn start(&mut self, start_us: u64) -> u64 {
         self.cold.reserve();
+        self.stated.reserve();
         let number = self.next_run;
         self.next_run += 1;
         self.running.insert(number, start_us);
         number
     }
 
-    /// Frees the slot of a run that has ended, and its cold-start capacity if it was not sent.
+    /// Frees the slot of a run that has ended, and its capacity of the limits on calls per second if it was not sent.
     pub(super) fn end(&mut self, number: u64, was_sent: bool) {
         self.running.remove(&number);
         if !was_sent {
             self.cold.release_unsent();
+            self.stated.release_unsent();
         }
     }
 
@@ -182,7 +213,7 @@
             match decision {
                 SlotDecision::Start if !self.has_slot() => break,
                 // A nested call further back may still have capacity.
-                SlotDecision::Start if !self.cold.has_capacity(rank.is_nested(), now_us) => {}
+                SlotDecision::Start if !self.has_rate_capacity(rank.is_nested(), now_us) => {}
                 SlotDecision::Start => {
                     if self.queue.wake(&key, Wake::Start) {
                         self.start(RESERVED);
@@ -202,18 +233,18 @@
         let free = limit.saturating_sub(self.running.len() as u64);
         let service_us = self.service_us(now_us);
         let is_late = |(position, (key, request, _)): (usize, (&QueueKey, &AdmissionRequest, bool))| {
-            let next_send_us = self.cold.next_send_us(request.rank.is_nested(), position, now_us);
-            let is_cold_delayed = next_send_us > now_us;
+            let next_send_us = self.next_send_us(request.rank.is_nested(), position, now_us);
+            let is_rate_delayed = next_send_us > now_us;
             let is_next = (position as u64) < free;
-            if is_next && !is_cold_delayed {
+            if is_next && !is_rate_delayed {
                 return None;
             }
             let ahead = (position as u64).saturating_sub(free);
             let slot_us = now_us + ahead * service_us / limit;
             let run_us = (self.class_run_us(request) * self.quick_factor(now_us)) as u64;
             let reason = match request.may_hand_back {
-                _ if is_cold_delayed && next_send_us + run_us > request.useful_until_us => {
-                    RefusalReason::Cold
+                _ if is_rate_delayed && next_send_us + run_us > request.useful_until_us => {
+                    RefusalReason::RateLimited
                 }
                 true => RefusalReason::HandedBack,
                 false => RefusalReason::Busy,
@@ -330,7 +361,7 @@
     pub(super) fn recheck_us(&self, now_us: u64) -> Option<u64> {
         let is_due = !self.queue.is_empty() && self.has_slot();
         let next_send_us =
-            |request: &AdmissionRequest| self.cold.next_send_us(request.rank.is_nested(), 0, now_us);
+            |request: &AdmissionRequest| self.next_send_us(request.rank.is_nested(), 0, now_us);
         is_due.then(|| self.queue.first().map_or(now_us, next_send_us).max(now_us + RECHECK_US))
     }
 
@@ -376,19 +407,20 @@
         (self.mean_run_us * self.quick_factor(now_us)) as u64
     }
 
-    /// Returns how long the cold-start limit delays the call, in µs.
-    pub(super) fn cold_wait_us(&self, request: &AdmissionRequest, now_us: u64) -> u64 {
+    /// Returns how long the limits on calls per second delay the call, in µs.
+    pub(super) fn rate_wait_us(&self, request: &AdmissionRequest, now_us: u64) -> u64 {
         let before = self.queue.ahead_of(request.rank, request.deadline_us);
-        self.cold.next_send_us(request.rank.is_nested(), before, now_us) - now_us
+        self.next_send_us(request.rank.is_nested(), before, now_us) - now_us
     }
 
-    /// Returns when a refused call may be retried during a cold start, in µs from now; successive calls get
-    /// later times, so that retries are spread over the capacity to come.
+    /// Returns when a call refused because of a limit on calls per second may be retried, in µs from now; successive
+    /// calls get later times, so that retries are spread over the capacity to come.
     pub(super) fn next_retry_us(&mut self, now_us: u64) -> u64 {
-        let next_send_us = self.cold.next_send_us(false, self.queue.len(), now_us);
-        let step_us = self.cold.calls_per_s(now_us).map_or(0, |calls_per_s| (1e6 / calls_per_s) as u64);
-        let last_retry_us =
-            (self.last_retry_us + step_us).clamp(next_send_us, next_send_us + RETRY_SPREAD_MAX_US);
+        let next_send_us = self.next_send_us(false, self.queue.len(), now_us);
+        let step_us = self.calls_per_s(now_us).map_or(0, |calls_per_s| (1e6 / calls_per_s) as u64);
+        let has_stated_limit = self.stated.stated_per_s().is_some();
+        let spread_us = if has_stated_limit { STATED_RETRY_SPREAD_MAX_US } else { RETRY_SPREAD_MAX_US };
+        let last_retry_us = (self.last_retry_us + step_us).clamp(next_send_us, next_send_us + spread_us);
         self.last_retry_us = last_retry_us;
         last_retry_us - now_us
     }
@@ -400,7 +432,7 @@
         let before = self.queue.ahead_of(request.rank, request.deadline_us);
         let ahead = (before as u64).saturating_sub(free);
         let slot_wait_us = ahead * self.service_us(now_us) / limit;
-        slot_wait_us.max(self.cold_wait_us(request, now_us))
+        slot_wait_us.max(self.rate_wait_us(request, now_us))
     }
 
     /// Adds a run time, converted to the target's normal speed, in µs, to the moving average.
--- a/crates/laurelstall_guard/src/lib.rs
+++ b/crates/laurelstall_guard/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod phase_times;
 pub mod refusal;
 pub mod start_decision;
+pub mod stated_rate_limiter;
 pub mod suspension;
 pub mod target_identity;
 pub mod target_speed;
--- a/crates/laurelstall_guard/src/refusal.rs
+++ b/crates/laurelstall_guard/src/refusal.rs
@@ -40,8 +40,10 @@
     Busy,
     /// The target reported that it is another instance than the one that was named; the request reached it.
     Replaced,
-    /// The target is in its cold start, and its cold-start limit has no capacity for the call in time.
-    Cold,
+    /// A limit on the calls per second of the target has no capacity for the call in time: its cold-start limit, or
+    /// the one that it states in its answers.
+    #[serde(rename = "Cold")]
+    RateLimited,
     /// The request is quarantined because targets crashed while running it.
     #[serde(rename = "Held")]
     Quarantined,
@@ -87,8 +89,8 @@
     Full,
     /// It is in a slow phase.
     Slow,
-    /// It takes no call before the retry time given in the refusal, because of its cold-start limit.
-    ColdLimit,
+    /// It takes no call before the retry time given in the refusal, because of a limit on its calls per second.
+    RateLimit,
     /// It is draining.
     Draining,
     /// It cannot be reached under this name for now.
@@ -138,7 +140,7 @@
         Self::Slow,
         Self::Busy,
         Self::Replaced,
-        Self::Cold,
+        Self::RateLimited,
         Self::Quarantined,
     ];
 
@@ -163,7 +165,7 @@
             Self::Slow          => ("slow",          S::Guard,  N::SkipSlow,      T::Slow,        true),
             Self::Busy          => ("busy",          S::Guard,  N::RetryLimited,  T::Full,        true),
             Self::Replaced      => ("replaced",      S::Target, N::RetryBudgeted, T::Failing,     false),
-            Self::Cold          => ("cold",          S::Guard,  N::RetryLimited,  T::ColdLimit,   true),
+            Self::RateLimited   => ("cold",          S::Guard,  N::RetryLimited,  T::RateLimit,   true),
             Self::Quarantined   => ("held",          S::Guard,  N::GiveUp,        T::Nothing,     true),
         };
         RefusalProperties { name, source, next, signal, proves_ticket_not_run }
--- a/crates/laurelstall_guard/tests/refusal.rs
+++ b/crates/laurelstall_guard/tests/refusal.rs
@@ -71,7 +71,7 @@
             TargetSignal::Queueing => "some wait",
             TargetSignal::Full => "it is full",
             TargetSignal::Slow => "it is slow",
-            TargetSignal::ColdLimit => "it has no place",
+            TargetSignal::RateLimit => "it has no place",
             TargetSignal::Draining => "it drains",
             TargetSignal::Unreachable => "it is absent",
             TargetSignal::Failing => "it fails",
--- a/crates/laurelstall_node/src/call.rs
+++ b/crates/laurelstall_node/src/call.rs
@@ -74,6 +74,8 @@
     runner_up: Option<(String, u64)>,
     targets: usize,
     hint_age_us: Option<u64>,
+    /// Rate limit that the target stated last to this entry, in calls per second.
+    rate_limit_per_s: Option<f64>,
     sent_at_us: u64,
 }
 
--- a/crates/laurelstall_node/src/call/attempts.rs
+++ b/crates/laurelstall_node/src/call/attempts.rs
@@ -1,7 +1,7 @@
 //! Sends an attempt and, after the hedging delay of its route, a second one to another target.
 
 use super::{Call, Destination};
-use crate::{counters::count, dialect::TargetNotice};
+use crate::{counters::count, dialect::TargetNotice, headers::push_known_rate_limit};
 use futures_util::future::{BoxFuture, Either, FutureExt, select};
 use laurelstall_balance::service_balancer::AttemptResult;
 use laurelstall_guard::{
@@ -106,6 +106,10 @@
             && destination.targets > 1
             && !self.service.balancer().is_queueing(now_us);
         let is_local = destination.host == context.host;
+        let mut headers = self.request.headers.clone();
+        if let Some(per_s) = destination.rate_limit_per_s {
+            push_known_rate_limit(&mut headers, per_s);
+        }
         let observe_percent = self.request.route.observe_percent;
         let head = AttemptHead {
             call_id: self.request.id,
@@ -114,7 +118,7 @@
             method: self.request.method.clone(),
             uri: self.request.uri.clone(),
             digest: self.request.digest,
-            headers: self.request.headers.clone(),
+            headers,
             budget_us: self.request.deadline_us.saturating_sub(now_us),
             useful_us: self.useful_us(now_us),
             class: self.request.class,
--- a/crates/laurelstall_node/src/call/outcomes.rs
+++ b/crates/laurelstall_node/src/call/outcomes.rs
@@ -6,6 +6,7 @@
     dialect::{RateLimitNotice, TargetNotice},
     metrics::record_us,
 };
+use http::StatusCode;
 use laurelstall_balance::service_balancer::AttemptResult;
 use laurelstall_config::document::{DocumentName, Version};
 use laurelstall_guard::refusal::{Refusal, TargetSignal};
@@ -38,7 +39,11 @@
         record_us(&self.context.latencies.attempts, took_us);
         self.record_result(destination, result);
         let notice = match &answer.outcome {
-            AttemptOutcome::Answered { headers, .. } => self.context.dialect.notice(headers),
+            AttemptOutcome::Answered { status, headers, .. } => {
+                let notice = self.context.dialect.notice(headers);
+                self.record_notice(destination, *status, notice, now_us);
+                notice
+            }
             AttemptOutcome::NotRun(_) | AttemptOutcome::Unknown(_) => TargetNotice::default(),
         };
         self.write_decision(destination, outcome_name, notice, took_us);
@@ -57,7 +62,7 @@
             TargetSignal::Full => balancer.note_queueing(index, name, true, now_us),
             TargetSignal::Queueing => balancer.note_queueing(index, name, false, now_us),
             TargetSignal::Slow => balancer.note_slow_refusal(index, name, refusal.slowness_percent, now_us),
-            TargetSignal::ColdLimit => balancer.note_cold_limit(index, name, refusal.retry_after_ms, now_us),
+            TargetSignal::RateLimit => balancer.note_no_capacity(index, name, refusal.retry_after_ms, now_us),
             TargetSignal::Draining => balancer.note_draining(index, name, now_us),
             TargetSignal::Unreachable => balancer.note_absent(index, name, refusal.retry_after_ms, now_us),
             // A failure is recorded with the result of the attempt.
@@ -65,6 +70,27 @@
         }
     }
 
+    /// Records what the target stated about itself in an answer.
+    fn record_notice(
+        &self,
+        destination: &Destination,
+        status: StatusCode,
+        notice: TargetNotice,
+        now_us: u64,
+    ) {
+        let index = destination.choice.index;
+        let name = &destination.name;
+        let mut balancer = self.service.balancer();
+        match notice.rate_limit {
+            RateLimitNotice::PerSecond(per_s) => balancer.note_rate_limit(index, name, per_s, now_us),
+            // Errors may leave the limit out.
+            RateLimitNotice::Absent if !status.is_server_error() => {
+                balancer.note_no_rate_limit(index, name, destination.sent_at_us);
+            }
+            RateLimitNotice::Absent | RateLimitNotice::Invalid => {}
+        }
+    }
+
     /// Records the result of an attempt in the balancer, which may eject the target.
     pub(super) fn record_result(&self, destination: &Destination, result: AttemptResult) {
         let now_us = self.context.clock.now_us();
--- a/crates/laurelstall_node/src/call/retries.rs
+++ b/crates/laurelstall_node/src/call/retries.rs
@@ -80,6 +80,8 @@
             }
         }
         let may_continue = match next {
+            // A rate limit of one target says nothing of the load of the others.
+            NextStep::RetryLimited if self.has_unlimited_target(refusal) => true,
             NextStep::RetryLimited => self.try_reroute(),
             NextStep::RetryBudgeted => self.try_retry(Some(refusal)),
             _ => true,
@@ -93,6 +95,13 @@
         NextAction::Retry
     }
 
+    /// Whether the call was refused because of a rate limit and a target that states none may take it.
+    fn has_unlimited_target(&self, refusal: Refusal) -> bool {
+        let now_us = self.context.clock.now_us();
+        refusal.reason.properties().signal == TargetSignal::RateLimit
+            && self.service.balancer().has_unlimited_target(&self.excluded, now_us)
+    }
+
     /// Counts the refusal of a guard without capacity and decides whether another guard is tried.
     ///
     /// A nested call tries a few guards without spending retry budget: if it fails, the work of the call that waits for
--- a/crates/laurelstall_node/src/call/target_choice.rs
+++ b/crates/laurelstall_node/src/call/target_choice.rs
@@ -40,6 +40,7 @@
             choice_reason: if is_logged { choice.reason.to_string() } else { String::new() },
             runner_up: runner_up.map(|(index, score)| (views[index].name.clone(), score as u64)),
             targets: views.len(),
+            rate_limit_per_s: view.rate_limit_per_s(),
             hint_age_us: view.hint(now_us).map(|(_, age_us)| age_us),
             sent_at_us: now_us,
         };
--- a/crates/laurelstall_node/src/headers.rs
+++ b/crates/laurelstall_node/src/headers.rs
@@ -34,6 +34,9 @@
 /// `1` in the answers of a target that is leaving.
 pub const LEAVING: HeaderName = HeaderName::from_static("laurelstall-leaving");
 
+/// Rate limit of the target that an entry knows of, in an attempt to the target's guard.
+const KNOWN_RATE_LIMIT: &str = "laurelstall-known-rate-limit";
+
 /// Authentication scheme of a caller's key in `authorization`.
 const KEY_SCHEME: &str = "bearer";
 
@@ -73,6 +76,7 @@
 pub fn strip_request(headers: &mut HeaderMap, is_buffered: bool) {
     strip_hop_by_hop(headers);
     headers.remove(http::header::EXPECT);
+    headers.remove(KNOWN_RATE_LIMIT);
     if is_buffered {
         headers.remove(CONTENT_LENGTH);
     }
@@ -104,6 +108,19 @@
     }
 }
 
+/// Adds the rate limit of the target that the entry knows of, in requests per second.
+pub fn push_known_rate_limit(headers: &mut Vec<(String, Vec<u8>)>, per_s: f64) {
+    headers.push((KNOWN_RATE_LIMIT.to_owned(), per_s.to_string().into_bytes()));
+}
+
+/// Removes the rate limit that [`push_known_rate_limit`] added, and returns it.
+pub fn take_known_rate_limit(headers: &mut Vec<(String, Vec<u8>)>) -> Option<f64> {
+    let index = headers.iter().position(|(name, _)| name == KNOWN_RATE_LIMIT)?;
+    let (_, value) = headers.swap_remove(index);
+    let per_s = str::from_utf8(&value).ok()?.parse::<f64>().ok();
+    per_s.filter(|per_s| per_s.is_finite() && *per_s >= 0.0)
+}
+
 /// Converts a number to a header value.
 pub fn number_value(number: u64) -> HeaderValue {
     HeaderValue::from(number)
--- a/crates/laurelstall_node/src/load_query.rs
+++ b/crates/laurelstall_node/src/load_query.rs
@@ -5,7 +5,7 @@
 
 use crate::{
     body::{Collected, collect},
-    dialect::{HeaderDialect, TargetLoad},
+    dialect::{HeaderDialect, TargetLoad, TargetNotice},
     target_http::{TargetClient, TargetError, target_request},
 };
 use bytes::Bytes;
@@ -35,7 +35,7 @@
 }
 
 /// What a target reports about itself.
-#[derive(Debug, Clone, Default, PartialEq, Eq)]
+#[derive(Debug, Clone, Default, PartialEq)]
 pub struct LoadReport {
     /// Whether the target answered at all.
     pub is_answered: bool,
@@ -45,6 +45,8 @@
     pub load: Option<TargetLoad>,
     /// Remaining cold start in ms, if reported.
     pub cold_ms: Option<u64>,
+    /// What else the target states about itself.
+    pub notice: TargetNotice,
 }
 
 impl LoadQuery<'_> {
@@ -72,7 +74,9 @@
         }
         let instance = self.dialect.instance(&parts.headers).map(str::to_owned);
         let load = self.dialect.load(&parts.headers);
-        Ok(LoadReport { is_answered: true, instance, load, cold_ms: self.dialect.cold_ms(&parts.headers) })
+        let cold_ms = self.dialect.cold_ms(&parts.headers);
+        let notice = self.dialect.notice(&parts.headers);
+        Ok(LoadReport { is_answered: true, instance, load, cold_ms, notice })
     }
 
     fn request(self, path: &str) -> Option<Request<BoxedBody>> {
--- a/crates/laurelstall_node/src/target_guard.rs
+++ b/crates/laurelstall_node/src/target_guard.rs
@@ -4,6 +4,7 @@
     active_config::{ActiveConfig, ConfigSnapshot},
     counters::{Counters, count},
     dialect::HeaderDialect,
+    headers::take_known_rate_limit,
     metrics::{Latencies, record_us},
     observer::Observer,
     running_requests::RunningRequests,
@@ -258,7 +259,7 @@
 
     /// Returns the rate limit that the target stated last, in thousandths of a request per second; `None` without one.
     pub fn rate_limit_milli_per_s(&self) -> Option<u64> {
-        self.inner.rate_limit_milli_per_s()
+        self.inner.guard.stated_rate().map(|per_s| (per_s * 1_000.0) as u64)
     }
 
     /// Returns the number of open tickets.
@@ -385,7 +386,11 @@
 
     /// Checks an attempt and runs it, with its ticket if it has one.
     async fn handle_attempt(self: &Arc<Self>, attempt: Attempt, admission: Admission) -> AttemptAnswer {
-        let Attempt { head, body } = attempt;
+        let Attempt { mut head, body } = attempt;
+        // A guard that has just started knows of the limit before it sends the first call.
+        if let Some(per_s) = take_known_rate_limit(&mut head.headers) {
+            self.guard.note_rate_known_to_entry(per_s);
+        }
         let snapshot = self.active.load();
         let local = self.local_target(&snapshot);
         let Some((service, _)) = local.filter(|(_, target)| self.is_named(target, &head)) else {
@@ -466,6 +471,8 @@
 /// A target's answer with the resources held for the request.
 struct ReceivedResponse {
     request: HeaderMap,
+    /// When the request was sent, in µs of the node's clock.
+    sent_us: u64,
     /// Name of the target that the request was sent to.
     target: String,
     response: Response<Incoming>,
--- a/crates/laurelstall_node/src/target_guard/forwarding.rs
+++ b/crates/laurelstall_node/src/target_guard/forwarding.rs
@@ -62,6 +62,7 @@
                 return not_run(refusal, Some(body));
             }
         };
+        self.note_instance(&target);
         let Some(settings) = &self.settings else {
             permit.release_uncounted();
             return refused(RefusalReason::OtherTarget, Some(body));
@@ -154,6 +155,7 @@
             );
         }
         permit.note_sent();
+        let sent_us = self.clock.now_us();
         let sent = timeout_at(deadline, client.send(request, may_repeat)).await;
         if !matches!(sent, Ok(Err(TargetError::NoConnection))) {
             count(&self.counters.target_arrivals);
@@ -161,8 +163,15 @@
         match sent {
             Err(_) => unknown("time budget spent at the target"),
             Ok(Ok((response, connection))) => {
-                let received =
-                    ReceivedResponse { request: headers, target, response, connection, permit, watched_run };
+                let received = ReceivedResponse {
+                    request: headers,
+                    sent_us,
+                    target,
+                    response,
+                    connection,
+                    permit,
+                    watched_run,
+                };
                 let read = timeout_at(deadline, self.read_response(received, &limits)).await;
                 read.unwrap_or_else(|_| unknown("time budget spent at the target"))
             }
--- a/crates/laurelstall_node/src/target_guard/instance.rs
+++ b/crates/laurelstall_node/src/target_guard/instance.rs
@@ -1,6 +1,6 @@
 //! Tracks which instance of the target is running, from load queries and answers, and the name to send requests under.
 
-use super::Inner;
+use super::{Inner, notices::Silence};
 use crate::{
     counters::count,
     load_query::{LoadQuery, LoadReport},
@@ -77,6 +77,11 @@
         // A timeout does not mean that the target has no name.
         if report.is_answered {
             self.note_reported_name(report.instance.as_deref());
+            let instance = self.identity().name().to_owned();
+            if report.instance.as_ref().is_none_or(|reported| *reported == instance) {
+                self.note_instance(&instance);
+                self.note_notice(&instance, report.notice, Silence::Meaningless);
+            }
         } else {
             self.identity().note_no_reply(self.clock.now_us());
         }
--- a/crates/laurelstall_node/src/target_guard/listed_target.rs
+++ b/crates/laurelstall_node/src/target_guard/listed_target.rs
@@ -73,7 +73,12 @@
             before.name
         );
         self.inner.guard.discard_cold_report();
-        self.inner.identity().set_listed_name(name);
+        let instance = {
+            let mut identity = self.inner.identity();
+            identity.set_listed_name(name);
+            identity.name().to_owned()
+        };
+        self.inner.note_instance(&instance);
     }
 
     /// Resets what is known of the target after a restart under the same name. The ticket ledger is kept, so that the
@@ -82,6 +87,7 @@
         log::info!("local target '{name}': restarted at Unix time {started_unix_ms} ms of its own clock");
         self.inner.guard.discard_cold_report();
         self.inner.identity().reset_to_listed_name();
+        self.inner.guard.forget_stated_rate();
         if let Some(client) = &self.inner.client {
             client.close_idle();
         }
--- a/crates/laurelstall_node/src/target_guard/notices.rs
+++ b/crates/laurelstall_node/src/target_guard/notices.rs
@@ -10,56 +10,84 @@
 /// What one instance of the target has stated.
 #[derive(Debug, Default)]
 pub(super) struct InstanceNotices {
-    /// Name of the instance.
+    /// Name of the instance; empty before the first call.
     instance: String,
-    /// Last rate limit in its answers.
-    rate_limit: RateLimitNotice,
+    /// Whether it has stated a rate limit that is not a number.
+    has_invalid_limit: bool,
     /// Whether it has stated that it is leaving.
     is_leaving: bool,
 }
 
+/// What it means that an answer states no rate limit.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum Silence {
+    /// Nothing: health answers, refusals and errors may leave the limit out.
+    Meaningless,
+    /// The target had no limit after this time, in µs of the node's clock, when the call was sent.
+    NoLimitSince(u64),
+}
+
 impl Inner {
     fn notices(&self) -> MutexGuard<'_, InstanceNotices> {
         self.notices.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// Records what `instance` stated in an answer.
-    pub(super) fn note_notice(&self, instance: &str, notice: TargetNotice) {
+    /// Records which instance calls are sent to now; what an earlier one stated does not apply to it.
+    pub(super) fn note_instance(&self, instance: &str) {
+        let mut notices = self.notices();
+        if notices.instance == instance {
+            return;
+        }
+        let is_first = notices.instance.is_empty();
+        *notices = InstanceNotices { instance: instance.to_owned(), ..InstanceNotices::default() };
+        drop(notices);
+        // A limit that entries told before the first call is that of this instance.
+        if !is_first {
+            self.guard.forget_stated_rate();
+        }
+    }
+
+    /// Records what `instance` stated in an answer, if it is the one that calls are sent to.
+    pub(super) fn note_notice(&self, instance: &str, notice: TargetNotice, silence: Silence) {
         let mut notices = self.notices();
         if notices.instance != instance {
-            *notices = InstanceNotices { instance: instance.to_owned(), ..InstanceNotices::default() };
+            return;
         }
-        let before = std::mem::replace(&mut notices.rate_limit, notice.rate_limit);
-        let was_leaving = notices.is_leaving;
+        let is_new_leaving = notice.is_leaving && !notices.is_leaving;
         notices.is_leaving |= notice.is_leaving;
+        let is_invalid = notice.rate_limit == RateLimitNotice::Invalid;
+        let is_new_invalid = is_invalid && !notices.has_invalid_limit;
+        notices.has_invalid_limit |= is_invalid;
         drop(notices);
-        if before != notice.rate_limit {
-            self.log_rate_limit(instance, notice.rate_limit);
-        }
-        if notice.is_leaving && !was_leaving {
+        if is_new_leaving {
             count(&self.counters.target_leavings);
             log::info!("local target '{instance}': states that it is leaving");
         }
+        if is_new_invalid {
+            log::warn!("local target '{instance}': states a rate limit that is not a single number; ignored");
+        }
+        self.apply_rate_limit(instance, notice.rate_limit, silence);
     }
 
-    fn log_rate_limit(&self, instance: &str, rate_limit: RateLimitNotice) {
-        count(&self.counters.rate_limit_changes);
-        match rate_limit {
-            RateLimitNotice::PerSecond(per_s) => {
-                log::info!("local target '{instance}': states a limit of {per_s} requests per second");
-            }
-            RateLimitNotice::Absent => log::info!("local target '{instance}': states no rate limit any more"),
-            RateLimitNotice::Invalid => {
-                log::warn!("local target '{instance}': states a rate limit that is not a single number");
+    fn apply_rate_limit(&self, instance: &str, rate_limit: RateLimitNotice, silence: Silence) {
+        let before = self.guard.stated_rate();
+        match (rate_limit, silence) {
+            (RateLimitNotice::PerSecond(per_s), _) => self.guard.note_stated_rate(per_s),
+            (RateLimitNotice::Absent, Silence::NoLimitSince(sent_us)) => {
+                self.guard.note_unstated_rate(sent_us)
             }
+            (RateLimitNotice::Absent | RateLimitNotice::Invalid, _) => {}
         }
-    }
-
-    /// Returns the rate limit that the target stated last, in thousandths of a request per second.
-    pub(super) fn rate_limit_milli_per_s(&self) -> Option<u64> {
-        match self.notices().rate_limit {
-            RateLimitNotice::PerSecond(per_s) => Some((per_s * 1_000.0) as u64),
-            RateLimitNotice::Absent | RateLimitNotice::Invalid => None,
+        let after = self.guard.stated_rate();
+        if before == after {
+            return;
+        }
+        count(&self.counters.rate_limit_changes);
+        match after {
+            Some(per_s) => {
+                log::info!("local target '{instance}': states a limit of {per_s} calls per second")
+            }
+            None => log::info!("local target '{instance}': states no rate limit any more"),
         }
     }
 }
--- a/crates/laurelstall_node/src/target_guard/responses.rs
+++ b/crates/laurelstall_node/src/target_guard/responses.rs
@@ -1,6 +1,8 @@
 //! Converts the target's response into the answer for the entry.
 
-use super::{Inner, ReceivedResponse, connection_lost, crash_detection::WatchedRun, refused, unknown};
+use super::{
+    Inner, ReceivedResponse, connection_lost, crash_detection::WatchedRun, notices::Silence, refused, unknown,
+};
 use crate::{
     body::{Collected, WatchedBody, collect, full_body},
     counters::count,
@@ -32,7 +34,8 @@
         received: ReceivedResponse,
         limits: &ServiceLimits,
     ) -> AttemptAnswer {
-        let ReceivedResponse { request, target, response, connection, permit, watched_run } = received;
+        let ReceivedResponse { request, sent_us, target, response, connection, permit, watched_run } =
+            received;
         let (parts, body) = response.into_parts();
         let status = parts.status;
         let mut headers = parts.headers;
@@ -42,10 +45,17 @@
         let refusal = match self.dialect.answer_kind(&request, status, &headers, limits.shed_status) {
             AnswerKind::Ran => {
                 self.note_ran(&target);
-                self.note_notice(&target, self.dialect.notice(&headers));
+                let silence = match status.is_server_error() {
+                    true => Silence::Meaningless,
+                    false => Silence::NoLimitSince(sent_us),
+                };
+                self.note_notice(&target, self.dialect.notice(&headers), silence);
                 None
             }
-            AnswerKind::Shed => Some(RefusalReason::Shed),
+            AnswerKind::Shed => {
+                self.note_notice(&target, self.dialect.notice(&headers), Silence::Meaningless);
+                Some(RefusalReason::Shed)
+            }
             AnswerKind::Denied => Some(RefusalReason::Replaced),
             AnswerKind::WrongRequest => {
                 permit.release_uncounted();
--- a/crates/laurelstall_workspace/src/token_bucket.rs
+++ b/crates/laurelstall_workspace/src/token_bucket.rs
@@ -39,7 +39,13 @@
 
     /// Time in µs until the bucket has a whole token; 0 when it has one, `u64::MAX` when it never will.
     pub fn wait_us(&self, now_us: u64) -> u64 {
-        let missing = 1.0 - self.level_at(now_us);
+        self.wait_for_us(1.0, now_us)
+    }
+
+    /// Time in µs until `count` tokens have come in, as if the bucket had room for them; 0 when it has them, `u64::MAX`
+    /// when it never will.
+    pub fn wait_for_us(&self, count: f64, now_us: u64) -> u64 {
+        let missing = count - self.level_at(now_us);
         if missing <= 0.0 {
             return 0;
         }
