Leaving: a target that states that it is leaving gets no new calls, whatever the lists say

Callers' requests reached targets long after those had said in their answers that they are leaving. Same class as the limit: what a target states of itself was passed on and read by nobody; only the store's list was believed.

The guard drains from the first such answer, refusal or health answer of its instance on, and serves again when another instance takes its place. Each entry remembers the instance for the rest of its process, by its own name and by the one that it addressed, so that a guard that was started again, a store that lists the target as ready or as new, and a store that is away change nothing. Where all targets of a service leave, calls are refused at once with a time to come back. Reasons to drain are now applied under a lock, since the request path applies them too.

--- a/crates/laurelstall_balance/src/lib.rs
+++ b/crates/laurelstall_balance/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod hint;
 pub mod importance_tracker;
 pub mod least_cost;
+pub mod leaving_targets;
 pub mod observe_budget;
 pub mod recent_count;
 pub mod service_balancer;
--- a/crates/laurelstall_balance/src/service_balancer.rs
+++ b/crates/laurelstall_balance/src/service_balancer.rs
@@ -173,6 +173,7 @@
                 kept.remote_cost_percent = view.remote_cost_percent;
                 kept.data_centre = view.data_centre;
                 kept.is_live = view.is_live;
+                kept.is_leaving = view.is_leaving;
                 view = kept;
             } else if is_first {
                 view.ejection = Ejection::without_ramp();
@@ -278,7 +279,7 @@
 
     /// Passes the load of a target to the comparison of the local data centre with the remote ones.
     fn compare_loads(&mut self, index: usize, calls: u32, limit: u32, now_us: u64) {
-        let is_local = |view: &&TargetView| view.remote_cost_percent == 0 && view.is_live;
+        let is_local = |view: &&TargetView| view.remote_cost_percent == 0 && view.is_in_service();
         let local_targets = self.targets.iter().filter(is_local).count();
         let is_remote = self.targets[index].remote_cost_percent > 0;
         let load = f64::from(calls) / f64::from(limit.max(1));
@@ -297,6 +298,14 @@
         self.targets[index].note_draining(self.mean_us, now_us);
     }
 
+    /// Records that the target `name` has stated that it is leaving. Returns when it started, in ms of Unix time by its
+    /// own clock; 0 when unknown.
+    pub fn note_leaving(&mut self, name: &str) -> u64 {
+        let Some(view) = self.targets.iter_mut().find(|view| view.name == name) else { return 0 };
+        view.is_leaving = true;
+        view.started_unix_ms
+    }
+
     /// Records that a guard refused a call because it has no target of this name and expects none for `wait_ms`.
     pub fn note_absent(&mut self, index: usize, name: &str, wait_ms: u32, now_us: u64) {
         let Some(index) = self.index_of(index, name) else { return };
@@ -327,7 +336,7 @@
     /// Whether more than two thirds of the live targets recently reported a queue of at least half their concurrency
     /// limit.
     pub fn is_queueing(&self, now_us: u64) -> bool {
-        let live = self.targets.iter().filter(|view| view.is_live);
+        let live = self.targets.iter().filter(|view| view.is_in_service());
         let is_queueing = |view: &&TargetView| {
             let hint = view.hint(now_us).filter(|(_, age_us)| *age_us < QUEUEING_HINT_AGE_US);
             hint.is_some_and(|(hint, _)| hint.queued * 2 >= hint.limit)
@@ -371,8 +380,11 @@
         has_connection: impl Fn(&str) -> bool,
     ) -> Option<usize> {
         let age = |view: &TargetView| view.hint(now_us).map_or(u64::MAX, |(_, age_us)| age_us);
-        let live =
-            self.targets.iter().enumerate().filter(|(_, view)| view.is_live && has_connection(&view.host));
+        let live = self
+            .targets
+            .iter()
+            .enumerate()
+            .filter(|(_, view)| view.is_in_service() && has_connection(&view.host));
         let due = live.map(|(index, view)| (index, age(view))).filter(|(_, age)| *age >= age_min_us);
         let due = due.collect::<Vec<_>>();
         let oldest = due.iter().map(|(_, age)| *age).max()?;
@@ -385,7 +397,7 @@
     ///
     /// While all targets state rate limits, successive callers get successive times.
     pub fn retry_after_ms(&mut self, now_us: u64) -> u64 {
-        let live = self.targets.iter().filter(|view| view.is_live);
+        let live = self.targets.iter().filter(|view| view.is_in_service());
         let eligible_in_us = live.map(|view| view.eligible_from_us(now_us).saturating_sub(now_us)).min();
         let wait_us = match eligible_in_us {
             Some(eligible_in_us) if eligible_in_us > 0 => eligible_in_us,
--- a/crates/laurelstall_balance/src/service_balancer/rate_limits.rs
+++ b/crates/laurelstall_balance/src/service_balancer/rate_limits.rs
@@ -46,7 +46,7 @@
     ///
     /// Callers come back no faster than this entry node's part of the limits, and not before `wait_us`.
     pub(super) fn limited_retry_us(&mut self, wait_us: u64, now_us: u64) -> Option<u64> {
-        let live = self.targets.iter().filter(|view| view.is_live);
+        let live = self.targets.iter().filter(|view| view.is_in_service());
         let limits = live.map(TargetView::rate_limit_per_s).collect::<Option<Vec<_>>>()?;
         if limits.is_empty() {
             return None;
--- a/crates/laurelstall_balance/src/target_view.rs
+++ b/crates/laurelstall_balance/src/target_view.rs
@@ -49,6 +49,8 @@
     pub data_centre: String,
     /// Whether the list of hosts has the target's host as live.
     pub is_live: bool,
+    /// Whether the target has stated in an answer that it is leaving.
+    pub is_leaving: bool,
     /// Outlier ejection and slow start of the target.
     pub ejection: Ejection,
     /// Time in µs until which no calls are sent: its guard has no target of this name, or its cold-start limit is used
@@ -78,6 +80,7 @@
             remote_cost_percent: 0,
             data_centre: String::new(),
             is_live: true,
+            is_leaving: false,
             ejection: Ejection::new(now_us),
             skipped_until_us: 0,
             rate_limit: None,
@@ -189,12 +192,17 @@
         now_us.saturating_sub(*self.slow_since_us.get_or_insert(now_us))
     }
 
+    /// Whether the target is in service: listed as live and not leaving.
+    pub fn is_in_service(&self) -> bool {
+        self.is_live && !self.is_leaving
+    }
+
     /// Whether new calls may be sent to the target.
     pub fn is_eligible(&self, now_us: u64) -> bool {
-        self.is_live && now_us >= self.eligible_from_us(now_us)
+        self.is_in_service() && now_us >= self.eligible_from_us(now_us)
     }
 
-    /// The time in µs from which new calls may be sent to the target if its host is live; not after `now_us` when
+    /// The time in µs from which new calls may be sent to the target if it is in service; not after `now_us` when
     /// they may be sent now.
     pub fn eligible_from_us(&self, now_us: u64) -> u64 {
         let drained_us = self.hint(now_us).filter(|_| self.is_draining(now_us));
--- a/crates/laurelstall_node/src/admin.rs
+++ b/crates/laurelstall_node/src/admin.rs
@@ -158,6 +158,10 @@
     target: String,
     host: String,
     is_live: bool,
+    /// Whether it has stated to this entry that it is leaving.
+    is_leaving: bool,
+    /// Rate limit that it stated last to this entry; `None` without one.
+    rate_limit_per_s: Option<f64>,
     is_eligible: bool,
     in_flight: u32,
     error_rate: f64,
@@ -307,6 +311,8 @@
                     target: view.name.clone(),
                     host: view.host.clone(),
                     is_live: view.is_live,
+                    is_leaving: view.is_leaving,
+                    rate_limit_per_s: view.rate_limit_per_s(),
                     is_eligible: view.is_eligible(now_us),
                     in_flight: view.in_flight(),
                     error_rate: view.error_rate(now_us),
--- a/crates/laurelstall_node/src/call/outcomes.rs
+++ b/crates/laurelstall_node/src/call/outcomes.rs
@@ -80,6 +80,9 @@
     ) {
         let index = destination.choice.index;
         let name = &destination.name;
+        if notice.is_leaving {
+            self.service.note_leaving(name);
+        }
         let mut balancer = self.service.balancer();
         match notice.rate_limit {
             RateLimitNotice::PerSecond(per_s) => balancer.note_rate_limit(index, name, per_s, now_us),
--- a/crates/laurelstall_node/src/call/retries.rs
+++ b/crates/laurelstall_node/src/call/retries.rs
@@ -1,7 +1,7 @@
 //! Decides after an attempt whether the call ends or makes another attempt.
 
 use super::{Call, Destination, FallbackAnswer};
-use crate::{call_request::CallOutcome, counters::count};
+use crate::{call_request::CallOutcome, counters::count, headers::take_leaving_instance};
 use laurelstall_guard::refusal::{NextStep, Refusal, RefusalReason, TargetSignal};
 use laurelstall_peer::{
     attempt::{AttemptAnswer, AttemptBody, AttemptOutcome, UnknownCause},
@@ -26,6 +26,11 @@
         destination: &Destination,
         mut answer: AttemptAnswer,
     ) -> NextAction {
+        if let AttemptOutcome::Answered { headers, .. } = &mut answer.outcome
+            && let Some(instance) = take_leaving_instance(headers)
+        {
+            self.service.note_leaving(&instance);
+        }
         self.record_outcome(destination, &answer);
         match answer.outcome {
             AttemptOutcome::Answered { status, headers, body } => {
--- a/crates/laurelstall_node/src/headers.rs
+++ b/crates/laurelstall_node/src/headers.rs
@@ -37,6 +37,10 @@
 /// Rate limit of the target that an entry knows of, in an attempt to the target's guard.
 const KNOWN_RATE_LIMIT: &str = "laurelstall-known-rate-limit";
 
+/// Name of the instance that answered, from its guard to the entry when the instance is leaving. The entry may have
+/// addressed it by an older name.
+const LEAVING_INSTANCE: &str = "laurelstall-leaving-instance";
+
 /// Authentication scheme of a caller's key in `authorization`.
 const KEY_SCHEME: &str = "bearer";
 
@@ -121,6 +125,17 @@
     per_s.filter(|per_s| per_s.is_finite() && *per_s >= 0.0)
 }
 
+/// Adds the name of the leaving instance to its answer.
+pub fn insert_leaving_instance(headers: &mut HeaderMap, instance: &str) {
+    headers.insert(LEAVING_INSTANCE, text_value(instance));
+}
+
+/// Removes the name of the leaving instance from an answer, and returns it.
+pub fn take_leaving_instance(headers: &mut HeaderMap) -> Option<String> {
+    let name = headers.remove(LEAVING_INSTANCE)?;
+    name.to_str().ok().map(str::to_owned)
+}
+
 /// Converts a number to a header value.
 pub fn number_value(number: u64) -> HeaderValue {
     HeaderValue::from(number)
--- a/crates/laurelstall_node/src/services.rs
+++ b/crates/laurelstall_node/src/services.rs
@@ -1,7 +1,10 @@
 //! The services called through this entry, each with its load balancer and the addresses of its targets' nodes.
 
 use crate::active_config::ConfigSnapshot;
-use laurelstall_balance::{chooser::Chooser, service_balancer::ServiceBalancer, target_view::TargetView};
+use laurelstall_balance::{
+    chooser::Chooser, leaving_targets::LeavingTargets, service_balancer::ServiceBalancer,
+    target_view::TargetView,
+};
 use laurelstall_config::{configuration::Configuration, team::Service};
 use laurelstall_guard::clock::Clock;
 use std::{
@@ -23,6 +26,8 @@
     /// Full name, `team/service`.
     pub name: String,
     balancer: Mutex<ServiceBalancer>,
+    /// Targets of all services that have stated that they are leaving; locked after `balancer`.
+    leaving: Arc<Mutex<LeavingTargets>>,
     /// Addresses at which the nodes of the targets' hosts accept other nodes, by host.
     addresses: Mutex<HashMap<String, SocketAddr>>,
     /// Generation of the snapshot that the state was updated to.
@@ -37,6 +42,18 @@
         self.balancer.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Records that a target has stated in an answer that it is leaving. This entry sends it no new calls, whatever the
+    /// list of targets says.
+    pub fn note_leaving(&self, target: &str) {
+        let mut balancer = self.balancer();
+        let started_unix_ms = balancer.note_leaving(target);
+        let is_new = lock_leaving(&self.leaving).insert(target, started_unix_ms);
+        drop(balancer);
+        if is_new {
+            log::info!("target {target} of service {}: states that it is leaving", self.name);
+        }
+    }
+
     /// Returns the address at which the node of `host` accepts streams from other nodes.
     pub fn address(&self, host: &str) -> Option<SocketAddr> {
         self.addresses.lock().unwrap_or_else(PoisonError::into_inner).get(host).copied()
@@ -75,7 +92,7 @@
             view.is_live = host.is_some_and(|host| configuration.fleet.accepts_calls(host));
             view
         });
-        let views = views.collect();
+        let mut views = views.collect::<Vec<_>>();
         let mut addresses = HashMap::new();
         for target in &service.targets {
             if let Some(host) = configuration.host(&target.host) {
@@ -84,6 +101,12 @@
         }
         *self.addresses.lock().unwrap_or_else(PoisonError::into_inner) = addresses;
         let mut balancer = self.balancer();
+        {
+            let leaving = lock_leaving(&self.leaving);
+            for view in &mut views {
+                view.is_leaving = leaving.contains(&view.name, view.started_unix_ms);
+            }
+        }
         balancer.set_targets(service.limits, views);
         balancer.set_entries(configuration.fleet.hosts.len());
     }
@@ -117,12 +140,13 @@
     chooser: ChooserFactory,
     seed: u64,
     states: Mutex<HashMap<String, Arc<ServiceState>>>,
+    leaving: Arc<Mutex<LeavingTargets>>,
 }
 
 impl Services {
     /// Creates an empty set of services; each service gets its own chooser.
     pub fn new(location: NodeLocation, clock: Clock, chooser: ChooserFactory, seed: u64) -> Self {
-        Self { location, clock, chooser, seed, states: Mutex::default() }
+        Self { location, clock, chooser, seed, states: Mutex::default(), leaving: Arc::default() }
     }
 
     /// Returns the service of this full name, updated to `snapshot`; `None` if it does not exist.
@@ -166,6 +190,7 @@
         Arc::new(ServiceState {
             name: full_name.to_owned(),
             balancer: Mutex::new(ServiceBalancer::new(service.limits, (self.chooser)(), seed)),
+            leaving: self.leaving.clone(),
             addresses: Mutex::default(),
             generation: AtomicU64::new(0),
             used_at_us: AtomicU64::new(0),
@@ -177,6 +202,10 @@
     }
 }
 
+fn lock_leaving(leaving: &Mutex<LeavingTargets>) -> MutexGuard<'_, LeavingTargets> {
+    leaving.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
 impl fmt::Debug for Services {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         f.debug_struct("Services").field("own", &self.location).finish_non_exhaustive()
--- a/crates/laurelstall_node/src/target_guard.rs
+++ b/crates/laurelstall_node/src/target_guard.rs
@@ -68,6 +68,10 @@
     leaving: AtomicBool,
     /// The host's data centre is evacuated.
     evacuated: AtomicBool,
+    /// The target has stated that it is leaving.
+    target_leaving: AtomicBool,
+    /// Held while the reasons are applied, so that the last to apply them sees all changes.
+    applying: Mutex<()>,
 }
 
 #[derive(Debug)]
@@ -224,13 +228,13 @@
     /// Starts or ends a drain that an operator requested.
     pub fn set_operator_drain(&self, is_draining: bool) {
         self.inner.drains.operator.store(is_draining, Ordering::Relaxed);
-        self.apply_drains();
+        self.inner.apply_drains();
     }
 
     /// Starts the final drain before the node stops.
     pub fn start_final_drain(&self) {
         self.inner.drains.stopping.store(true, Ordering::Relaxed);
-        self.apply_drains();
+        self.inner.apply_drains();
     }
 
     /// Queries the load of the target whenever the guard needs a newer value; runs until dropped.
@@ -285,20 +289,6 @@
         self.inner.counters.tickets.fetch_add(u64::from(count), Ordering::Relaxed);
         PeerAnswer::Tickets { incarnation: self.inner.incarnation, first, count, lifetime_ms }
     }
-
-    fn apply_drains(&self) {
-        let drains = &self.inner.drains;
-        let reasons = [&drains.operator, &drains.stopping, &drains.leaving, &drains.evacuated];
-        let is_draining = reasons.iter().any(|reason| reason.load(Ordering::Relaxed));
-        if self.inner.guard.is_draining() != is_draining {
-            log::info!(
-                "guard of host {}: {}",
-                self.inner.host,
-                if is_draining { "draining" } else { "serving" }
-            );
-        }
-        self.inner.guard.set_draining(is_draining);
-    }
 }
 
 impl AttemptHandler for TargetGuard {
@@ -339,6 +329,19 @@
 }
 
 impl Inner {
+    /// Drains, or serves again, by the current reasons to drain.
+    fn apply_drains(&self) {
+        let drains = &self.drains;
+        let _applying = drains.applying.lock().unwrap_or_else(PoisonError::into_inner);
+        let reasons =
+            [&drains.operator, &drains.stopping, &drains.leaving, &drains.evacuated, &drains.target_leaving];
+        let is_draining = reasons.iter().any(|reason| reason.load(Ordering::Relaxed));
+        if self.guard.is_draining() != is_draining {
+            log::info!("guard of host {}: {}", self.host, if is_draining { "draining" } else { "serving" });
+        }
+        self.guard.set_draining(is_draining);
+    }
+
     pub(crate) fn ledger(&self) -> MutexGuard<'_, Ledger> {
         self.ledger.lock().unwrap_or_else(PoisonError::into_inner)
     }
--- a/crates/laurelstall_node/src/target_guard/listed_target.rs
+++ b/crates/laurelstall_node/src/target_guard/listed_target.rs
@@ -42,7 +42,7 @@
             // The target may have become cold while it received no calls.
             self.inner.guard.discard_cold_report();
         }
-        self.apply_drains();
+        self.inner.apply_drains();
     }
 
     /// Updates the listed target of this host, and with it the cold start and the expected instance name.
@@ -87,7 +87,7 @@
         log::info!("local target '{name}': restarted at Unix time {started_unix_ms} ms of its own clock");
         self.inner.guard.discard_cold_report();
         self.inner.identity().reset_to_listed_name();
-        self.inner.guard.forget_stated_rate();
+        self.inner.forget_notices();
         if let Some(client) = &self.inner.client {
             client.close_idle();
         }
--- a/crates/laurelstall_node/src/target_guard/notices.rs
+++ b/crates/laurelstall_node/src/target_guard/notices.rs
@@ -5,7 +5,7 @@
     counters::count,
     dialect::{RateLimitNotice, TargetNotice},
 };
-use std::sync::{MutexGuard, PoisonError};
+use std::sync::{MutexGuard, PoisonError, atomic::Ordering};
 
 /// What one instance of the target has stated.
 #[derive(Debug, Default)]
@@ -39,14 +39,26 @@
             return;
         }
         let is_first = notices.instance.is_empty();
-        *notices = InstanceNotices { instance: instance.to_owned(), ..InstanceNotices::default() };
+        instance.clone_into(&mut notices.instance);
         drop(notices);
         // A limit that entries told before the first call is that of this instance.
         if !is_first {
-            self.guard.forget_stated_rate();
+            self.forget_notices();
         }
     }
 
+    /// Discards what the instance stated, because another one has taken its place.
+    pub(super) fn forget_notices(&self) {
+        {
+            let mut notices = self.notices();
+            notices.has_invalid_limit = false;
+            notices.is_leaving = false;
+            self.drains.target_leaving.store(false, Ordering::Relaxed);
+        }
+        self.guard.forget_stated_rate();
+        self.apply_drains();
+    }
+
     /// Records what `instance` stated in an answer, if it is the one that calls are sent to.
     pub(super) fn note_notice(&self, instance: &str, notice: TargetNotice, silence: Silence) {
         let mut notices = self.notices();
@@ -55,6 +67,8 @@
         }
         let is_new_leaving = notice.is_leaving && !notices.is_leaving;
         notices.is_leaving |= notice.is_leaving;
+        // Under the lock, so that it does not outlast the instance.
+        self.drains.target_leaving.store(notices.is_leaving, Ordering::Relaxed);
         let is_invalid = notice.rate_limit == RateLimitNotice::Invalid;
         let is_new_invalid = is_invalid && !notices.has_invalid_limit;
         notices.has_invalid_limit |= is_invalid;
@@ -62,6 +76,7 @@
         if is_new_leaving {
             count(&self.counters.target_leavings);
             log::info!("local target '{instance}': states that it is leaving");
+            self.apply_drains();
         }
         if is_new_invalid {
             log::warn!("local target '{instance}': states a rate limit that is not a single number; ignored");
--- a/crates/laurelstall_node/src/target_guard/responses.rs
+++ b/crates/laurelstall_node/src/target_guard/responses.rs
@@ -7,7 +7,7 @@
     body::{Collected, WatchedBody, collect, full_body},
     counters::count,
     dialect::AnswerKind,
-    headers::strip_hop_by_hop,
+    headers::{insert_leaving_instance, strip_hop_by_hop, take_leaving_instance},
     target_pool::UsedConnection,
 };
 use http_body_util::BodyExt;
@@ -39,6 +39,9 @@
         let (parts, body) = response.into_parts();
         let status = parts.status;
         let mut headers = parts.headers;
+        // Only guards say which instance is leaving.
+        take_leaving_instance(&mut headers);
+        let notice = self.dialect.notice(&headers);
         if let Some(load) = self.dialect.load(&headers) {
             self.guard.note_slowness(load.slowness_percent);
         }
@@ -49,11 +52,11 @@
                     true => Silence::Meaningless,
                     false => Silence::NoLimitSince(sent_us),
                 };
-                self.note_notice(&target, self.dialect.notice(&headers), silence);
+                self.note_notice(&target, notice, silence);
                 None
             }
             AnswerKind::Shed => {
-                self.note_notice(&target, self.dialect.notice(&headers), Silence::Meaningless);
+                self.note_notice(&target, notice, Silence::Meaningless);
                 Some(RefusalReason::Shed)
             }
             AnswerKind::Denied => Some(RefusalReason::Replaced),
@@ -76,6 +79,9 @@
             return refused(reason, None);
         }
         strip_hop_by_hop(&mut headers);
+        if notice.is_leaving {
+            insert_leaving_instance(&mut headers, &target);
+        }
         let body = body.map_err(BodyError::from).boxed_unsync();
         let outcome = match collect(body, BUFFERED_BYTES_MAX, BUFFERING_TIMEOUT).await {
             Ok(Collected::Complete(bytes)) => {
