--- a/crates/laurelstall_standin/src/bin/laurelstall-load.rs
+++ b/crates/laurelstall_standin/src/bin/laurelstall-load.rs
@@ -141,7 +141,9 @@
 }
 
 fn violates_guarantees(result: &BalancerResult) -> bool {
-    result.totals.violates_guarantees() || result.observe_bytes_per_s_max > result.observe_budget_bytes_per_s
+    result.totals.violates_guarantees()
+        || result.calls_over_limit + result.calls_after_leaving > 0
+        || result.observe_bytes_per_s_max > result.observe_budget_bytes_per_s
 }
 
 fn print_row(name: &str, result: &BalancerResult) {
@@ -161,6 +163,12 @@
         result.observe_bytes_per_s_max,
         result.node_cpu_us_per_call,
     );
+    if result.calls_over_limit + result.calls_after_leaving > 0 {
+        println!(
+            "    {} calls over stated rate limits, {} at leaving targets",
+            result.calls_over_limit, result.calls_after_leaving
+        );
+    }
     for (reason, count) in &result.reasons {
         println!("    {count:6} {reason}");
     }
--- a/crates/laurelstall_standin/src/experiment.rs
+++ b/crates/laurelstall_standin/src/experiment.rs
@@ -143,6 +143,10 @@
     pub goodput_per_s: f64,
     /// Calls per second that all targets can serve without faults.
     pub capacity_per_s: f64,
+    /// Calls by which targets got more than the rate limits that they stated, in the fullest 4 s of each.
+    pub calls_over_limit: u64,
+    /// Calls that reached targets more than 2 s after those had stated that they are leaving.
+    pub calls_after_leaving: u64,
     /// Number of calls by outcome.
     #[serde(flatten)]
     pub totals: Totals,
@@ -258,6 +262,7 @@
     for call in finished.iter().filter(|call| call.outcome == ObservedOutcome::NotRun) {
         refused.add_us(call.latency_us);
     }
+    let targets = measurement.harness.targets.all();
     let counter = |name: &str| measurement.harness.counter_total(name);
     let calls = totals.calls.max(1) as f64;
     BalancerResult {
@@ -266,6 +271,8 @@
         p999_ms: latency.percentile_ms(99.9),
         goodput_per_s: totals.answered as f64 / measurement.length_s,
         capacity_per_s: measurement.capacity_per_s,
+        calls_over_limit: targets.iter().map(|target| target.notices().calls_over_limit()).sum(),
+        calls_after_leaving: targets.iter().map(|target| target.notices().calls_after_leaving()).sum(),
         refused_p99_ms: refused.percentile_ms(99.0),
         observe_bytes_per_s_max: measurement.observe_max,
         observe_budget_bytes_per_s: measurement.budget,
--- a/crates/laurelstall_standin/src/fault.rs
+++ b/crates/laurelstall_standin/src/fault.rs
@@ -45,9 +45,14 @@
         | FaultKind::Pause
         | FaultKind::FailFast
         | FaultKind::Shed
-        | FaultKind::CutAnswers => {
-            Box::new(TargetFault { kind: plan.kind, target: plan.target, factor: plan.factor })
-        }
+        | FaultKind::CutAnswers
+        | FaultKind::RateLimit
+        | FaultKind::TargetLeaving => Box::new(TargetFault {
+            kind: plan.kind,
+            target: plan.target,
+            factor: plan.factor,
+            per_s: plan.per_s,
+        }),
         FaultKind::ColdStart => {
             Box::new(ColdStart { target: plan.target, factor: plan.factor, for_ms: plan.for_ms })
         }
@@ -76,6 +81,7 @@
     kind: FaultKind,
     target: usize,
     factor: f64,
+    per_s: f64,
 }
 
 impl TargetFault {
@@ -86,6 +92,8 @@
             FaultKind::Pause => behaviour.speed = if is_on { 0.0 } else { 1.0 },
             FaultKind::FailFast => behaviour.is_failing_fast = is_on,
             FaultKind::Shed => behaviour.is_shedding = is_on,
+            FaultKind::RateLimit => behaviour.rate_limit_per_s = is_on.then_some(self.per_s),
+            FaultKind::TargetLeaving => behaviour.is_leaving = is_on,
             _ => behaviour.is_cutting_answers = is_on,
         });
     }
--- a/crates/laurelstall_standin/src/fault_plan.rs
+++ b/crates/laurelstall_standin/src/fault_plan.rs
@@ -21,6 +21,9 @@
     /// Factor of the slowdown, for kinds that slow a target down.
     #[serde(default = "factor_default")]
     pub factor: f64,
+    /// Calls per second, for `rate_limit`.
+    #[serde(default)]
+    pub per_s: f64,
 }
 
 fn factor_default() -> f64 {
@@ -41,6 +44,10 @@
     Shed,
     /// The target aborts generated answer bodies halfway.
     CutAnswers,
+    /// The target states that it takes `per_s` calls per second.
+    RateLimit,
+    /// The target states that it is leaving, while the platform lists it as before.
+    TargetLeaving,
     /// The target starts cold: it is slower by `factor` at first and reaches full speed at the end.
     ColdStart,
     /// The node's process is paused.
--- a/crates/laurelstall_standin/src/lib.rs
+++ b/crates/laurelstall_standin/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod harness_plan;
 pub mod latency;
 pub mod node_thread;
+pub mod notice_record;
 pub mod partitions;
 pub mod platform;
 pub mod process;
--- a/crates/laurelstall_standin/src/scenario.rs
+++ b/crates/laurelstall_standin/src/scenario.rs
@@ -107,6 +107,7 @@
         check.range("levels", scenario.levels, 1..=LEVELS_MAX);
         for fault in &scenario.faults {
             check.range("fault.factor", fault.factor, 1.0..=1_000.0);
+            check.range("fault.per_s", fault.per_s, 0.0..=100_000.0);
             check.range("fault.target", fault.target, 0..=64);
             check.range("fault.data_centre", fault.data_centre, 0..=3);
         }
--- a/crates/laurelstall_standin/src/target.rs
+++ b/crates/laurelstall_standin/src/target.rs
@@ -2,6 +2,7 @@
 
 use crate::{
     call_uri::{CALLER_HOST, uri},
+    notice_record::NoticeRecord,
     run_records::RunRecords,
 };
 use bytes::Bytes;
@@ -16,7 +17,7 @@
 };
 use laurelstall_balance::baseline::TrueLoads;
 use laurelstall_config::team::SHED_HEADER;
-use laurelstall_node::headers::{BUDGET, DEPTH};
+use laurelstall_node::headers::{BUDGET, DEPTH, LEAVING, RATE_LIMIT};
 use rand::{RngExt, SeedableRng, rngs::SmallRng};
 use std::{
     collections::HashMap,
@@ -62,11 +63,22 @@
     pub is_shedding: bool,
     /// Whether the target aborts generated answer bodies after half of their length.
     pub is_cutting_answers: bool,
+    /// Calls per second that the target states it takes; `None` if it states no limit.
+    pub rate_limit_per_s: Option<f64>,
+    /// Whether the target states that it is leaving.
+    pub is_leaving: bool,
 }
 
 impl Default for Behaviour {
     fn default() -> Self {
-        Self { speed: 1.0, is_failing_fast: false, is_shedding: false, is_cutting_answers: false }
+        Self {
+            speed: 1.0,
+            is_failing_fast: false,
+            is_shedding: false,
+            is_cutting_answers: false,
+            rate_limit_per_s: None,
+            is_leaving: false,
+        }
     }
 }
 
@@ -90,6 +102,7 @@
 pub struct StandinTarget {
     plan: TargetPlan,
     records: Arc<RunRecords>,
+    notices: NoticeRecord,
     behaviour: watch::Sender<Behaviour>,
     slots: Semaphore,
     in_flight: AtomicU32,
@@ -118,6 +131,7 @@
             rng: Mutex::new(SmallRng::seed_from_u64(plan.seed)),
             plan,
             records,
+            notices: NoticeRecord::default(),
             behaviour,
             in_flight: AtomicU32::new(0),
             pending_arrivals: AtomicU32::new(0),
@@ -166,6 +180,11 @@
         self.calls_made.load(Ordering::Relaxed)
     }
 
+    /// Returns the target's statements and the calls that reached it.
+    pub fn notices(&self) -> &NoticeRecord {
+        &self.notices
+    }
+
     /// Returns the number of calls that the target has served.
     pub fn served(&self) -> u64 {
         self.served.load(Ordering::Relaxed)
@@ -220,6 +239,22 @@
         if request.uri().path().starts_with("/standin/") {
             return self.handle_control(&request);
         }
+        self.notices.note_arrival();
+        let mut response = self.answer_call(request).await;
+        let behaviour = *self.behaviour.borrow();
+        self.notices.note_answer(behaviour.rate_limit_per_s, behaviour.is_leaving);
+        let headers = response.headers_mut();
+        if let Some(per_s) = behaviour.rate_limit_per_s {
+            let value = HeaderValue::from_str(&per_s.to_string()).expect("a number is a valid header value");
+            headers.insert(RATE_LIMIT, value);
+        }
+        if behaviour.is_leaving {
+            headers.insert(LEAVING, HeaderValue::from_static("1"));
+        }
+        response
+    }
+
+    async fn answer_call(&self, request: Request<Incoming>) -> Response<BoxedBody> {
         self.requests_received.fetch_add(1, Ordering::Relaxed);
         let remove_arrival = |pending_arrivals: u32| pending_arrivals.checked_sub(1);
         // Fails if the balancer does not count pending calls.
@@ -314,8 +349,8 @@
         (sample - TIMER_OVERSHOOT_US).max(0.0)
     }
 
-    /// Handles `POST /standin/set?speed=0.1&failing=1&shedding=0&cutting=0`, which changes the behaviour of a target
-    /// that runs as its own process.
+    /// Handles `POST /standin/set?speed=0.1&failing=1&shedding=0&cutting=0&rate_limit=5.5&leaving=0`, which changes the
+    /// behaviour of a target that runs as its own process. An empty `rate_limit` ends the limit.
     fn handle_control(&self, request: &Request<Incoming>) -> Response<BoxedBody> {
         let query = request.uri().query().unwrap_or_default();
         self.update_behaviour(|behaviour| {
@@ -325,6 +360,8 @@
                     "failing" => behaviour.is_failing_fast = value == "1",
                     "shedding" => behaviour.is_shedding = value == "1",
                     "cutting" => behaviour.is_cutting_answers = value == "1",
+                    "rate_limit" => behaviour.rate_limit_per_s = value.parse().ok(),
+                    "leaving" => behaviour.is_leaving = value == "1",
                     _ => {}
                 }
             }
--- a/crates/laurelstall_standin/tests/scenarios.rs
+++ b/crates/laurelstall_standin/tests/scenarios.rs
@@ -38,6 +38,7 @@
         "paused",
         "night",
         "returned_platform",
+        "limited",
         "everything",
     ] {
         assert!(names.contains(&format!("{wanted}.toml")), "{wanted}");
@@ -64,3 +65,16 @@
     assert_eq!((totals.wrong, totals.not_run_but_ran, totals.ran_twice), (0, 0, 0), "{:?}", result.reasons);
     assert!(result.observe_bytes_per_s_max <= result.observe_budget_bytes_per_s);
 }
+
+#[test]
+fn targets_with_stated_limits_and_leaving_ones_are_spared_while_their_nodes_fail() {
+    let scenario = read("limited.toml");
+    let thread = RuntimeThread::start("callers");
+    let result =
+        thread.block_on(async move { run(&scenario, Balancer::Laurelstall, RunOptions::default(), 3).await });
+    let result = result.expect("the deployment starts");
+    let totals = &result.totals;
+    assert!(totals.calls > 100 && totals.answered > 0, "{totals:?}");
+    assert_eq!((totals.wrong, totals.not_run_but_ran, totals.ran_twice), (0, 0, 0), "{:?}", result.reasons);
+    assert_eq!((result.calls_over_limit, result.calls_after_leaving), (0, 0), "{totals:?}");
+}
