Refusals by cold targets without a stated limit are charged as before the last change

Cause: a limit of one target says nothing of the load of others, so going on from it to a target without a limit was made free; but the refusals of cold targets bear the same reason, and after a start of the whole fleet calls would have gone round all cold targets without the budget of reroutes. Read in the code, not seen in a run. Change: only a refusal by a target that states a limit is free. Test: a_refusal_by_a_cold_target_without_a_stated_limit_is_charged_as_before; the method before returned true there.

--- a/crates/laurelstall_balance/src/service_balancer/rate_limits.rs
+++ b/crates/laurelstall_balance/src/service_balancer/rate_limits.rs
@@ -33,8 +33,15 @@
         view.skip_for((u64::from(wait_ms) * 1_000).clamp(1, pause_max_us), now_us);
     }
 
-    /// Whether a target that states no rate limit may take a call that the `excluded` ones may not.
-    pub fn has_unlimited_target(&self, excluded: &[usize], now_us: u64) -> bool {
+    /// Whether the target at `index`, whose guard refused a call, states a rate limit, and a target that states none and
+    /// is not `excluded` may take the call.
+    ///
+    /// The refusal then says nothing of the load of the service, unlike one of a cold target: after a start of the whole
+    /// fleet all targets are cold.
+    pub fn has_unlimited_alternative(&self, index: usize, excluded: &[usize], now_us: u64) -> bool {
+        if self.targets.get(index).is_none_or(|view| view.rate_limit_per_s().is_none()) {
+            return false;
+        }
         let may_take = |(index, view): (usize, &TargetView)| {
             !excluded.contains(&index) && view.is_eligible(now_us) && view.rate_limit_per_s().is_none()
         };
--- a/crates/laurelstall_balance/tests/rate_limits.rs
+++ b/crates/laurelstall_balance/tests/rate_limits.rs
@@ -61,10 +61,17 @@
     for index in 0..3 {
         balancer.note_rate_limit(index, &name(index), 2.0, START_US);
     }
-    assert!(balancer.has_unlimited_target(&[0], START_US));
-    assert!(!balancer.has_unlimited_target(&[0, 3], START_US));
+    assert!(balancer.has_unlimited_alternative(0, &[0], START_US));
+    assert!(!balancer.has_unlimited_alternative(0, &[0, 3], START_US));
     balancer.note_no_rate_limit(1, &name(1), START_US + 1);
-    assert!(balancer.has_unlimited_target(&[0, 3], START_US));
+    assert!(balancer.has_unlimited_alternative(0, &[0, 3], START_US));
+}
+
+// Calls went round among cold targets without the budget that keeps an overload from multiplying traffic.
+#[test]
+fn a_refusal_by_a_cold_target_without_a_stated_limit_is_charged_as_before() {
+    let balancer = balancer();
+    assert!(!balancer.has_unlimited_alternative(0, &[0], START_US));
 }
 
 #[test]
--- a/crates/laurelstall_node/src/call/retries.rs
+++ b/crates/laurelstall_node/src/call/retries.rs
@@ -86,7 +86,7 @@
         }
         let may_continue = match next {
             // A rate limit of one target says nothing of the load of the others.
-            NextStep::RetryLimited if self.has_unlimited_target(refusal) => true,
+            NextStep::RetryLimited if self.has_unlimited_alternative(index, refusal) => true,
             NextStep::RetryLimited => self.try_reroute(),
             NextStep::RetryBudgeted => self.try_retry(Some(refusal)),
             _ => true,
@@ -100,11 +100,12 @@
         NextAction::Retry
     }
 
-    /// Whether the call was refused because of a rate limit and a target that states none may take it.
-    fn has_unlimited_target(&self, refusal: Refusal) -> bool {
+    /// Whether the target at `index` refused the call because of the rate limit that it states, and one that states none
+    /// may take it.
+    fn has_unlimited_alternative(&self, index: usize, refusal: Refusal) -> bool {
         let now_us = self.context.clock.now_us();
         refusal.reason.properties().signal == TargetSignal::RateLimit
-            && self.service.balancer().has_unlimited_target(&self.excluded, now_us)
+            && self.service.balancer().has_unlimited_alternative(index, &self.excluded, now_us)
     }
 
     /// Counts the refusal of a guard without capacity and decides whether another guard is tried.
