Limit: calls that running ones wait for keep a part of a stated limit

Cause: within a stated limit turns went by arrival, so beside a flood of other calls half of the nested ones were refused (0.50 of 4 a second beside 100 at a limit of 10), which wastes the work of the calls that wait for them, and beside a flood of nested calls the others got nothing. The bound of cold targets keeps a part for each already. Change: other calls leave one call to nested ones while some came in the last 2 s, unless they got less than a fifth themselves; limits below 2 a second have no room for that. Evidence: both tests fail with nothing kept (0.50 and 0.00) and pass now (0.99, above 0.4).

--- a/crates/laurelstall_guard/src/guard.rs
+++ b/crates/laurelstall_guard/src/guard.rs
@@ -459,7 +459,7 @@
         let now_us = self.clock.now_us();
         let mut state = self.lock();
         state.cold.note_sent(run.is_nested, now_us);
-        state.stated.note_sent(now_us);
+        state.stated.note_sent(run.is_nested, now_us);
     }
 
     fn release(&self, run: &Run) {
--- a/crates/laurelstall_guard/src/guard/state.rs
+++ b/crates/laurelstall_guard/src/guard/state.rs
@@ -142,12 +142,12 @@
     /// Returns when a call with `ahead` calls before it may be sent by the limits on calls per second, in µs.
     fn next_send_us(&self, is_nested: bool, ahead: usize, now_us: u64) -> u64 {
         let cold_us = self.cold.next_send_us(is_nested, ahead, now_us);
-        cold_us.max(self.stated.next_send_us(ahead, now_us))
+        cold_us.max(self.stated.next_send_us(is_nested, ahead, now_us))
     }
 
     /// Returns whether the limits on calls per second let one more call through now.
     fn has_rate_capacity(&self, is_nested: bool, now_us: u64) -> bool {
-        self.cold.has_capacity(is_nested, now_us) && self.stated.has_capacity(now_us)
+        self.cold.has_capacity(is_nested, now_us) && self.stated.has_capacity(is_nested, now_us)
     }
 
     /// Returns how many calls may run at once now: fewer than the concurrency limit while the limits on calls
@@ -166,7 +166,7 @@
 
     /// Returns whether the stated limit delays the call although another target may take it at once.
     pub(super) fn is_avoidably_limited(&self, request: &AdmissionRequest, now_us: u64) -> bool {
-        request.may_hand_back && !self.stated.has_capacity(now_us)
+        request.may_hand_back && !self.stated.has_capacity(request.rank.is_nested(), now_us)
     }
 
     /// Returns whether the target has to be queried about its cold start now.
--- a/crates/laurelstall_guard/src/stated_rate_limiter.rs
+++ b/crates/laurelstall_guard/src/stated_rate_limiter.rs
@@ -4,6 +4,7 @@
 //! counts them without messages between nodes.
 
 use laurelstall_workspace::token_bucket::TokenBucket;
+use std::collections::VecDeque;
 
 /// Time that a target with a limit may go without calls and still catch up on them, in s: entries send calls in bursts
 /// and not at even intervals.
@@ -14,6 +15,41 @@
 /// does not know what its predecessor sent.
 const FIRST_CALLS: f64 = 1.0;
 
+/// Calls that other calls leave to nested ones while some were sent recently: the work of the call that waits for a
+/// nested one is lost if that one is refused.
+const KEPT_FOR_NESTED: f64 = 1.0;
+/// Smallest share of the recent calls that nested ones leave to the others, so that neither kind is starved.
+const UNNESTED_SHARE_MIN: f64 = 0.2;
+/// Time for which calls count as recent, in µs.
+const RECENT_US: u64 = 2_000_000;
+
+/// The calls of the last [`RECENT_US`], by kind.
+#[derive(Debug, Clone, Default)]
+struct RecentCalls {
+    /// When each call was sent, in µs of the guard's clock, and whether it was nested.
+    sent: VecDeque<(u64, bool)>,
+    nested: usize,
+}
+
+impl RecentCalls {
+    fn push(&mut self, is_nested: bool, now_us: u64) {
+        self.sent.push_back((now_us, is_nested));
+        self.nested += usize::from(is_nested);
+        while let Some((sent_us, is_nested)) = self.sent.front().copied()
+            && sent_us + RECENT_US < now_us
+        {
+            self.sent.pop_front();
+            self.nested -= usize::from(is_nested);
+        }
+    }
+
+    /// Whether the calls that are not nested got less than their share.
+    fn are_unnested_below_share(&self) -> bool {
+        let unnested = self.sent.len() - self.nested;
+        self.nested > 0 && (unnested as f64) < self.sent.len() as f64 * UNNESTED_SHARE_MIN
+    }
+}
+
 /// The limit in force.
 #[derive(Debug, Clone, Copy)]
 struct StatedLimit {
@@ -54,6 +90,7 @@
     has_answered: bool,
     /// Number of calls that have reserved capacity and are not sent yet.
     reserved: usize,
+    recent: RecentCalls,
 }
 
 impl StatedRateLimiter {
@@ -90,6 +127,7 @@
     /// Discards the limit because another instance has taken the place of this one.
     pub fn forget(&mut self) {
         self.limit = None;
+        self.recent = RecentCalls::default();
         self.has_answered = false;
     }
 
@@ -104,14 +142,14 @@
     }
 
     /// Returns whether one more call may be sent now.
-    pub fn has_capacity(&self, now_us: u64) -> bool {
-        self.next_send_us(0, now_us) <= now_us
+    pub fn has_capacity(&self, is_nested: bool, now_us: u64) -> bool {
+        self.next_send_us(is_nested, 0, now_us) <= now_us
     }
 
     /// Returns when a call with `ahead` calls before it may be sent, in µs; `now_us` when the limit does not delay it.
-    pub fn next_send_us(&self, ahead: usize, now_us: u64) -> u64 {
+    pub fn next_send_us(&self, is_nested: bool, ahead: usize, now_us: u64) -> u64 {
         let Some(limit) = &self.limit else { return now_us };
-        let calls = (self.reserved + ahead + 1) as f64;
+        let calls = (self.reserved + ahead + 1) as f64 + self.kept_for_others(is_nested, limit.per_s);
         now_us.saturating_add(limit.bucket.wait_for_us(calls, now_us))
     }
 
@@ -126,10 +164,19 @@
     }
 
     /// Records that a call with reserved capacity is sent now.
-    pub fn note_sent(&mut self, now_us: u64) {
+    pub fn note_sent(&mut self, is_nested: bool, now_us: u64) {
         self.reserved = self.reserved.saturating_sub(1);
         if let Some(limit) = &mut self.limit {
             limit.bucket.take(1, now_us);
+            self.recent.push(is_nested, now_us);
         }
     }
+
+    /// Returns the calls that a call leaves to those of the other kind.
+    fn kept_for_others(&self, is_nested: bool, per_s: f64) -> f64 {
+        let has_room = burst(per_s) >= 1.0 + KEPT_FOR_NESTED;
+        let is_kept =
+            has_room && self.recent.nested > 0 && is_nested == self.recent.are_unnested_below_share();
+        if is_kept { KEPT_FOR_NESTED } else { 0.0 }
+    }
 }
--- a/crates/laurelstall_guard/tests/stated_rate.rs
+++ b/crates/laurelstall_guard/tests/stated_rate.rs
@@ -16,14 +16,49 @@
 
 /// Sends a call if the limit allows it; returns whether it was sent.
 fn send(limiter: &mut StatedRateLimiter, now_us: u64) -> bool {
-    let has_capacity = limiter.has_capacity(now_us);
+    send_kind(limiter, false, now_us)
+}
+
+fn send_kind(limiter: &mut StatedRateLimiter, is_nested: bool, now_us: u64) -> bool {
+    let has_capacity = limiter.has_capacity(is_nested, now_us);
     if has_capacity {
         limiter.reserve();
-        limiter.note_sent(now_us);
+        limiter.note_sent(is_nested, now_us);
     }
     has_capacity
 }
 
+/// Sends nested calls and others at these rates for a minute to a target that takes 10 a second; returns the served
+/// share of each kind.
+fn served_shares(nested_per_s: u64, others_per_s: u64) -> (f64, f64) {
+    let mut limiter = StatedRateLimiter::default();
+    limiter.note_stated(10.0, SECOND_US);
+    let (mut nested, mut others) = (0, 0);
+    for ms in 0..60_000 {
+        let now_us = SECOND_US + ms * 1_000;
+        if ms % (1_000 / nested_per_s) == 0 && send_kind(&mut limiter, true, now_us) {
+            nested += 1;
+        }
+        if ms % (1_000 / others_per_s) == 0 && send_kind(&mut limiter, false, now_us) {
+            others += 1;
+        }
+    }
+    (f64::from(nested) / (60 * nested_per_s) as f64, f64::from(others) / (60 * others_per_s) as f64)
+}
+
+// A nested call that is refused wastes the work of the call that waits for it.
+#[test]
+fn nested_calls_are_served_beside_a_flood_of_others() {
+    let (nested, others) = served_shares(4, 100);
+    assert!(nested > 0.95 && others > 0.05, "nested {nested:.2}, others {others:.2}");
+}
+
+#[test]
+fn a_flood_of_nested_calls_leaves_a_share_to_the_others() {
+    let (nested, others) = served_shares(100, 4);
+    assert!(others > 0.4 && nested > 0.07, "nested {nested:.2}, others {others:.2}");
+}
+
 /// Returns the largest number of calls in any window.
 fn fullest_window(sent_us: &[u64]) -> usize {
     let in_window = |from: &u64| sent_us.iter().filter(|at| (*from..*from + WINDOW_US).contains(at)).count();
@@ -92,7 +127,7 @@
     assert_eq!(limiter.stated_per_s(), Some(2.0));
     limiter.note_unstated(5 * SECOND_US + 1);
     assert_eq!(limiter.stated_per_s(), None);
-    assert!(limiter.has_capacity(5 * SECOND_US + 1));
+    assert!(limiter.has_capacity(false, 5 * SECOND_US + 1));
 }
 
 #[test]
@@ -114,7 +149,7 @@
 fn a_lowered_limit_applies_at_once() {
     let mut limiter = StatedRateLimiter::default();
     limiter.note_stated(20.0, SECOND_US);
-    assert!(limiter.has_capacity(2 * SECOND_US));
+    assert!(limiter.has_capacity(false, 2 * SECOND_US));
     limiter.note_stated(1.0, 2 * SECOND_US);
     let sent = (0..400).filter(|tick| send(&mut limiter, 2 * SECOND_US + tick * 10_000)).count();
     assert!(sent <= 5, "{sent} calls in 4 s");
