Restored store: a target that was leaving when a node read its first list stays so

Cause: of hosts that leave, the correction took only changes between two lists; a node that started after the word had seen none. It kept evacuations of the list it followed, but not the leaving hosts. Change: the hosts that the followed list has as leaving are carried over the restore like recorded departures, and passed on with the other corrections. Evidence: the test failed before (a and b served, only a allowed) and passes now, also at a node that joins after the restore and over a second restore; a target that starts again after leaving serves.

--- a/crates/laurelstall_peer/src/fleet_corrector.rs
+++ b/crates/laurelstall_peer/src/fleet_corrector.rs
@@ -185,6 +185,10 @@
             Corrections { since: now, ..self.corrections.take().unwrap_or_else(|| Corrections::new(now)) };
         let departed = self.departed.iter().map(|(instance, timed)| (instance.clone(), timed.value));
         corrections.departed.extend(departed);
+        // A node that started after they said so has recorded no change of theirs.
+        for instance in leaving_instances(followed) {
+            corrections.departed.entry(instance).or_insert(Departure::Leaving);
+        }
         corrections.unlisted = live_hosts(followed).collect();
         corrections
             .evacuations
@@ -315,6 +319,12 @@
     })
 }
 
+/// Returns the instances of a list that are leaving.
+fn leaving_instances(fleet: &Fleet) -> impl Iterator<Item = HostInstance> {
+    let listed = index_hosts(fleet, |_| true).into_iter();
+    listed.filter(|(_, listed)| !listed.is_live()).map(|(instance, _)| instance.owned())
+}
+
 /// A host of a list with the target that is registered there.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 struct ListedHost<'a> {
--- a/crates/laurelstall_peer/tests/fleet_corrector.rs
+++ b/crates/laurelstall_peer/tests/fleet_corrector.rs
@@ -305,3 +305,32 @@
         }
     }
 }
+
+// A node that started after a target had said that it leaves took it for live once the platform was back from a copy.
+#[test]
+fn a_target_that_the_first_list_names_as_leaving_does_not_come_back_with_the_copy() {
+    let mut view = View::new();
+    view.apply_list(0, &[live("a"), leaving("b")], &[]);
+    view.apply_list(1, &[live("a"), live("b")], &[]);
+    assert_eq!(view.serving(), ["a"]);
+    view.wait(Duration::from_millis(900));
+    assert_eq!(view.serving(), ["a"]);
+    // A node that reads its first list after the restore learns of it.
+    let mut joined = View::new();
+    joined.apply_list(1, &[live("a"), live("b")], &[]);
+    view.send_corrections(&mut joined);
+    assert_eq!(joined.serving(), ["a"]);
+    // A second restore does not bring it back either.
+    view.apply_list(2, &[live("a"), live("b")], &[]);
+    assert_eq!(view.serving(), ["a"]);
+}
+
+#[test]
+fn a_target_that_starts_again_after_leaving_serves_after_a_restore() {
+    let mut view = View::new();
+    view.apply_list(0, &[leaving("b")], &[]);
+    view.apply_list(0, &[Entry { started_unix_ms: 9, ..live("b") }], &[]);
+    view.apply_list(1, &[live("b")], &[]);
+    view.apply_list(1, &[Entry { started_unix_ms: 9, ..live("b") }], &[]);
+    assert_eq!(view.serving(), ["b"]);
+}
