--- a/crates/laurelstall_config/src/lib.rs
+++ b/crates/laurelstall_config/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod document;
 pub mod fleet;
 pub mod key_digest;
+pub mod load_control;
 pub mod problem;
 pub mod route;
 pub mod settings;
--- a/crates/laurelstall_config/src/settings.rs
+++ b/crates/laurelstall_config/src/settings.rs
@@ -36,6 +36,9 @@
     /// limited to nine tenths of it, even if `stop_max_ms` is longer.
     #[serde(default)]
     pub stop_grace_s: f64,
+    /// Bandwidth of the host's link in Mbit/s, in each direction; 0 if unknown.
+    #[serde(default)]
+    pub link_mbps: f64,
 }
 
 /// Share of `stop_grace_s` that a graceful shutdown may use; the rest is a reserve for the exit of the process.
@@ -92,6 +95,9 @@
     pub address_reuse_s: f64,
 }
 
+/// Maximum of `link_mbps`.
+const LINK_MBPS_MAX: f64 = 1_000_000.0;
+
 /// Maximum of `address_reuse_s`.
 const ADDRESS_REUSE_MAX_S: f64 = 3_600.0;
 
@@ -403,6 +409,7 @@
         check.range("node.stop_linger_ms", self.node.stop_linger_ms, 0..=self.node.stop_max_ms);
         check.range("node.stop_max_ms", self.node.stop_max_ms, 0..=600_000);
         check.range("node.stop_grace_s", self.node.stop_grace_s, 0.0..=600.0);
+        check.range("node.link_mbps", self.node.link_mbps, 0.0..=LINK_MBPS_MAX);
         if let Some(target) = &self.target {
             let is_full_name = target.service.split_once('/').is_some_and(|(t, s)| is_name(t) && is_name(s));
             check.ensure(is_full_name, "target.service", "must be 'team/service'");
--- a/crates/laurelstall_config/src/team.rs
+++ b/crates/laurelstall_config/src/team.rs
@@ -1,6 +1,7 @@
 //! A team's document: host names of its callers, routes, routing program, services, targets and workspaces.
 
 use crate::{
+    load_control::LoadControl,
     problem::{Checker, ConfigError, is_name},
     route::{ROUTES_MAX, RouteRule},
     workspace::Workspace,
@@ -60,6 +61,9 @@
     pub ticket_lifetime_ms: u64,
     /// Maximum size of an answer that a guard stores for a repeated use of its ticket, in bytes.
     pub kept_answer_bytes: usize,
+    /// The parts of load control that the service uses.
+    #[serde(skip_serializing_if = "LoadControl::is_off")]
+    pub load: LoadControl,
 }
 
 impl Default for ServiceLimits {
@@ -83,6 +87,7 @@
             tickets_max: 20_000,
             ticket_lifetime_ms: 300_000,
             kept_answer_bytes: 16 * 1024,
+            load: LoadControl::default(),
         }
     }
 }
--- /dev/null
+++ b/crates/laurelstall_overload/src/call_level.rs
@@ -0,0 +1,43 @@
+//! The level of a call, by which calls are admitted during overload.
+
+use xxhash_rust::xxh3::xxh3_64;
+
+/// Number of buckets into which the calls of one importance are divided.
+pub const BUCKETS: u8 = 64;
+
+/// The level of a call: its importance first, then a bucket drawn from the identity of the caller's request.
+///
+/// Calls with a higher level are admitted first. All nested calls that are made for a request have the level of this
+/// request, so that guards of different services admit or refuse the same requests. Without this, a request whose calls
+/// are admitted independently at each service would often be refused after a part of its work is done.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct CallLevel {
+    /// Importance of the caller's request.
+    pub importance: u8,
+    /// Bucket within the importance, 0 to [`BUCKETS`] - 1.
+    pub bucket: u8,
+}
+
+impl CallLevel {
+    /// The lowest level; a guard with this threshold admits all calls.
+    pub const LOWEST: Self = Self { importance: 0, bucket: 0 };
+
+    /// Creates the level of the request `root_id` that a caller sent with this importance.
+    pub fn new(importance: u8, root_id: &[u8]) -> Self {
+        let bucket = (xxh3_64(root_id) % u64::from(BUCKETS)) as u8;
+        Self { importance, bucket }
+    }
+
+    /// Parses the form that [`Display`](std::fmt::Display) writes; `None` if it is invalid.
+    pub fn parse(text: &str) -> Option<Self> {
+        let (importance, bucket) = text.split_once('.')?;
+        let level = Self { importance: importance.parse().ok()?, bucket: bucket.parse().ok()? };
+        (level.bucket < BUCKETS).then_some(level)
+    }
+}
+
+impl std::fmt::Display for CallLevel {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        write!(f, "{}.{}", self.importance, self.bucket)
+    }
+}
--- a/crates/laurelstall_standin/src/fleet_bench.rs
+++ b/crates/laurelstall_standin/src/fleet_bench.rs
@@ -246,6 +246,7 @@
                 admin_address: bench_node.addresses[2],
                 stop_max_ms: 5_000,
                 stop_grace_s: 0.0,
+                link_mbps: 0.0,
             },
             target: None,
             platform: PlatformSettings {
--- a/crates/laurelstall_standin/src/harness.rs
+++ b/crates/laurelstall_standin/src/harness.rs
@@ -379,6 +379,7 @@
             admin_address: sockets.admin.1,
             stop_max_ms: 30_000,
             stop_grace_s: 0.0,
+            link_mbps: 0.0,
         },
         target: Some(TargetSettings {
             service: format!("{TEAM}/{}", host.service),
