Calls carry the level of the first request of their chain

Cause: services that admit the calls of one request independently of each other do parts of the work of many requests that then fail.

Change: the entry gives a call its level (importance and a bucket), nested calls inherit that of their parent's run, and attempts state it in their header list where a part of load control is on. No decision uses it yet.

--- a/crates/laurelstall_guard/src/admission_request.rs
+++ b/crates/laurelstall_guard/src/admission_request.rs
@@ -2,6 +2,7 @@
 
 use laurelstall_balance::class_times::CallClass;
 use laurelstall_config::route::ROUTE_IMPORTANCE_MAX;
+use laurelstall_overload::call_level::CallLevel;
 
 /// Number of importance levels of a route or a workspace.
 const IMPORTANCE_STEPS: u8 = ROUTE_IMPORTANCE_MAX + 1;
@@ -70,12 +71,20 @@
     pub is_over_share: bool,
     /// Whether the caller appears to be retrying an earlier call, judged by its time budget.
     pub is_caller_retry: bool,
+    /// Level of the request that the call is made for, by which calls are admitted during overload.
+    pub level: CallLevel,
 }
 
 impl Rank {
     /// Creates the rank of a call whose workspace is within its share.
     pub fn new(importance: u8, is_caller_retry: bool) -> Self {
-        Self { importance, is_over_share: false, is_caller_retry }
+        let level = CallLevel { importance, bucket: 0 };
+        Self { importance, is_over_share: false, is_caller_retry, level }
+    }
+
+    /// Returns the rank with the level that the attempt states.
+    pub fn with_level(self, level: CallLevel) -> Self {
+        Self { level, ..self }
     }
 
     /// Whether this is a nested call, which a running call waits for.
--- a/crates/laurelstall_node/src/call/attempts.rs
+++ b/crates/laurelstall_node/src/call/attempts.rs
@@ -1,7 +1,11 @@
 //! Sends an attempt and, after the hedging delay of its route, a second one to another target.
 
 use super::{Call, Destination};
-use crate::{counters::count, dialect::TargetNotice, headers::push_known_rate_limit};
+use crate::{
+    counters::count,
+    dialect::TargetNotice,
+    headers::{push_call_level, push_known_rate_limit},
+};
 use futures_util::future::{BoxFuture, Either, FutureExt, select};
 use laurelstall_balance::service_balancer::AttemptResult;
 use laurelstall_guard::{
@@ -110,6 +114,9 @@
         if let Some(per_s) = destination.rate_limit_per_s {
             push_known_rate_limit(&mut headers, per_s);
         }
+        if !limits.load.is_off() {
+            push_call_level(&mut headers, self.request.level);
+        }
         let observe_percent = self.request.route.observe_percent;
         let head = AttemptHead {
             call_id: self.request.id,
--- a/crates/laurelstall_node/src/call_request.rs
+++ b/crates/laurelstall_node/src/call_request.rs
@@ -5,6 +5,7 @@
 use laurelstall_config::workspace::Workspace;
 use laurelstall_crash::request_digest::RequestDigest;
 use laurelstall_guard::{refusal::Refusal, ticket::Ticket};
+use laurelstall_overload::call_level::CallLevel;
 use laurelstall_peer::{attempt::AttemptBody, body::BoxedBody};
 use laurelstall_policy::plan::Route;
 use std::sync::Arc;
@@ -38,6 +39,8 @@
     pub is_nested: bool,
     /// Importance that the retry budget uses: the parent call's for a nested call, else the call's own.
     pub budget_importance: u8,
+    /// Level by which the call is admitted during overload: that of the first request of the chain.
+    pub level: CallLevel,
     /// Whether the parent call's run is a retry, so that the service may have received this call before.
     pub is_parent_retry: bool,
     /// Whether the caller appears to be retrying an earlier call.
--- a/crates/laurelstall_node/src/entry/request_reader.rs
+++ b/crates/laurelstall_node/src/entry/request_reader.rs
@@ -12,6 +12,7 @@
 use http_body_util::BodyExt;
 use laurelstall_crash::request_digest::{RequestDigest, RequestHead};
 use laurelstall_guard::admission_request::call_importance;
+use laurelstall_overload::call_level::CallLevel;
 use laurelstall_peer::{attempt::AttemptBody, body::BoxedBody, client::headers_to_wire};
 use laurelstall_policy::plan::Route;
 use std::sync::PoisonError;
@@ -107,6 +108,7 @@
         self.context.dialect.write_call(&mut parts.headers, &info);
         let workspace_importance = caller.workspace.as_ref().and_then(|workspace| workspace.importance);
         let importance = call_importance(workspace_importance, route.importance);
+        let own_level = CallLevel::new(importance, &id.to_le_bytes());
         let uri = parts.uri.path_and_query().map_or("/", |path| path.as_str()).to_owned();
         Ok(CallRequest {
             id,
@@ -120,6 +122,7 @@
             data_centres: caller.data_centres(&route.data_centres),
             importance,
             is_nested,
+            level: parent.as_ref().map_or(own_level, |parent| parent.level),
             budget_importance: parent.as_ref().map_or(importance, |parent| parent.importance),
             is_parent_retry: parent.is_some_and(|parent| parent.is_repeat),
             workspace: caller.workspace,
--- a/crates/laurelstall_node/src/headers.rs
+++ b/crates/laurelstall_node/src/headers.rs
@@ -8,6 +8,7 @@
         TRAILER, TRANSFER_ENCODING, UPGRADE,
     },
 };
+use laurelstall_overload::call_level::CallLevel;
 
 /// How a call ended: `answered`, `not-run` or `unknown`.
 pub const OUTCOME: HeaderName = HeaderName::from_static("laurelstall-outcome");
@@ -37,6 +38,9 @@
 /// Rate limit of the target that an entry knows of, in an attempt to the target's guard.
 const KNOWN_RATE_LIMIT: &str = "laurelstall-known-rate-limit";
 
+/// Level of a call, in an attempt to the target's guard.
+const CALL_LEVEL: &str = "laurelstall-call-level";
+
 /// Name of the instance that answered, from its guard to the entry when the instance is leaving. The entry may have
 /// addressed it by an older name.
 const LEAVING_INSTANCE: &str = "laurelstall-leaving-instance";
@@ -81,6 +85,7 @@
     strip_hop_by_hop(headers);
     headers.remove(http::header::EXPECT);
     headers.remove(KNOWN_RATE_LIMIT);
+    headers.remove(CALL_LEVEL);
     if is_buffered {
         headers.remove(CONTENT_LENGTH);
     }
@@ -125,6 +130,18 @@
     per_s.filter(|per_s| per_s.is_finite() && *per_s >= 0.0)
 }
 
+/// Adds the level of the call.
+pub fn push_call_level(headers: &mut Vec<(String, Vec<u8>)>, level: CallLevel) {
+    headers.push((CALL_LEVEL.to_owned(), level.to_string().into_bytes()));
+}
+
+/// Removes the level that [`push_call_level`] added, and returns it.
+pub fn take_call_level(headers: &mut Vec<(String, Vec<u8>)>) -> Option<CallLevel> {
+    let index = headers.iter().position(|(name, _)| name == CALL_LEVEL)?;
+    let (_, value) = headers.swap_remove(index);
+    CallLevel::parse(str::from_utf8(&value).ok()?)
+}
+
 /// Adds the name of the leaving instance to its answer.
 pub fn insert_leaving_instance(headers: &mut HeaderMap, instance: &str) {
     headers.insert(LEAVING_INSTANCE, text_value(instance));
--- a/crates/laurelstall_node/src/running_requests.rs
+++ b/crates/laurelstall_node/src/running_requests.rs
@@ -1,5 +1,7 @@
 //! Tracks the requests running at the local target, so that the nested calls it makes for them are recognised.
 
+use laurelstall_balance::class_times::CallClass;
+use laurelstall_overload::call_level::CallLevel;
 use std::{
     collections::HashMap,
     sync::{Arc, Mutex, MutexGuard, PoisonError},
@@ -27,6 +29,10 @@
     pub useful_until_us: u64,
     /// Importance of the request.
     pub importance: u8,
+    /// Level of the first request of the chain.
+    pub level: CallLevel,
+    /// Class of the request.
+    pub class: CallClass,
     /// Whether a target may have run the request before.
     pub is_repeat: bool,
     /// Deadline in µs of the node's clock, if known.
--- a/crates/laurelstall_node/src/target_guard.rs
+++ b/crates/laurelstall_node/src/target_guard.rs
@@ -4,7 +4,7 @@
     active_config::{ActiveConfig, ConfigSnapshot},
     counters::{Counters, count},
     dialect::HeaderDialect,
-    headers::take_known_rate_limit,
+    headers::{take_call_level, take_known_rate_limit},
     metrics::{Latencies, record_us},
     observer::Observer,
     running_requests::RunningRequests,
@@ -29,6 +29,7 @@
     refusal::{Refusal, RefusalReason},
     target_identity::TargetIdentity,
 };
+use laurelstall_overload::call_level::CallLevel;
 use laurelstall_peer::{
     attempt::{Admission, Attempt, AttemptAnswer, AttemptBody, AttemptHandler, AttemptOutcome, UnknownCause},
     crash_registry::CrashRegistry,
@@ -325,6 +326,8 @@
     pub(crate) deadline_us: u64,
     useful_until_us: u64,
     useful_us: u64,
+    /// Level of the first request of the chain.
+    level: CallLevel,
     pub(crate) limits: ServiceLimits,
 }
 
@@ -394,6 +397,8 @@
         if let Some(per_s) = take_known_rate_limit(&mut head.headers) {
             self.guard.note_rate_known_to_entry(per_s);
         }
+        let level = take_call_level(&mut head.headers);
+        let level = level.unwrap_or(CallLevel { importance: head.importance, bucket: 0 });
         let snapshot = self.active.load();
         let local = self.local_target(&snapshot);
         let Some((service, _)) = local.filter(|(_, target)| self.is_named(target, &head)) else {
@@ -415,7 +420,7 @@
         let limits = service.limits;
         let ticket = head.ticket;
         let pending =
-            PendingAttempt { head, body, admission, deadline_us, useful_until_us, useful_us, limits };
+            PendingAttempt { head, body, admission, deadline_us, useful_until_us, useful_us, level, limits };
         match ticket {
             None => self.admit_and_run(pending).await,
             Some((incarnation, number)) => self.run_ticket(pending, incarnation, number).await,
@@ -438,7 +443,7 @@
     /// Admits an attempt and runs it at the target.
     pub(crate) async fn admit_and_run(self: &Arc<Self>, pending: PendingAttempt) -> AttemptAnswer {
         let request = AdmissionRequest {
-            rank: Rank::new(pending.head.importance, pending.head.is_return),
+            rank: Rank::new(pending.head.importance, pending.head.is_return).with_level(pending.level),
             workspace_share: self.workspace_share(&pending.head),
             class: pending.head.class,
             deadline_us: pending.deadline_us,
--- a/crates/laurelstall_node/src/target_guard/forwarding.rs
+++ b/crates/laurelstall_node/src/target_guard/forwarding.rs
@@ -48,7 +48,8 @@
         pending: PendingAttempt,
         permit: Permit,
     ) -> AttemptAnswer {
-        let PendingAttempt { head, body, mut admission, deadline_us, useful_until_us, limits, .. } = pending;
+        let PendingAttempt { head, body, mut admission, deadline_us, useful_until_us, level, limits, .. } =
+            pending;
         let now_us = self.clock.now_us();
         if now_us >= deadline_us {
             permit.release_uncounted();
@@ -98,6 +99,8 @@
         let run_info = RunInfo {
             useful_until_us,
             importance: head.importance,
+            level,
+            class: head.class,
             is_repeat: head.is_repeat,
             deadline_us: Some(deadline_us),
             workspace: head.workspace,
