Guard: refusals lower the concurrency limit only if they depend on it

Cause: each refusal by a target lowered the limit by a tenth, however few calls ran, down to a quarter of the slots, and only trials of 32 calls raised it again. After refusals at random the limit stayed low at a target with free slots.

Change: with limits.load.refusal_causes the guard keeps attempts and refusals by the number of running calls, with a half-life of 1 s. A refusal lowers the limit if refusals are clearly more frequent from some number of running calls on; a limit at which nearly all attempts are refused falls too while no attempts with few running calls are known. The limit is back 0.4 s after the last such refusal, twice as late after each recurrence, up to 1.8 s, and up to 32 s when the target refuses for more than 10 s. Refused connections count only if they depend on the running calls; refusals of a target that drains, is cold or states a rate limit don't count. With the switch off nothing changes.

--- a/crates/laurelstall_guard/examples/phases.rs
+++ b/crates/laurelstall_guard/examples/phases.rs
@@ -136,6 +136,7 @@
         queue_wait_max_ms: 10_000,
         cold_calls_per_s: 0,
         cold_start_ms: 0,
+        has_refusal_causes: false,
         may_hold: strategy == Strategy::Decided,
     };
     let guard = Guard::new(limits, clock);
--- a/crates/laurelstall_guard/src/adaptive_limit.rs
+++ b/crates/laurelstall_guard/src/adaptive_limit.rs
@@ -8,6 +8,7 @@
 //! Here a trial is a test of another limit and the baseline its control measurement; neither has to do with
 //! the load balancer's baseline algorithms or with trial requests of a quarantine.
 
+use crate::shed_recovery::ShedRecovery;
 use laurelstall_balance::class_times::{CallClass, ClassTimes};
 
 /// Number of calls that a trial measures.
@@ -122,6 +123,7 @@
     backoffs: [Backoff; STEPS.len()],
     next_step: usize,
     not_before_us: u64,
+    recovery: ShedRecovery,
     times: ClassTimes,
 }
 
@@ -142,6 +144,7 @@
             backoffs: Default::default(),
             next_step: 0,
             not_before_us: 0,
+            recovery: ShedRecovery::default(),
             times: ClassTimes::default(),
         }
     }
@@ -212,6 +215,39 @@
         self.replace_limit(lowered.max(self.floor));
     }
 
+    /// Lowers the limit for a refusal that depends on concurrency, until [`AdaptiveLimit::recover`] raises it again. The
+    /// refused call began with `running` calls.
+    pub fn note_shed_for_now(&mut self, running: u32, now_us: u64) {
+        if let Some(trial) = self.trial.take_if(|trial| trial.limit > self.limit && running > self.limit) {
+            self.backoffs[trial.step].not_before_us = now_us + PAUSE_FIRST_US;
+            return;
+        }
+        // It began before the limit was lowered for others.
+        if running > self.limit {
+            return;
+        }
+        let before = self.limit;
+        self.note_shed();
+        self.recovery.note_lowered(before, self.limit, now_us);
+    }
+
+    /// Returns whether the limit was lowered for refusals and has not risen to its previous value yet.
+    pub fn is_recovering(&self) -> bool {
+        self.recovery.is_pending(self.limit)
+    }
+
+    /// Raises a limit that was lowered for refusals, by the time since and because the target answered.
+    pub fn recover(&mut self, has_answered: bool, now_us: u64) {
+        if has_answered {
+            self.recovery.note_answer();
+        }
+        if self.trial.is_none()
+            && let Some(raised) = self.recovery.raised(self.limit, now_us)
+        {
+            self.replace_limit(raised);
+        }
+    }
+
     fn note_baseline(&mut self, slowdown: Option<f64>, now_us: u64) {
         let Some(slowdown) = slowdown else { return };
         let baseline = &mut self.baseline;
@@ -236,7 +272,8 @@
     fn start_trial_if_due(&mut self, now_us: u64) {
         let is_known =
             self.baseline.calls >= BASELINE_CALLS_MIN && self.baseline.last_us + BASELINE_AGE_MAX_US > now_us;
-        if self.trial.is_some() || !is_known || now_us < self.not_before_us {
+        let has_to_wait = now_us < self.not_before_us || self.recovery.is_rising_soon(self.limit);
+        if self.trial.is_some() || !is_known || has_to_wait {
             return;
         }
         for offset in 0..STEPS.len() {
@@ -277,6 +314,7 @@
         }
         if trial.utility() > GAIN_MIN * baseline_utility {
             self.note_gain(trial.step, now_us);
+            self.recovery.forget();
             self.replace_limit(trial.limit);
             return;
         }
--- a/crates/laurelstall_guard/src/guard.rs
+++ b/crates/laurelstall_guard/src/guard.rs
@@ -6,6 +6,7 @@
     guard_limits::GuardLimits,
     guard_load::GuardLoad,
     refusal::{Refusal, RefusalReason},
+    refusal_causes::RefusalKind,
     wait_queue::{QueueKey, Wake},
     workspace_loads::WorkspaceLoads,
 };
@@ -21,6 +22,7 @@
 
 mod permit;
 mod queued_call;
+mod sheds;
 mod state;
 
 pub use permit::Permit;
@@ -176,9 +178,11 @@
         }
     }
 
-    /// Records that the target shed a request.
-    pub fn note_shed(&self) {
-        self.lock().limit.note_shed();
+    /// Records that the target refused a request that began with `running` calls.
+    pub fn note_shed(&self, kind: RefusalKind, running: u32) {
+        let now_us = self.clock.now_us();
+        let is_draining = self.is_draining();
+        self.lock().note_shed(kind, running, is_draining, now_us);
     }
 
     /// Records how long work takes at the target now, in percent of normal.
@@ -379,10 +383,12 @@
 
     fn start(self: &Arc<Self>, state: &mut State, request: &AdmissionRequest, now_us: u64) -> Permit {
         let number = state.start(now_us);
-        let sample = state.limit.note_start(state.running.len() as u32);
+        let running = state.running.len() as u32;
+        let sample = state.limit.note_start(running);
         let run = Run {
             number,
             start_us: now_us,
+            running,
             class: request.class,
             is_nested: request.rank.is_nested(),
             sample,
@@ -460,6 +466,7 @@
         let mut state = self.lock();
         state.cold.note_sent(run.is_nested, now_us);
         state.stated.note_sent(run.is_nested, now_us);
+        state.causes.note_attempt(run.running, now_us);
     }
 
     fn release(&self, run: &Run) {
@@ -474,6 +481,7 @@
         }
         let is_measured = run.is_counted && run.slowness_percent == slowness_percent;
         let measured_us = is_measured.then_some(normal_run_us);
+        state.limit.recover(run.is_counted, now_us);
         let limit_before = state.limit.settled();
         state.limit.note_end(run.class, run.sample, measured_us, now_us);
         let limit = state.limit.settled();
--- a/crates/laurelstall_guard/src/guard/permit.rs
+++ b/crates/laurelstall_guard/src/guard/permit.rs
@@ -11,6 +11,8 @@
     pub number: u64,
     /// When the call got its slot, in µs of the guard's clock.
     pub start_us: u64,
+    /// Number of running calls when the call got its slot, itself included.
+    pub running: u32,
     /// Class of the call.
     pub class: CallClass,
     /// Whether it is a nested call, which a running call waits for.
@@ -60,6 +62,11 @@
         self.run.start_us
     }
 
+    /// Returns how many calls ran when the call got its slot, itself included.
+    pub fn running_at_start(&self) -> u32 {
+        self.run.running
+    }
+
     /// Records that the call is sent to the target now and may arrive there from here on.
     pub fn note_sent(&mut self) {
         self.run.is_sent = true;
--- a/crates/laurelstall_guard/src/guard/state.rs
+++ b/crates/laurelstall_guard/src/guard/state.rs
@@ -6,6 +6,7 @@
     cold_start_limiter::ColdStartLimiter,
     guard_limits::GuardLimits,
     refusal::RefusalReason,
+    refusal_causes::RefusalCauses,
     start_decision::{SlotDemand, StartCandidate, StartDecision, StartForecast},
     stated_rate_limiter::StatedRateLimiter,
     target_speed::TargetSpeed,
@@ -77,6 +78,8 @@
 #[derive(Debug)]
 pub(super) struct State {
     pub(super) limit: AdaptiveLimit,
+    /// Tells refusals by a full target from others.
+    pub(super) causes: RefusalCauses,
     /// Moving average of run times at the target's normal speed, in µs.
     pub(super) mean_run_us: f64,
     /// Whether any run was measured.
@@ -102,6 +105,7 @@
         cold.set_limits(limits.cold_calls_per_s, limits.cold_start_ms);
         Self {
             limit: AdaptiveLimit::new(limits.slots, limits.slots_start_percent, limits.slots_floor_percent),
+            causes: RefusalCauses::default(),
             mean_run_us: INITIAL_RUN_US,
             has_measured: false,
             speed: TargetSpeed::default(),
--- a/crates/laurelstall_guard/src/guard_limits.rs
+++ b/crates/laurelstall_guard/src/guard_limits.rs
@@ -17,6 +17,9 @@
     pub cold_calls_per_s: u32,
     /// How long the target is cold after a start, in ms; 0 when it is not configured.
     pub cold_start_ms: u64,
+    /// Whether the concurrency limit is lowered only for refusals that depend on the number of running calls, and only
+    /// until some time after them.
+    pub has_refusal_causes: bool,
     /// Whether calls are held in the queue while the target is in a slow phase.
     pub may_hold: bool,
 }
--- a/crates/laurelstall_guard/tests/held_calls.rs
+++ b/crates/laurelstall_guard/tests/held_calls.rs
@@ -24,6 +24,7 @@
     queue_wait_max_ms: 2_000,
     cold_calls_per_s: 0,
     cold_start_ms: 0,
+    has_refusal_causes: false,
     may_hold: true,
 };
 const RUN_MS: u64 = 200;
--- a/crates/laurelstall_guard/tests/limited_fleet.rs
+++ b/crates/laurelstall_guard/tests/limited_fleet.rs
@@ -71,6 +71,7 @@
         queue_wait_max_ms: 1_000,
         cold_calls_per_s: 0,
         cold_start_ms: 0,
+        has_refusal_causes: false,
         may_hold: false,
     };
     Guard::new(limits, clock)
--- /dev/null
+++ b/crates/laurelstall_guard/tests/shed_recovery.rs
@@ -0,0 +1,156 @@
+//! The rise of a limit that was lowered for refusals, without a guard.
+
+use laurelstall_guard::{
+    adaptive_limit::AdaptiveLimit,
+    refusal_causes::{RefusalCause, RefusalCauses},
+};
+
+const SECOND_US: u64 = 1_000_000;
+
+/// Refuses attempts with more than `refused_above` running calls for `seconds`, 20 attempts of each number a second,
+/// and returns the causes found with `running` calls.
+fn causes(refused_above: u32, every_nth_refused: u64, running: u32, seconds: u64) -> Vec<RefusalCause> {
+    let mut causes = RefusalCauses::default();
+    let mut found = Vec::new();
+    for number in 0..seconds * 20 {
+        for count in 1..=9 {
+            let now_us = number * SECOND_US / 20 + u64::from(count);
+            causes.note_attempt(count, now_us);
+            let is_random = every_nth_refused > 0 && (number + u64::from(count)) % every_nth_refused == 0;
+            if count > refused_above || is_random {
+                let cause = causes.note_refusal(count, now_us);
+                found.extend((count == running).then_some(cause));
+            }
+        }
+    }
+    found
+}
+
+/// Guards against a limit that falls although fewer calls would be refused as often.
+#[test]
+fn refusals_as_frequent_at_any_number_of_running_calls_have_another_cause() {
+    for running in 2..=9 {
+        let found = causes(9, 2, running, 4);
+        assert!(found.len() >= 39);
+        assert!(found.iter().skip(2).all(|cause| *cause == RefusalCause::Other), "{running}: {found:?}");
+    }
+}
+
+/// Guards against a limit that stays above what the target takes.
+#[test]
+fn refusals_above_a_number_of_running_calls_are_recognised_within_a_second() {
+    let found = causes(5, 0, 6, 4);
+    assert!(found[20..].iter().all(|cause| *cause == RefusalCause::Concurrency), "{found:?}");
+}
+
+/// Guards against a limit that falls below what the target takes when refusals at random are added.
+#[test]
+fn with_both_kinds_only_those_of_many_running_calls_count() {
+    let many = causes(5, 2, 7, 4);
+    assert!(many[20..].iter().all(|cause| *cause == RefusalCause::Concurrency), "{many:?}");
+    let few = causes(5, 2, 4, 4);
+    assert!(few.iter().skip(2).all(|cause| *cause == RefusalCause::Other), "{few:?}");
+}
+
+/// Guards against counts from a calm period that make refusals at random look like ones by a full target.
+#[test]
+fn attempts_before_the_first_refusal_are_not_compared_with_it() {
+    let mut causes = RefusalCauses::default();
+    (0..200).for_each(|number| causes.note_attempt(1 + number % 3, u64::from(number) * 10_000));
+    for number in 0..6 {
+        causes.note_attempt(8, 2 * SECOND_US + number);
+        let cause = causes.note_refusal(8, 2 * SECOND_US + number);
+        assert!(matches!(cause, RefusalCause::Unknown { .. }), "{cause:?}");
+    }
+}
+
+/// Guards against counts that outlast a fault.
+#[test]
+fn a_fault_that_ended_two_seconds_ago_says_nothing() {
+    let mut causes = RefusalCauses::default();
+    for number in 0..20 {
+        for running in 1..=9 {
+            causes.note_attempt(running, number * 10_000);
+        }
+        causes.note_refusal(8, number * 10_000);
+    }
+    for number in 0..40 {
+        let now_us = SECOND_US / 5 + 5 * SECOND_US + number * 50_000;
+        (1..=9).for_each(|running| causes.note_attempt(running, now_us));
+        if number % 3 == 0 {
+            assert_ne!(causes.note_refusal(8 - number as u32 % 7, now_us), RefusalCause::Concurrency);
+        }
+    }
+}
+
+fn limit_lowered_at(times_us: &[u64]) -> AdaptiveLimit {
+    let mut limit = AdaptiveLimit::new(12, 75, 25);
+    for at_us in times_us {
+        limit.recover(true, *at_us);
+        limit.note_shed_for_now(limit.limit(), *at_us);
+        limit.recover(true, *at_us);
+    }
+    limit
+}
+
+/// Guards against a limit that stays low after a fault.
+#[test]
+fn a_limit_lowered_for_refusals_is_back_within_two_seconds_of_a_fault() {
+    for fault_s in [1, 4, 8] {
+        let times_us = (0..fault_s * 50).map(|number| SECOND_US + number * 20_000).collect::<Vec<_>>();
+        let mut limit = limit_lowered_at(&times_us);
+        let end_us = *times_us.last().expect("not empty");
+        assert!(limit.limit() < 9);
+        limit.recover(true, end_us + 2 * SECOND_US);
+        assert_eq!(limit.limit(), 9, "after {fault_s} s");
+        assert!(!limit.is_recovering());
+    }
+}
+
+/// Guards against a target that refuses for minutes and is tried as often as at first.
+#[test]
+fn each_recurrence_delays_the_rise() {
+    let mut limit = AdaptiveLimit::new(12, 75, 25);
+    let mut refused_us = Vec::new();
+    for now_us in (SECOND_US..300 * SECOND_US).step_by(10_000) {
+        limit.recover(true, now_us);
+        if limit.limit() > 7 {
+            limit.note_shed_for_now(limit.limit(), now_us);
+            refused_us.push(now_us);
+        }
+    }
+    let gaps_us = refused_us.windows(2).map(|pair| pair[1] - pair[0]).collect::<Vec<_>>();
+    assert!(gaps_us.is_sorted(), "{gaps_us:?}");
+    assert!(gaps_us.last().is_some_and(|gap_us| *gap_us > 10 * SECOND_US), "{gaps_us:?}");
+    assert!(refused_us.len() < 50, "{gaps_us:?}");
+}
+
+/// Guards against a rise while the target does not answer at all.
+#[test]
+fn without_an_answer_the_limit_stays() {
+    let mut limit = limit_lowered_at(&[SECOND_US]);
+    limit.note_shed_for_now(limit.limit(), 2 * SECOND_US);
+    let lowered = limit.limit();
+    limit.recover(false, 20 * SECOND_US);
+    assert_eq!(limit.limit(), lowered);
+    limit.recover(true, 20 * SECOND_US);
+    assert_eq!(limit.limit(), 9);
+}
+
+/// Guards against refusals of calls from before a step that lower the limit again.
+#[test]
+fn refusals_of_calls_that_began_above_the_limit_do_not_count_twice() {
+    let mut limit = AdaptiveLimit::new(12, 75, 25);
+    (0..5).for_each(|number| limit.note_shed_for_now(9, SECOND_US + number));
+    assert_eq!(limit.limit(), 8);
+}
+
+/// Guards against a change of behaviour with the switch off: the limit falls by a tenth for each refusal and stays.
+#[test]
+fn a_limit_lowered_without_causes_does_not_rise_with_time() {
+    let mut limit = AdaptiveLimit::new(12, 75, 25);
+    (0..20).for_each(|_| limit.note_shed());
+    assert_eq!(limit.limit(), 3);
+    limit.recover(true, 60 * SECOND_US);
+    assert_eq!(limit.limit(), 3);
+}
--- a/crates/laurelstall_guard/tests/stated_rate.rs
+++ b/crates/laurelstall_guard/tests/stated_rate.rs
@@ -179,6 +179,7 @@
         queue_wait_max_ms: 5_000,
         cold_calls_per_s: 0,
         cold_start_ms: 0,
+        has_refusal_causes: false,
         may_hold: false,
     }
 }
--- a/crates/laurelstall_guard/tests/workspaces.rs
+++ b/crates/laurelstall_guard/tests/workspaces.rs
@@ -34,6 +34,7 @@
         may_hold: true,
         cold_calls_per_s: 0,
         cold_start_ms: 0,
+        has_refusal_causes: false,
     }
 }
 
--- a/crates/laurelstall_node/src/target_guard.rs
+++ b/crates/laurelstall_node/src/target_guard.rs
@@ -154,6 +154,7 @@
             queue_wait_max_ms: 0,
             cold_calls_per_s: 0,
             cold_start_ms: 0,
+            has_refusal_causes: false,
             may_hold: false,
         };
         let client = options.settings.as_ref().map(TargetClient::new);
@@ -205,6 +206,7 @@
                 queue_wait_max_ms: 600_000,
                 cold_calls_per_s: limits.cold_calls_per_s,
                 cold_start_ms: limits.cold_start_ms,
+                has_refusal_causes: false,
                 may_hold: false,
             }
         } else {
@@ -216,6 +218,7 @@
                 queue_wait_max_ms: limits.queue_wait_max_ms,
                 cold_calls_per_s: limits.cold_calls_per_s,
                 cold_start_ms: limits.cold_start_ms,
+                has_refusal_causes: limits.load.refusal_causes,
                 may_hold: limits.may_hold,
             }
         });
--- a/crates/laurelstall_node/src/target_guard/forwarding.rs
+++ b/crates/laurelstall_node/src/target_guard/forwarding.rs
@@ -12,7 +12,7 @@
 use http::{HeaderMap, Request};
 use laurelstall_config::team::ServiceLimits;
 use laurelstall_crash::request_digest::RequestDigest;
-use laurelstall_guard::{guard::Permit, refusal::RefusalReason};
+use laurelstall_guard::{guard::Permit, refusal::RefusalReason, refusal_causes::RefusalKind};
 use laurelstall_peer::{
     attempt::{AttemptAnswer, AttemptBody},
     body::BoxedBody,
@@ -179,10 +179,11 @@
                 read.unwrap_or_else(|_| unknown("time budget spent at the target"))
             }
             Ok(Err(TargetError::NoConnection)) => {
+                let running = permit.running_at_start();
                 permit.release_uncounted();
                 watched_run.forget();
                 self.note_no_connection(&target).await;
-                self.guard.note_shed();
+                self.guard.note_shed(RefusalKind::NoConnection, running);
                 // The next instance to accept connections has just started.
                 self.guard.discard_cold_report();
                 refused(RefusalReason::NoConnection, None)
--- a/crates/laurelstall_node/src/target_guard/responses.rs
+++ b/crates/laurelstall_node/src/target_guard/responses.rs
@@ -12,7 +12,7 @@
 };
 use http_body_util::BodyExt;
 use laurelstall_config::team::ServiceLimits;
-use laurelstall_guard::{guard::Permit, refusal::RefusalReason};
+use laurelstall_guard::{guard::Permit, refusal::RefusalReason, refusal_causes::RefusalKind};
 use laurelstall_peer::{
     attempt::{AttemptAnswer, AttemptOutcome},
     body::{BodyError, BoxedBody},
@@ -67,11 +67,12 @@
             }
         };
         if let Some(reason) = refusal {
+            let running = permit.running_at_start();
             permit.release_uncounted();
             watched_run.forget();
             if reason == RefusalReason::Shed {
                 count(&self.counters.target_sheds);
-                self.guard.note_shed();
+                self.guard.note_shed(RefusalKind::Answered, running);
             }
             if reason == RefusalReason::Replaced {
                 self.note_denied(&target);
