Overload: decisions of guards and entry nodes during an overload

Cause: at more than its capacity a target spends slots on late answers, and every guard refuses other requests, so that chains of calls fail halfway. Change: OverloadDetector (standing queue by the wait of the longest waiting call), AdmissionThreshold (lowest admitted level from the arrivals by level and the completed work), RunTimes (start by a high quantile of the run times), RetrySchedule, their combination OverloadControl, and ServicePressure for entry nodes. No wiring yet.

--- a/crates/laurelstall_overload/src/call_level.rs
+++ b/crates/laurelstall_overload/src/call_level.rs
@@ -28,6 +28,14 @@
         Self { importance, bucket }
     }
 
+    /// Returns the next higher level; the highest level is its own.
+    pub fn next_above(self) -> Self {
+        if self.bucket + 1 < BUCKETS {
+            return Self { bucket: self.bucket + 1, ..self };
+        }
+        self.importance.checked_add(1).map_or(self, |importance| Self { importance, bucket: 0 })
+    }
+
     /// Parses the form that [`Display`](std::fmt::Display) writes; `None` if it is invalid.
     pub fn parse(text: &str) -> Option<Self> {
         let (importance, bucket) = text.split_once('.')?;
--- a/crates/laurelstall_overload/src/lib.rs
+++ b/crates/laurelstall_overload/src/lib.rs
@@ -2,4 +2,10 @@
 //!
 //! Decisions without input, output or a clock: times are passed in.
 
+pub mod admission_threshold;
 pub mod call_level;
+pub mod overload_control;
+pub mod overload_detector;
+pub mod retry_schedule;
+pub mod run_times;
+pub mod service_pressure;
