Overload: places for the returns of refused callers

Cause: a retry time in a refusal reserves nothing, so most callers that return when told are refused again.

Change: ReturnReservations holds, for one service at an entry, the places that callers were told to return at. Places are spaced so that returns take at most 0.3 of what the service recently answered at the call's importance and below. A digest holds one place at a time, which only a return within its window claims. Where nothing was answered for 30 s, or after a start, it gives no times. Not wired yet.

--- a/crates/laurelstall_overload/src/lib.rs
+++ b/crates/laurelstall_overload/src/lib.rs
@@ -3,3 +3,4 @@
 //! Decisions without input, output or a clock: times are passed in.
 
 pub mod call_level;
+pub mod return_reservations;
