Calls: refusals reserve a place for the return, which goes ahead of first attempts

Change: with limits.load.reserved_returns an entry sets the retry time of a refusal to a reserved place, marks the attempts of a return in time with laurelstall-reserved, and gives them the highest level of their importance. The guard takes the mark out and queues such calls before first attempts of the same importance. Nested calls, tickets, quarantines and rate limits keep their times. Counters returns_reserved, returns_without_place, returns_claimed and returns_refused_again.

Measured: tests of laurelstall_overload, laurelstall_guard and laurelstall_node pass.

--- a/crates/laurelstall_guard/src/admission_request.rs
+++ b/crates/laurelstall_guard/src/admission_request.rs
@@ -61,14 +61,17 @@
 
 /// Priority of a call, compared field by field.
 ///
-/// Among calls of the same importance, those of workspaces within their share go first, and among these first
-/// attempts go before retries: a first attempt has its whole latency objective left.
+/// Among calls of the same importance, those of workspaces within their share go first. Among these, returns with a
+/// reserved place go before first attempts, because their callers have waited as told; first attempts go before other
+/// retries, because a first attempt has its whole latency objective left.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Rank {
     /// Importance; calls with a higher one go first.
     pub importance: u8,
     /// Whether the workspace has more calls at this guard than its share; set by the guard on admission.
     pub is_over_share: bool,
+    /// Whether the caller returned at a time for which the entry reserved a place.
+    pub is_reserved: bool,
     /// Whether the caller appears to be retrying an earlier call, judged by its time budget.
     pub is_caller_retry: bool,
     /// Level of the request that the call is made for, by which calls are admitted during overload.
@@ -79,7 +82,7 @@
     /// Creates the rank of a call whose workspace is within its share.
     pub fn new(importance: u8, is_caller_retry: bool) -> Self {
         let level = CallLevel { importance, bucket: 0 };
-        Self { importance, is_over_share: false, is_caller_retry, level }
+        Self { importance, is_over_share: false, is_reserved: false, is_caller_retry, level }
     }
 
     /// Returns the rank with the level that the attempt states.
@@ -87,6 +90,11 @@
         Self { level, ..self }
     }
 
+    /// Returns the rank of a call for which a place may be reserved.
+    pub fn with_reservation(self, is_reserved: bool) -> Self {
+        Self { is_reserved, ..self }
+    }
+
     /// Whether this is a nested call, which a running call waits for.
     pub fn is_nested(&self) -> bool {
         self.importance >= NESTED_CALL_IMPORTANCE
--- /dev/null
+++ b/crates/laurelstall_guard/tests/reserved_returns.rs
@@ -0,0 +1,92 @@
+//! Tests the place of returns with a reservation in a guard's queue, on a paused clock.
+
+use laurelstall_guard::{
+    admission_request::{AdmissionRequest, Rank, WorkspaceShare},
+    clock::Clock,
+    guard::{Guard, Permit},
+    guard_limits::GuardLimits,
+    refusal::{Refusal, RefusalReason},
+};
+use std::sync::Arc;
+use tokio::task::{JoinHandle, yield_now};
+
+const LIMITS: GuardLimits = GuardLimits {
+    slots: 1,
+    slots_start_percent: 100,
+    slots_floor_percent: 100,
+    queue_length: 2,
+    queue_wait_max_ms: 1_000,
+    cold_calls_per_s: 0,
+    cold_start_ms: 0,
+    may_hold: false,
+};
+const FIRST_ATTEMPT: Rank = rank(5, false, false);
+const RESERVED: Rank = rank(5, true, true);
+
+const fn rank(importance: u8, is_reserved: bool, is_caller_retry: bool) -> Rank {
+    let level = laurelstall_overload::call_level::CallLevel { importance, bucket: 0 };
+    Rank { importance, is_over_share: false, is_reserved, is_caller_retry, level }
+}
+
+async fn enqueue(
+    guard: &Arc<Guard>,
+    clock: &Clock,
+    rank: Rank,
+    budget_ms: u64,
+) -> JoinHandle<Result<Permit, Refusal>> {
+    let deadline_us = clock.now_us() + budget_ms * 1_000;
+    let request = AdmissionRequest {
+        rank,
+        workspace_share: WorkspaceShare::NO_WORKSPACE,
+        class: 0,
+        deadline_us,
+        useful_until_us: deadline_us,
+        useful_us: budget_ms * 1_000,
+        may_hand_back: false,
+        hand_backs: 0,
+        slow_from_percent: None,
+    };
+    let guard = guard.clone();
+    let task = tokio::spawn(async move { guard.admit(request).await });
+    yield_now().await;
+    task
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_reserved_return_goes_before_first_attempts_of_its_importance_only() {
+    let clock = Clock::new();
+    let guard = Guard::new(LIMITS, clock);
+    let running = enqueue(&guard, &clock, FIRST_ATTEMPT, 9_000).await;
+    let running = running.await.expect("no panic").expect("a free slot");
+    let first = enqueue(&guard, &clock, FIRST_ATTEMPT, 5_000).await;
+    let reserved = enqueue(&guard, &clock, RESERVED, 6_000).await;
+    drop(running);
+    yield_now().await;
+    assert!(!first.is_finished());
+    let running = reserved.await.expect("no panic").expect("it goes first, though its deadline is later");
+    let important = enqueue(&guard, &clock, rank(6, false, false), 9_000).await;
+    let reserved = enqueue(&guard, &clock, RESERVED, 6_000).await;
+    let evicted = first.await.expect("no panic").expect_err("a reserved return takes its place in the queue");
+    assert_eq!(evicted.reason, RefusalReason::QueueFull);
+    drop(running);
+    yield_now().await;
+    assert!(!reserved.is_finished());
+    assert!(important.await.expect("no panic").is_ok(), "more important calls stay ahead");
+    reserved.abort();
+}
+
+/// Guards against places for callers that return without a reservation.
+#[tokio::test(start_paused = true)]
+async fn a_return_without_a_place_stays_behind_first_attempts() {
+    let clock = Clock::new();
+    let guard = Guard::new(LIMITS, clock);
+    let running = enqueue(&guard, &clock, FIRST_ATTEMPT, 9_000).await;
+    let running = running.await.expect("no panic").expect("a free slot");
+    let unasked = enqueue(&guard, &clock, rank(5, false, true), 8_000).await;
+    let first = enqueue(&guard, &clock, FIRST_ATTEMPT, 9_000).await;
+    drop(running);
+    yield_now().await;
+    assert!(!unasked.is_finished());
+    assert!(first.await.expect("no panic").is_ok());
+    unasked.abort();
+}
--- a/crates/laurelstall_node/src/call.rs
+++ b/crates/laurelstall_node/src/call.rs
@@ -30,6 +30,7 @@
 mod outcomes;
 mod quarantine;
 mod retries;
+mod returns;
 mod target_choice;
 mod target_probes;
 
@@ -102,6 +103,8 @@
     has_unknown_attempt: bool,
     last_refusal: Option<Refusal>,
     fallback: Option<FallbackAnswer>,
+    /// Whether the caller returned at a time for which a place was reserved.
+    is_reserved: bool,
 }
 
 impl<'a> Call<'a> {
@@ -128,11 +131,18 @@
             has_unknown_attempt: false,
             last_refusal: None,
             fallback: None,
+            is_reserved: false,
         }
     }
 
     /// Runs the call until its outcome for the caller is known.
     pub async fn run(mut self) -> CallOutcome {
+        self.claim_reservation();
+        let outcome = self.run_attempts().await;
+        self.finish_with_reservation(outcome)
+    }
+
+    async fn run_attempts(&mut self) -> CallOutcome {
         let now_us = self.context.clock.now_us();
         let request = &self.request;
         self.service.balancer().note_call(request.budget_importance, request.is_parent_retry, now_us);
--- a/crates/laurelstall_node/src/call/attempts.rs
+++ b/crates/laurelstall_node/src/call/attempts.rs
@@ -4,7 +4,7 @@
 use crate::{
     counters::count,
     dialect::TargetNotice,
-    headers::{push_call_level, push_known_rate_limit},
+    headers::{push_call_level, push_known_rate_limit, push_reserved},
 };
 use futures_util::future::{BoxFuture, Either, FutureExt, select};
 use laurelstall_balance::service_balancer::AttemptResult;
@@ -117,6 +117,9 @@
         if !limits.load.is_off() {
             push_call_level(&mut headers, self.request.level);
         }
+        if self.is_reserved {
+            push_reserved(&mut headers);
+        }
         let observe_percent = self.request.route.observe_percent;
         let head = AttemptHead {
             call_id: self.request.id,
--- a/crates/laurelstall_node/src/counters.rs
+++ b/crates/laurelstall_node/src/counters.rs
@@ -85,6 +85,14 @@
     pace_looks,
     /// Queries of the local target's identity.
     identity_looks,
+    /// Refusals whose retry time reserved a place for the caller's return.
+    returns_reserved,
+    /// Refusals without a free place within the time that the caller waits.
+    returns_without_place,
+    /// Calls that claimed a reserved place.
+    returns_claimed,
+    /// Calls that claimed a reserved place and were refused again.
+    returns_refused_again,
     /// Calls refused because they have no key and need one.
     keys_missing,
     /// Calls refused because no workspace has their key.
--- a/crates/laurelstall_node/src/headers.rs
+++ b/crates/laurelstall_node/src/headers.rs
@@ -41,6 +41,9 @@
 /// Level of a call, in an attempt to the target's guard.
 const CALL_LEVEL: &str = "laurelstall-call-level";
 
+/// Marks an attempt whose caller returned at a time for which a place was reserved.
+const RESERVED: &str = "laurelstall-reserved";
+
 /// Name of the instance that answered, from its guard to the entry when the instance is leaving. The entry may have
 /// addressed it by an older name.
 const LEAVING_INSTANCE: &str = "laurelstall-leaving-instance";
@@ -86,6 +89,7 @@
     headers.remove(http::header::EXPECT);
     headers.remove(KNOWN_RATE_LIMIT);
     headers.remove(CALL_LEVEL);
+    headers.remove(RESERVED);
     if is_buffered {
         headers.remove(CONTENT_LENGTH);
     }
@@ -142,6 +146,18 @@
     CallLevel::parse(str::from_utf8(&value).ok()?)
 }
 
+/// Adds the mark of a return with a reserved place.
+pub fn push_reserved(headers: &mut Vec<(String, Vec<u8>)>) {
+    headers.push((RESERVED.to_owned(), b"1".to_vec()));
+}
+
+/// Removes the mark that [`push_reserved`] added, and returns whether it was there.
+pub fn take_reserved(headers: &mut Vec<(String, Vec<u8>)>) -> bool {
+    let count = headers.len();
+    headers.retain(|(name, _)| name != RESERVED);
+    headers.len() < count
+}
+
 /// Adds the name of the leaving instance to its answer.
 pub fn insert_leaving_instance(headers: &mut HeaderMap, instance: &str) {
     headers.insert(LEAVING_INSTANCE, text_value(instance));
--- a/crates/laurelstall_node/src/target_guard.rs
+++ b/crates/laurelstall_node/src/target_guard.rs
@@ -4,7 +4,7 @@
     active_config::{ActiveConfig, ConfigSnapshot},
     counters::{Counters, count},
     dialect::HeaderDialect,
-    headers::{take_call_level, take_known_rate_limit},
+    headers::{take_call_level, take_known_rate_limit, take_reserved},
     metrics::{Latencies, record_us},
     observer::Observer,
     running_requests::RunningRequests,
@@ -328,6 +328,8 @@
     useful_us: u64,
     /// Level of the first request of the chain.
     level: CallLevel,
+    /// Whether the caller returned at a time for which a place was reserved.
+    is_reserved: bool,
     pub(crate) limits: ServiceLimits,
 }
 
@@ -418,9 +420,19 @@
         let useful_us = head.useful_us.min(head.budget_us);
         let useful_until_us = now_us + useful_us;
         let limits = service.limits;
+        let is_reserved = take_reserved(&mut head.headers) && limits.load.reserved_returns;
         let ticket = head.ticket;
-        let pending =
-            PendingAttempt { head, body, admission, deadline_us, useful_until_us, useful_us, level, limits };
+        let pending = PendingAttempt {
+            head,
+            body,
+            admission,
+            deadline_us,
+            useful_until_us,
+            useful_us,
+            level,
+            is_reserved,
+            limits,
+        };
         match ticket {
             None => self.admit_and_run(pending).await,
             Some((incarnation, number)) => self.run_ticket(pending, incarnation, number).await,
@@ -443,7 +455,9 @@
     /// Admits an attempt and runs it at the target.
     pub(crate) async fn admit_and_run(self: &Arc<Self>, pending: PendingAttempt) -> AttemptAnswer {
         let request = AdmissionRequest {
-            rank: Rank::new(pending.head.importance, pending.head.is_return).with_level(pending.level),
+            rank: Rank::new(pending.head.importance, pending.head.is_return)
+                .with_level(pending.level)
+                .with_reservation(pending.is_reserved),
             workspace_share: self.workspace_share(&pending.head),
             class: pending.head.class,
             deadline_us: pending.deadline_us,
--- a/crates/laurelstall_overload/src/call_level.rs
+++ b/crates/laurelstall_overload/src/call_level.rs
@@ -28,6 +28,11 @@
         Self { importance, bucket }
     }
 
+    /// Returns the highest level of the same importance.
+    pub fn first_of_importance(self) -> Self {
+        Self { bucket: BUCKETS - 1, ..self }
+    }
+
     /// Parses the form that [`Display`](std::fmt::Display) writes; `None` if it is invalid.
     pub fn parse(text: &str) -> Option<Self> {
         let (importance, bucket) = text.split_once('.')?;
