--- a/crates/laurelstall_overload/src/lib.rs
+++ b/crates/laurelstall_overload/src/lib.rs
@@ -7,5 +7,6 @@
 pub mod overload_control;
 pub mod overload_detector;
 pub mod retry_schedule;
+pub mod return_reservations;
 pub mod run_times;
 pub mod service_pressure;
