Guard: admission by level and by time left during an overload

Cause: a guard decides by the mean run time and refuses whichever call comes when its queue is full. Change: guard/overload.rs wires OverloadControl into arrivals, queue and runs (off until Guard::set_overload_control). Tests of laurelstall_guard and laurelstall_overload pass.

--- a/crates/laurelstall_guard/src/guard.rs
+++ b/crates/laurelstall_guard/src/guard.rs
@@ -19,10 +19,12 @@
 };
 use tokio::{sync::Notify, time::timeout_at};
 
+mod overload;
 mod permit;
 mod queued_call;
 mod state;
 
+pub use overload::OverloadState;
 pub use permit::Permit;
 
 /// How long after the start of draining a call that was already queued may still start, in µs: a draining
@@ -318,6 +320,10 @@
             return Err(self.refusal(RefusalReason::RateLimited));
         }
         state.assume_run_time(request);
+        if let Some(reason) = state.refusal_by_overload(request, now_us) {
+            drop(state);
+            return Err(self.refusal(reason));
+        }
         let waits_for_report = state.has_slot() && state.is_report_worth_it(request, now_us);
         if !waits_for_report {
             if let Some(reason) = state.refusal_by_speed(request, now_us) {
@@ -364,7 +370,8 @@
     fn extend_hold(&self, wait: &mut TimedWait, request: &AdmissionRequest) -> bool {
         let now_us = self.clock.now_us();
         let mut state = self.lock();
-        if wait.hands_back || !state.has_slot_and_capacity(request, now_us) {
+        let is_useless = wait.hands_back || !state.may_start_in_overload(request, now_us);
+        if is_useless || !state.has_slot_and_capacity(request, now_us) {
             return false;
         }
         let run_us = state.service_us(now_us);
@@ -443,7 +450,10 @@
         let rounds = state.queue.len() as u64 / u64::from(state.limit.limit().max(1)) + 1;
         let retry_after_us = match reason {
             RefusalReason::RateLimited => state.next_retry_us(now_us),
-            _ => rounds * state.service_us(now_us),
+            _ => match state.overload_retry_us(reason, now_us) {
+                Some(retry_us) => retry_us,
+                None => rounds * state.service_us(now_us),
+            },
         };
         let retry_after_ms = (retry_after_us / 1_000).clamp(1, 60_000) as u32;
         Refusal { reason, retry_after_ms, slowness_percent: state.speed.slowness_percent(now_us) }
@@ -471,6 +481,7 @@
         let normal_run_us = run_us * f64::from(NORMAL_PERCENT) / f64::from(slowness_percent);
         if run.is_counted {
             state.note_run(normal_run_us);
+            state.note_completed_work(run.class, normal_run_us);
         }
         let is_measured = run.is_counted && run.slowness_percent == slowness_percent;
         let measured_us = is_measured.then_some(normal_run_us);
@@ -479,6 +490,7 @@
         let limit = state.limit.settled();
         state.admit_waiting(now_us);
         state.refuse_late(now_us);
+        state.note_queueing_delay(now_us);
         let has_queued = !state.queue.is_empty();
         drop(state);
         if has_queued {
--- a/crates/laurelstall_guard/src/guard/state.rs
+++ b/crates/laurelstall_guard/src/guard/state.rs
@@ -12,6 +12,7 @@
     wait_queue::{QueueKey, WaitQueue, Wake},
 };
 use laurelstall_balance::hint::NORMAL_PERCENT;
+use laurelstall_overload::overload_control::OverloadControl;
 use std::collections::BTreeMap;
 
 /// Assumed run time before the first request, in µs.
@@ -87,6 +88,8 @@
     pub(super) cold: ColdStartLimiter,
     /// Limits calls to the rate that the target states.
     pub(super) stated: StatedRateLimiter,
+    /// Admits calls by level during an overload; `None` where this is switched off.
+    pub(super) overload: Option<OverloadControl>,
     /// Latest retry time given to a refused caller because of a limit on calls per second, in µs.
     last_retry_us: u64,
     pub(super) limits: GuardLimits,
@@ -108,6 +111,7 @@
             query_state: QueryState::Unsupported,
             cold,
             stated: StatedRateLimiter::default(),
+            overload: None,
             last_retry_us: 0,
             limits,
             queue: WaitQueue::default(),
@@ -242,15 +246,11 @@
             let ahead = (position as u64).saturating_sub(free);
             let slot_us = now_us + ahead * service_us / limit;
             let run_us = (self.class_run_us(request) * self.quick_factor(now_us)) as u64;
-            let reason = match request.may_hand_back {
-                _ if is_rate_delayed && next_send_us + run_us > request.useful_until_us => {
-                    RefusalReason::RateLimited
-                }
-                true => RefusalReason::HandedBack,
-                false => RefusalReason::Busy,
-            };
+            let is_rate_limited = is_rate_delayed && next_send_us + run_us > request.useful_until_us;
+            let reason = if is_rate_limited { RefusalReason::RateLimited } else { late_refusal(request) };
             let done_us = slot_us.max(next_send_us) + run_us;
-            (done_us > request.useful_until_us).then_some((*key, reason))
+            let is_late = done_us > request.useful_until_us || !self.may_start_in_overload(request, slot_us);
+            is_late.then_some((*key, reason))
         };
         let late = self.queue.iter().enumerate().filter_map(is_late).collect::<Vec<_>>();
         for (key, reason) in late {
@@ -263,6 +263,9 @@
         let refused = if is_accepted { None } else { self.refusal_by_speed(request, now_us) };
         match refused {
             Some(reason) => SlotDecision::Refuse(reason),
+            None if !self.may_start_in_overload(request, now_us) => {
+                SlotDecision::Refuse(late_refusal(request))
+            }
             None if self.should_start(request, now_us) => SlotDecision::Start,
             None => SlotDecision::Hold,
         }
@@ -443,13 +446,18 @@
     }
 
     /// Returns the mean run time of the call's class at the target's normal speed, in µs, or an assumed one.
-    fn class_run_us(&self, request: &AdmissionRequest) -> f64 {
+    pub(super) fn class_run_us(&self, request: &AdmissionRequest) -> f64 {
         let known = self.limit.times().mean_us(request.class);
         known.unwrap_or_else(|| (request.useful_us as f64 * ASSUMED_RUN_SHARE).max(RUN_MIN_US))
     }
 
     /// Returns how long work takes outside of slow phases, relative to normal.
-    fn quick_factor(&self, now_us: u64) -> f64 {
+    pub(super) fn quick_factor(&self, now_us: u64) -> f64 {
         f64::from(self.speed.quick_percent(now_us)) / f64::from(NORMAL_PERCENT)
     }
 }
+
+/// Returns why a queued call is refused that cannot be answered in time any more.
+fn late_refusal(request: &AdmissionRequest) -> RefusalReason {
+    if request.may_hand_back { RefusalReason::HandedBack } else { RefusalReason::Busy }
+}
--- a/crates/laurelstall_overload/src/overload_control.rs
+++ b/crates/laurelstall_overload/src/overload_control.rs
@@ -60,7 +60,14 @@
         self.threshold.admits(call.level)
     }
 
-    /// Records the wait of the call that has waited longest for a slot, relative to its useful time; 0 if none waits.
+    /// Returns a wait relative to the useful time of a call of `class`; `useful_us` is what this call had on its arrival.
+    ///
+    /// A call that returns has little time left from the start, so a short wait of such a call is not long.
+    pub fn delay_share(&self, class: u32, wait_us: f64, useful_us: f64) -> f64 {
+        wait_us / self.run_times.useful_us(class).max(useful_us).max(1.0)
+    }
+
+    /// Records the longest wait of a call that waits for a slot, relative to its useful time; 0 if none waits.
     pub fn note_delay(&mut self, share: f64) {
         self.detector.note_delay(share);
     }
--- a/crates/laurelstall_overload/src/run_times.rs
+++ b/crates/laurelstall_overload/src/run_times.rs
@@ -63,6 +63,11 @@
         }
     }
 
+    /// Returns the longest recent useful time of calls of `class` on arrival, in µs; 0 if it is not known.
+    pub fn useful_us(&self, class: u32) -> f64 {
+        self.classes.get(&class).map_or(0.0, |runs| runs.useful_us)
+    }
+
     /// Records a run of `class` that took `run_us` µs.
     pub fn note_run(&mut self, class: u32, run_us: f64) {
         if self.classes.len() >= CLASSES_MAX && !self.classes.contains_key(&class) {
