Balance: what is learned during a fault is forgotten within 2 s of its end

Cause: ejections doubled up to 32 s and ended in a slow start, error penalties, class times, the service's means and the spillover share faded over a number of calls, which an entry node with few calls reaches after many seconds.

Change: with limits.load.refusal_causes an ejected target gets single calls, the first after 1 s at most, and is back in full after two successes in a row; the pause doubles while they fail, up to 1.5 s, and up to 32 s for a target that fails for more than 10 s. Errors count for 1.8 s after the last one, latencies older than 1 s are replaced, class times after six clearly shorter runs, means and spillover fade with time. After a trial that lowered a concurrency limit a higher one is tried again after 1 s instead of 10 s. With the switch off nothing changes.

--- a/crates/laurelstall_balance/src/class_times.rs
+++ b/crates/laurelstall_balance/src/class_times.rs
@@ -11,6 +11,11 @@
 /// Number of samples of a class that have the initial weight.
 const INITIAL_SAMPLES: u32 = 10;
 
+/// Number of runs in a row, all clearly shorter than the mean, after which they replace it.
+const SHORT_RUNS: u32 = 6;
+/// Share of the mean below which a run is clearly shorter.
+const SHORT_SHARE: f64 = 0.67;
+
 /// A class of calls that take about the same time: those of one route.
 pub type CallClass = u32;
 
@@ -18,22 +23,57 @@
 struct ClassTime {
     mean_us: f64,
     samples: u32,
+    /// Runs in a row that were clearly shorter than the mean, and the sum of their times.
+    short_runs: u32,
+    short_sum_us: f64,
+}
+
+impl ClassTime {
+    /// Replaces a mean from a time when the target was slow by that of recent runs, if all were clearly shorter.
+    ///
+    /// Long runs do not replace it as quickly: the guard would refuse calls that will be in time.
+    fn forget_slow_runs(&mut self, run_us: f64) {
+        if run_us >= SHORT_SHARE * self.mean_us {
+            (self.short_runs, self.short_sum_us) = (0, 0.0);
+            return;
+        }
+        self.short_runs += 1;
+        self.short_sum_us += run_us;
+        if self.short_runs >= SHORT_RUNS {
+            let mean_us = self.short_sum_us / f64::from(self.short_runs);
+            *self = Self { mean_us, samples: self.short_runs, short_runs: 0, short_sum_us: 0.0 };
+        }
+    }
 }
 
 /// Mean service times by class, corrected for the slowness of the target.
 #[derive(Debug, Clone, Default)]
 pub struct ClassTimes {
     times: HashMap<CallClass, ClassTime>,
+    has_fast_recovery: bool,
 }
 
 impl ClassTimes {
+    /// Sets whether the times of a slow target are forgotten as soon as it is quick again.
+    pub fn set_fast_recovery(&mut self, has_fast_recovery: bool) {
+        self.has_fast_recovery = has_fast_recovery;
+    }
+
     /// Adds the service time of a run, in µs.
     pub fn note(&mut self, class: CallClass, run_us: f64) {
         let class = if self.times.len() < CLASSES_MAX || self.times.contains_key(&class) { class } else { 0 };
-        let time = self.times.entry(class).or_insert(ClassTime { mean_us: run_us, samples: 0 });
+        let time = self.times.entry(class).or_insert(ClassTime {
+            mean_us: run_us,
+            samples: 0,
+            short_runs: 0,
+            short_sum_us: 0.0,
+        });
         time.samples = time.samples.saturating_add(1);
         let weight = if time.samples <= INITIAL_SAMPLES { INITIAL_WEIGHT } else { WEIGHT };
         time.mean_us += weight * (run_us - time.mean_us);
+        if self.has_fast_recovery {
+            time.forget_slow_runs(run_us);
+        }
     }
 
     /// The mean service time of a class in µs; `None` before its first run.
--- a/crates/laurelstall_balance/src/lib.rs
+++ b/crates/laurelstall_balance/src/lib.rs
@@ -9,6 +9,8 @@
 pub mod chooser;
 pub mod class_times;
 pub mod ejection;
+pub mod fading;
+pub mod half_open;
 pub mod hint;
 pub mod importance_tracker;
 pub mod least_cost;
--- a/crates/laurelstall_balance/src/service_balancer.rs
+++ b/crates/laurelstall_balance/src/service_balancer.rs
@@ -5,6 +5,7 @@
     chooser::{Candidate, Choice, ChoiceContext, Chooser},
     class_times::{CallClass, ClassTimes},
     ejection::Ejection,
+    fading::faded_weight,
     hint::{Hint, NORMAL_PERCENT},
     importance_tracker::ImportanceTracker,
     spillover::Spillover,
@@ -120,8 +121,12 @@
     hedges: AttemptBudget,
     /// Moving average of the latency of successful attempts, in µs.
     mean_us: f64,
+    /// Time in µs of its last sample.
+    mean_at_us: u64,
     /// Moving average of the share of slots in use, queued calls included.
     mean_load: f64,
+    /// Time in µs of its last sample.
+    mean_load_at_us: u64,
     class_times: ClassTimes,
     spillover: Spillover,
     /// Latest retry time given to a caller while all targets stated rate limits, in µs.
@@ -144,7 +149,9 @@
             reroutes: AttemptBudget::new(REROUTE_PERCENT, REROUTE_RESERVE),
             hedges: AttemptBudget::new(limits.hedge_percent, HEDGE_RESERVE),
             mean_us: INITIAL_SERVICE_US,
+            mean_at_us: 0,
             mean_load: 0.5,
+            mean_load_at_us: 0,
             class_times: ClassTimes::default(),
             spillover: Spillover::default(),
             last_limited_retry_us: 0,
@@ -180,6 +187,10 @@
             }
             self.targets.push(view);
         }
+        let has_fast_recovery = limits.load.refusal_causes;
+        self.targets.iter_mut().for_each(|view| view.has_fast_recovery = has_fast_recovery);
+        self.class_times.set_fast_recovery(has_fast_recovery);
+        self.spillover.set_fast_recovery(has_fast_recovery);
         self.in_flight = self.targets.iter().map(TargetView::in_flight).sum();
         self.limits = limits;
         self.set_entries(self.entries);
@@ -212,6 +223,9 @@
         };
         let choice = self.chooser.choose(&candidates, &mut context);
         debug_assert!(choice.is_none_or(|c| candidates.iter().any(|k| k.index == c.index)));
+        if let Some(choice) = choice {
+            self.targets[choice.index].ejection.note_chosen(now_us);
+        }
         choice
     }
 
@@ -238,12 +252,16 @@
         let view = &mut self.targets[index];
         self.in_flight -= view.in_flight().min(1);
         view.note_ended();
+        self.note_half_open_result(index, result, now_us);
+        let mean_weight = self.mean_weight(self.mean_at_us, now_us);
+        let view = &mut self.targets[index];
         match result {
             AttemptResult::Succeeded(latency_us) => {
                 view.note_result(false, latency_us, now_us);
                 let slowness = view.slowness_percent(now_us) / f64::from(NORMAL_PERCENT);
                 self.class_times.note(class, latency_us as f64 / slowness);
-                self.mean_us += MEAN_WEIGHT * (latency_us as f64 - self.mean_us);
+                self.mean_us += mean_weight * (latency_us as f64 - self.mean_us);
+                self.mean_at_us = now_us;
                 self.retries.deposit(now_us);
                 self.hedges.deposit(now_us);
             }
@@ -258,11 +276,21 @@
         let Some(index) = self.index_of(index, name) else { return };
         let slots = f64::from(self.targets[index].slots.max(1));
         let load = f64::from(hint.in_flight + hint.queued) / slots;
-        self.mean_load += MEAN_WEIGHT * (load - self.mean_load);
+        self.mean_load += self.mean_weight(self.mean_load_at_us, now_us) * (load - self.mean_load);
+        self.mean_load_at_us = now_us;
         self.compare_loads(index, hint.in_flight + hint.queued, hint.limit, now_us);
         self.targets[index].update_hint(hint, now_us);
     }
 
+    /// The weight of a new sample in a mean of the service whose last sample came at `last_us`.
+    fn mean_weight(&self, last_us: u64, now_us: u64) -> f64 {
+        if self.limits.load.refusal_causes {
+            faded_weight(MEAN_WEIGHT, now_us.saturating_sub(last_us))
+        } else {
+            MEAN_WEIGHT
+        }
+    }
+
     /// The age of a target's last hint in µs; `None` without a hint.
     pub fn hint_age_us(&self, index: usize, now_us: u64) -> Option<u64> {
         self.targets.get(index)?.hint(now_us).map(|(_, age_us)| age_us)
--- a/crates/laurelstall_balance/src/service_balancer/outlier_ejection.rs
+++ b/crates/laurelstall_balance/src/service_balancer/outlier_ejection.rs
@@ -1,6 +1,6 @@
 //! Outlier ejection: takes targets with many errors or high latency out of the choice.
 
-use super::ServiceBalancer;
+use super::{AttemptResult, ServiceBalancer};
 use crate::target_view::TargetView;
 
 /// Attempts that must have ended before a target may be ejected.
@@ -36,7 +36,8 @@
     /// Ejects the target at `index` if it fails or is slow and the limit on ejected targets allows it.
     pub(super) fn eject_if_outlier(&mut self, index: usize, now_us: u64) -> Option<Ejected> {
         let view = &self.targets[index];
-        if view.ejection.is_ejected(now_us) || view.samples() < EJECTION_SAMPLES_MIN {
+        let is_out = view.ejection.is_ejected(now_us) || view.ejection.is_half_open();
+        if is_out || view.samples() < EJECTION_SAMPLES_MIN {
             return None;
         }
         let is_slow = self.is_slow(index);
@@ -53,12 +54,28 @@
         let view = &mut self.targets[index];
         let error_rate = view.error_rate(now_us);
         let latency_us = view.latency_us() as u64;
-        view.ejection.eject(now_us, self.limits.ejection_ms * 1_000);
+        let first_us = self.limits.ejection_ms * 1_000;
+        if view.has_fast_recovery {
+            view.ejection.eject_half_open(now_us, first_us);
+        } else {
+            view.ejection.eject(now_us, first_us);
+        }
         view.forget_errors();
         self.ejections += 1;
         Some(Ejected { target: view.name.clone(), error_rate, latency_us, times: view.ejection.times() })
     }
 
+    /// Records the result of an attempt at an ejected target that gets single calls.
+    pub(super) fn note_half_open_result(&mut self, index: usize, result: AttemptResult, now_us: u64) {
+        let view = &mut self.targets[index];
+        match result {
+            AttemptResult::Succeeded(_) if view.ejection.note_success(now_us) => view.forget_errors(),
+            AttemptResult::Succeeded(_) => {}
+            AttemptResult::Failed => view.ejection.note_failure(now_us),
+            AttemptResult::NotRun | AttemptResult::Cancelled => view.ejection.note_not_run(now_us),
+        }
+    }
+
     fn note_recovery(&mut self, index: usize, now_us: u64) {
         let slow_start_us = self.limits.slow_start_ms * 1_000;
         let view = &mut self.targets[index];
--- a/crates/laurelstall_balance/src/target_view.rs
+++ b/crates/laurelstall_balance/src/target_view.rs
@@ -13,6 +13,10 @@
 const ERROR_HALF_LIFE_US: f64 = 1_000_000.0;
 /// Error rate that is rounded down to 0. Otherwise a target that failed once would lose every tie for ever.
 const ERROR_RATE_MIN: f64 = 0.001;
+/// Time in µs after the last error from which it no longer counts, where faults are forgotten within 2 s.
+const ERROR_AGE_MAX_US: u64 = 1_800_000;
+/// Age in µs from which the average of latencies is replaced by the next sample, where faults are forgotten within 2 s.
+const LATENCY_AGE_MAX_US: u64 = 1_000_000;
 /// Age in µs at which the load in a hint has half its weight.
 pub const HINT_HALF_AGE_US: f64 = 20_000.0;
 /// Age in µs at which the service time in a hint has half its weight.
@@ -53,6 +57,8 @@
     pub is_leaving: bool,
     /// Outlier ejection and slow start of the target.
     pub ejection: Ejection,
+    /// Whether what was learned during a fault is forgotten within 2 s of its end.
+    pub has_fast_recovery: bool,
     /// Time in µs until which no calls are sent: its guard has no target of this name, or its cold-start limit is used
     /// up.
     skipped_until_us: u64,
@@ -63,7 +69,9 @@
     in_flight_at_hint: u32,
     error_rate: f64,
     error_at_us: u64,
+    last_error_us: u64,
     latency_us: f64,
+    latency_at_us: u64,
     samples: u32,
     slow_since_us: Option<u64>,
 }
@@ -82,6 +90,7 @@
             is_live: true,
             is_leaving: false,
             ejection: Ejection::new(now_us),
+            has_fast_recovery: false,
             skipped_until_us: 0,
             rate_limit: None,
             hint: None,
@@ -89,7 +98,9 @@
             in_flight_at_hint: 0,
             error_rate: 0.0,
             error_at_us: 0,
+            last_error_us: 0,
             latency_us: 0.0,
+            latency_at_us: 0,
             samples: 0,
             slow_since_us: None,
         }
@@ -168,13 +179,26 @@
         self.error_rate = self.error_rate(now_us);
         self.error_at_us = now_us;
         self.error_rate += ERROR_WEIGHT * (error - self.error_rate);
-        if !is_error {
-            let weight = if self.latency_us == 0.0 { 1.0 } else { LATENCY_WEIGHT };
-            self.latency_us += weight * (latency_us as f64 - self.latency_us);
+        if is_error {
+            self.last_error_us = now_us;
+        } else {
+            self.note_latency(latency_us, now_us);
         }
         self.samples = self.samples.saturating_add(1);
     }
 
+    fn note_latency(&mut self, latency_us: u64, now_us: u64) {
+        let is_old = now_us.saturating_sub(self.latency_at_us) > LATENCY_AGE_MAX_US;
+        let is_forgotten = self.has_fast_recovery && is_old;
+        if is_forgotten {
+            self.slow_since_us = None;
+        }
+        let is_replaced = self.latency_us == 0.0 || is_forgotten;
+        let weight = if is_replaced { 1.0 } else { LATENCY_WEIGHT };
+        self.latency_us += weight * (latency_us as f64 - self.latency_us);
+        self.latency_at_us = now_us;
+    }
+
     /// Resets latency and errors, so that they do not cause a second ejection.
     pub fn forget_errors(&mut self) {
         self.slow_since_us = None;
@@ -275,6 +299,9 @@
 
     /// Share of recent attempts that failed, 0 to 1; it decays with time.
     pub fn error_rate(&self, now_us: u64) -> f64 {
+        if self.has_fast_recovery && now_us.saturating_sub(self.last_error_us) > ERROR_AGE_MAX_US {
+            return 0.0;
+        }
         let passed_us = now_us.saturating_sub(self.error_at_us) as f64;
         let rate = self.error_rate * (-passed_us / ERROR_HALF_LIFE_US).exp2();
         if rate < ERROR_RATE_MIN { 0.0 } else { rate }
--- a/crates/laurelstall_guard/src/adaptive_limit.rs
+++ b/crates/laurelstall_guard/src/adaptive_limit.rs
@@ -35,6 +35,9 @@
 const PAUSE_MAX_US: u64 = 64_000_000;
 /// Pause after any trial, in µs.
 const PAUSE_BETWEEN_US: u64 = 500_000;
+/// Pause after a lower limit did better until a higher one is tried again, in µs, where what is learned during a fault
+/// expires: the lower one may have done better only because the fault ended meanwhile.
+const RETURN_PAUSE_US: u64 = 1_000_000;
 /// Factor by which the limit falls when the target sheds a request.
 const SHED_FACTOR: f64 = 0.9;
 
@@ -124,6 +127,7 @@
     next_step: usize,
     not_before_us: u64,
     recovery: ShedRecovery,
+    has_fast_recovery: bool,
     times: ClassTimes,
 }
 
@@ -145,6 +149,7 @@
             next_step: 0,
             not_before_us: 0,
             recovery: ShedRecovery::default(),
+            has_fast_recovery: false,
             times: ClassTimes::default(),
         }
     }
@@ -159,6 +164,12 @@
         *self = Self { times, trials: self.trials, ..fresh };
     }
 
+    /// Sets whether what was learned during a fault expires soon after it.
+    pub fn set_fast_recovery(&mut self, has_fast_recovery: bool) {
+        self.has_fast_recovery = has_fast_recovery;
+        self.times.set_fast_recovery(has_fast_recovery);
+    }
+
     /// Returns how many calls may run at once now.
     pub fn limit(&self) -> u32 {
         self.trial.as_ref().map_or(self.limit, |trial| trial.limit)
@@ -326,9 +337,11 @@
 
     /// After a gain, steps in the same direction may follow at once, and steps back only after a pause.
     fn note_gain(&mut self, gained: usize, now_us: u64) {
+        let is_return_soon = self.has_fast_recovery && !STEPS[gained].is_up();
+        let return_pause_us = if is_return_soon { RETURN_PAUSE_US } else { PAUSE_FIRST_US };
         for (step, backoff) in STEPS.iter().zip(&mut self.backoffs) {
             let is_same_direction = step.is_up() == STEPS[gained].is_up();
-            let not_before_us = if is_same_direction { now_us } else { now_us + PAUSE_FIRST_US };
+            let not_before_us = if is_same_direction { now_us } else { now_us + return_pause_us };
             *backoff = Backoff { failures: 0, not_before_us };
         }
     }
--- a/crates/laurelstall_guard/src/guard/state.rs
+++ b/crates/laurelstall_guard/src/guard/state.rs
@@ -103,8 +103,11 @@
     pub(super) fn new(limits: GuardLimits, now_us: u64) -> Self {
         let mut cold = ColdStartLimiter::new(now_us);
         cold.set_limits(limits.cold_calls_per_s, limits.cold_start_ms);
+        let mut limit =
+            AdaptiveLimit::new(limits.slots, limits.slots_start_percent, limits.slots_floor_percent);
+        limit.set_fast_recovery(limits.has_refusal_causes);
         Self {
-            limit: AdaptiveLimit::new(limits.slots, limits.slots_start_percent, limits.slots_floor_percent),
+            limit,
             causes: RefusalCauses::default(),
             mean_run_us: INITIAL_RUN_US,
             has_measured: false,
@@ -124,6 +127,7 @@
         self.limits = limits;
         self.cold.set_limits(limits.cold_calls_per_s, limits.cold_start_ms);
         self.limit.set_slots(limits.slots, limits.slots_start_percent, limits.slots_floor_percent);
+        self.limit.set_fast_recovery(limits.has_refusal_causes);
     }
 
     pub(super) fn has_slot(&self) -> bool {
