--- a/crates/laurelstall_guard/src/adaptive_limit.rs
+++ b/crates/laurelstall_guard/src/adaptive_limit.rs
@@ -38,6 +38,10 @@
 /// Pause after a lower limit did better until a higher one is tried again, in µs, where what is learned during a fault
 /// expires: the lower one may have done better only because the fault ended meanwhile.
 const RETURN_PAUSE_US: u64 = 1_000_000;
+/// Time over which the first trials after a time without saturation are spread, in µs, where what is learned during a
+/// fault expires. After a fault all guards are saturated again at once, and trials of lower limits at many targets in
+/// the same second make answers late.
+const TRIAL_SPREAD_US: u64 = 8_000_000;
 /// Factor by which the limit falls when the target sheds a request.
 const SHED_FACTOR: f64 = 0.9;
 
@@ -256,14 +260,19 @@
             && let Some(raised) = self.recovery.raised(self.limit, now_us)
         {
             self.replace_limit(raised);
+            self.not_before_us = self.not_before_us.max(spread_start_us(now_us));
         }
     }
 
     fn note_baseline(&mut self, slowdown: Option<f64>, now_us: u64) {
         let Some(slowdown) = slowdown else { return };
         let baseline = &mut self.baseline;
+        let has_earlier_calls = baseline.last_us > 0;
         if now_us.saturating_sub(baseline.last_us) > BASELINE_AGE_MAX_US {
             baseline.calls = 0;
+            if self.has_fast_recovery && has_earlier_calls {
+                self.not_before_us = self.not_before_us.max(spread_start_us(now_us));
+            }
         }
         baseline.calls = baseline.calls.saturating_add(1);
         baseline.last_us = now_us;
@@ -362,6 +371,14 @@
     f64::from(limit).powf(CONCURRENCY_EXPONENT) / mean_slowdown.max(0.01)
 }
 
+/// Returns when trials may start after a fault that ended about `now_us`. Guards differ in the µs, which are mixed here.
+fn spread_start_us(now_us: u64) -> u64 {
+    let mixed = now_us.wrapping_add(0x9e37_79b9_7f4a_7c15);
+    let mixed = (mixed ^ (mixed >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+    let mixed = (mixed ^ (mixed >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+    now_us + (mixed ^ (mixed >> 31)) % TRIAL_SPREAD_US
+}
+
 fn percent_of(slots: u32, percent: u32) -> u32 {
     (slots * percent / 100).clamp(1, slots)
 }
--- a/crates/laurelstall_guard/tests/shed_recovery.rs
+++ b/crates/laurelstall_guard/tests/shed_recovery.rs
@@ -154,3 +154,29 @@
     limit.recover(true, 60 * SECOND_US);
     assert_eq!(limit.limit(), 3);
 }
+
+/// Returns when a limit that is saturated from 10 s on, after a pause since 2 s, is first replaced by that of a trial.
+fn first_trial_us(has_fast_recovery: bool, offset_us: u64) -> u64 {
+    let mut limit = AdaptiveLimit::new(12, 75, 25);
+    limit.set_fast_recovery(has_fast_recovery);
+    let times_us =
+        (SECOND_US..2 * SECOND_US).step_by(200_000).chain((10 * SECOND_US..30 * SECOND_US).step_by(10_000));
+    for now_us in times_us.map(|now_us| now_us + offset_us) {
+        let sample = limit.note_start(limit.limit());
+        limit.note_end(1, sample, Some(100_000.0), now_us);
+        if limit.limit() != limit.settled() {
+            return now_us - offset_us;
+        }
+    }
+    u64::MAX
+}
+
+/// Guards against guards that all try a lower limit in the second in which a fault ends and calls come back.
+#[test]
+fn the_first_trials_after_a_fault_are_spread() {
+    let starts_us = (0..40).map(|number| first_trial_us(true, number * 137)).collect::<Vec<_>>();
+    let in_first_second = starts_us.iter().filter(|start_us| **start_us < 11 * SECOND_US).count();
+    assert!(in_first_second <= 12, "{starts_us:?}");
+    assert!(starts_us.iter().all(|start_us| *start_us <= 19 * SECOND_US), "{starts_us:?}");
+    assert!((0..40).all(|number| first_trial_us(false, number * 137) < 11 * SECOND_US));
+}
