Chains: guards refuse calls whose runs would fail at a service behind; nested calls go by their first callers

Cause: while a service that only other services call fails, each run that calls it takes a slot and its caller learns late that it was in vain; and nested calls of a less important class displace those of a more important one.

Change: where limits.load.chains is on, guard and entry of a node share a ChainTable. The guard watches runs whose requests have an ID, the entry notes which calls they make and how these end, and the guard asks before it admits a call. Refusals have the reason busy until the reason overloaded exists here. Calls with a ticket and those at a draining guard are not refused. Nested calls go by the importance of the first request of their chain, after their own.

--- a/crates/laurelstall_guard/src/admission_request.rs
+++ b/crates/laurelstall_guard/src/admission_request.rs
@@ -59,7 +59,7 @@
     pub slow_from_percent: Option<u32>,
 }
 
-/// Priority of a call, compared field by field.
+/// Priority of a call: importance, then that of the first caller, then the other fields in order.
 ///
 /// Among calls of the same importance, those of workspaces within their share go first, and among these first
 /// attempts go before retries: a first attempt has its whole latency objective left.
@@ -73,13 +73,15 @@
     pub is_caller_retry: bool,
     /// Level of the request that the call is made for, by which calls are admitted during overload.
     pub level: CallLevel,
+    /// Whether nested calls go by the importance of the first request of their chain.
+    pub goes_by_first_caller: bool,
 }
 
 impl Rank {
     /// Creates the rank of a call whose workspace is within its share.
     pub fn new(importance: u8, is_caller_retry: bool) -> Self {
         let level = CallLevel { importance, bucket: 0 };
-        Self { importance, is_over_share: false, is_caller_retry, level }
+        Self { importance, is_over_share: false, is_caller_retry, level, goes_by_first_caller: false }
     }
 
     /// Returns the rank with the level that the attempt states.
@@ -87,6 +89,16 @@
         Self { level, ..self }
     }
 
+    /// Returns the rank with nested calls ordered by the importance of the first request of their chain, if `is_on`.
+    pub fn by_first_caller(self, is_on: bool) -> Self {
+        Self { goes_by_first_caller: is_on, ..self }
+    }
+
+    /// Returns the importance of the first request of the chain, by which nested calls go; 0 if they do not.
+    pub fn first_caller_importance(&self) -> u8 {
+        if self.goes_by_first_caller && self.is_nested() { self.level.importance } else { 0 }
+    }
+
     /// Whether this is a nested call, which a running call waits for.
     pub fn is_nested(&self) -> bool {
         self.importance >= NESTED_CALL_IMPORTANCE
--- a/crates/laurelstall_guard/src/wait_queue.rs
+++ b/crates/laurelstall_guard/src/wait_queue.rs
@@ -7,11 +7,12 @@
 use std::{cmp::Reverse, collections::BTreeMap};
 use tokio::sync::oneshot;
 
-/// Sort key of a queued call: importance, then workspaces within their share, then first attempts, then
-/// deadline, then arrival.
+/// Sort key of a queued call: importance, then that of the first caller of a chain, then workspaces within their
+/// share, then first attempts, then deadline, then arrival.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub struct QueueKey {
     importance: Reverse<u8>,
+    first_caller_importance: Reverse<u8>,
     is_over_share: bool,
     is_caller_retry: bool,
     deadline_us: u64,
@@ -22,6 +23,7 @@
     fn new(rank: Rank, deadline_us: u64, number: u64) -> Self {
         Self {
             importance: Reverse(rank.importance),
+            first_caller_importance: Reverse(rank.first_caller_importance()),
             is_over_share: rank.is_over_share,
             is_caller_retry: rank.is_caller_retry,
             deadline_us,
@@ -29,6 +31,11 @@
         }
     }
 
+    /// Returns the part of the key that decides which call loses its place in a full queue.
+    fn precedence(&self) -> (Reverse<u8>, Reverse<u8>, bool, bool) {
+        (self.importance, self.first_caller_importance, self.is_over_share, self.is_caller_retry)
+    }
+
     /// Returns the deadline of the call, in µs of the guard's clock.
     pub fn deadline_us(&self) -> u64 {
         self.deadline_us
@@ -105,8 +112,7 @@
     /// Removes the call with the lowest priority if that is below `rank`; returns whether a call was removed.
     pub fn evict_below(&mut self, rank: Rank) -> bool {
         let Some((last, _)) = self.waiting.last_key_value() else { return false };
-        let least = (last.importance, last.is_over_share, last.is_caller_retry);
-        let is_lower = least > (Reverse(rank.importance), rank.is_over_share, rank.is_caller_retry);
+        let is_lower = last.precedence() > QueueKey::new(rank, 0, 0).precedence();
         if is_lower {
             self.waiting.pop_last();
         }
--- a/crates/laurelstall_node/src/call_request.rs
+++ b/crates/laurelstall_node/src/call_request.rs
@@ -1,5 +1,6 @@
 //! A call as received from its caller, and its outcome.
 
+use crate::chains::ChainRun;
 use http::{HeaderMap, StatusCode};
 use laurelstall_balance::class_times::CallClass;
 use laurelstall_config::workspace::Workspace;
@@ -41,6 +42,8 @@
     pub budget_importance: u8,
     /// Level by which the call is admitted during overload: that of the first request of the chain.
     pub level: CallLevel,
+    /// The run of the local target that makes this call, if the node learns from its calls.
+    pub chain_run: Option<ChainRun>,
     /// Whether the parent call's run is a retry, so that the service may have received this call before.
     pub is_parent_retry: bool,
     /// Whether the caller appears to be retrying an earlier call.
@@ -72,3 +75,11 @@
     /// The call may have run; the text says why its outcome is unknown.
     Unknown(&'static str),
 }
+
+impl CallOutcome {
+    /// Whether the call may have run and ended because its time was spent.
+    pub fn is_out_of_time(&self) -> bool {
+        // The texts of all causes that ran out of time contain "time budget".
+        matches!(self, Self::Unknown(why) if why.contains("time budget"))
+    }
+}
--- a/crates/laurelstall_node/src/counters.rs
+++ b/crates/laurelstall_node/src/counters.rs
@@ -85,6 +85,10 @@
     pace_looks,
     /// Queries of the local target's identity.
     identity_looks,
+    /// Calls refused by this node's guard because a service that their runs call fails.
+    chain_refusals,
+    /// Calls admitted although a service that their runs call fails, to notice its recovery.
+    chain_trials,
     /// Calls refused because they have no key and need one.
     keys_missing,
     /// Calls refused because no workspace has their key.
--- a/crates/laurelstall_node/src/entry.rs
+++ b/crates/laurelstall_node/src/entry.rs
@@ -6,6 +6,7 @@
     call::{Call, CallContext},
     call_request::CallOutcome,
     caller_limits::ActiveCallerLimits,
+    chains::Chains,
     counters::count,
     decision_log::{CallEnd, Decision},
     dialect::FailureInfo,
@@ -68,6 +69,8 @@
     pub own_service: String,
     /// Requests that are running at the local target.
     pub running: Arc<RunningRequests>,
+    /// What was learned about the calls of the local target.
+    pub chains: Arc<Chains>,
     /// Limits on callers.
     pub limits: Arc<ActiveCallerLimits>,
     /// Typical time budgets by class of call, used to recognise callers' retries.
@@ -264,7 +267,11 @@
         let accepted = AcceptedHead { route, depth, service: full_name, caller };
         let read = self.read_call(id, parts, body, accepted).await;
         let request = read.inspect_err(|_| self.quotas.give_back(token.as_ref()))?;
+        let open_call = self.chains.begin_call(&service.name, &request);
         let outcome = Call::new(&self.context, &snapshot, service, request).run().await;
+        if let Some(open_call) = open_call {
+            open_call.end(&outcome);
+        }
         if matches!(outcome, CallOutcome::NotRun(_)) {
             self.quotas.give_back(token.as_ref());
         }
@@ -329,6 +336,7 @@
 
     fn reply(&self, outcome: CallOutcome) -> Reply {
         let counters = &self.context.counters;
+        let is_late = outcome.is_out_of_time();
         match outcome {
             CallOutcome::Answered { status, headers, body } => {
                 count(&counters.answered);
@@ -343,8 +351,6 @@
             }
             CallOutcome::Unknown(why) => {
                 count(&counters.unknown);
-                // The texts of all causes that ran out of time contain "time budget".
-                let is_late = why.contains("time budget");
                 let status = if is_late { StatusCode::GATEWAY_TIMEOUT } else { StatusCode::BAD_GATEWAY };
                 let reason = why.to_owned();
                 Reply::Failed(FailedCall { status, outcome: "unknown", reason, retry_after_ms: None })
--- a/crates/laurelstall_node/src/entry/request_reader.rs
+++ b/crates/laurelstall_node/src/entry/request_reader.rs
@@ -123,6 +123,7 @@
             importance,
             is_nested,
             level: parent.as_ref().map_or(own_level, |parent| parent.level),
+            chain_run: parent.as_ref().and_then(|parent| parent.chain_run),
             budget_importance: parent.as_ref().map_or(importance, |parent| parent.importance),
             is_parent_retry: parent.is_some_and(|parent| parent.is_repeat),
             workspace: caller.workspace,
--- a/crates/laurelstall_node/src/lib.rs
+++ b/crates/laurelstall_node/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod call;
 pub mod call_request;
 pub mod caller_limits;
+pub mod chains;
 pub mod counters;
 pub mod decision_log;
 pub mod dialect;
--- a/crates/laurelstall_node/src/node.rs
+++ b/crates/laurelstall_node/src/node.rs
@@ -6,6 +6,7 @@
     background::{apply_configuration_changes, catch_up_after_suspension, close_idle, send_metrics},
     call::CallContext,
     caller_limits::ActiveCallerLimits,
+    chains::Chains,
     counters::{Counters, MetricSender},
     decision_log::DecisionLog,
     dialect::{DefaultDialect, HeaderDialect},
@@ -249,6 +250,7 @@
         let peer_address = peer_listener.1;
 
         let running = Arc::<RunningRequests>::default();
+        let chains = Chains::new(clock);
         let replicator_options = ReplicatorOptions {
             host: host.clone(),
             data_centre: data_centre.clone(),
@@ -277,6 +279,7 @@
             latencies: latencies.clone(),
             dialect: dialect.clone(),
             running: running.clone(),
+            chains: chains.clone(),
             crashes: replicator.crashes().clone(),
         });
         let quotas = Quotas::new(QuotaOptions {
@@ -307,6 +310,7 @@
             },
             own_service: own_service(&settings),
             running: running.clone(),
+            chains,
             active: active.clone(),
             services: services.clone(),
             limits: caller_limits.clone(),
--- a/crates/laurelstall_node/src/running_requests.rs
+++ b/crates/laurelstall_node/src/running_requests.rs
@@ -1,5 +1,6 @@
 //! Tracks the requests running at the local target, so that the nested calls it makes for them are recognised.
 
+use crate::chains::ChainRun;
 use laurelstall_balance::class_times::CallClass;
 use laurelstall_overload::call_level::CallLevel;
 use std::{
@@ -33,6 +34,8 @@
     pub level: CallLevel,
     /// Class of the request.
     pub class: CallClass,
+    /// The run, if the node learns from its calls.
+    pub chain_run: Option<ChainRun>,
     /// Whether a target may have run the request before.
     pub is_repeat: bool,
     /// Deadline in µs of the node's clock, if known.
--- a/crates/laurelstall_node/src/target_guard.rs
+++ b/crates/laurelstall_node/src/target_guard.rs
@@ -2,6 +2,7 @@
 
 use crate::{
     active_config::{ActiveConfig, ConfigSnapshot},
+    chains::Chains,
     counters::{Counters, count},
     dialect::HeaderDialect,
     headers::{take_call_level, take_known_rate_limit},
@@ -44,6 +45,7 @@
     time::{Duration, timeout},
 };
 
+mod chains;
 mod crash_detection;
 mod forwarding;
 mod instance;
@@ -100,6 +102,7 @@
     client: Option<TargetClient>,
     dialect: Arc<dyn HeaderDialect>,
     running: Arc<RunningRequests>,
+    chains: Arc<Chains>,
     crashes: Arc<CrashRegistry>,
     active: Arc<ActiveConfig>,
     observer: Arc<Observer>,
@@ -139,6 +142,8 @@
     pub dialect: Arc<dyn HeaderDialect>,
     /// Requests that are running at the target.
     pub running: Arc<RunningRequests>,
+    /// What was learned about the calls of the target.
+    pub chains: Arc<Chains>,
     /// Records of requests that may crash targets.
     pub crashes: Arc<CrashRegistry>,
 }
@@ -177,6 +182,7 @@
             client,
             dialect: options.dialect,
             running: options.running,
+            chains: options.chains,
             crashes: options.crashes,
             active: options.active,
             observer: options.observer,
@@ -442,8 +448,13 @@
 
     /// Admits an attempt and runs it at the target.
     pub(crate) async fn admit_and_run(self: &Arc<Self>, pending: PendingAttempt) -> AttemptAnswer {
+        if let Some(refusal) = self.chain_refusal(&pending) {
+            return not_run(refusal, Some(pending.body));
+        }
         let request = AdmissionRequest {
-            rank: Rank::new(pending.head.importance, pending.head.is_return).with_level(pending.level),
+            rank: Rank::new(pending.head.importance, pending.head.is_return)
+                .with_level(pending.level)
+                .by_first_caller(pending.limits.load.chains),
             workspace_share: self.workspace_share(&pending.head),
             class: pending.head.class,
             deadline_us: pending.deadline_us,
--- a/crates/laurelstall_node/src/target_guard/forwarding.rs
+++ b/crates/laurelstall_node/src/target_guard/forwarding.rs
@@ -28,16 +28,16 @@
 const ADMITTED_BODY_TIMEOUT: Duration = Duration::from_millis(500);
 
 /// A request ready for the target, with the resources held for it.
-struct PreparedRequest {
+pub(super) struct PreparedRequest {
     request: Request<BoxedBody>,
-    headers: HeaderMap,
+    pub(super) headers: HeaderMap,
     /// Name of the target that the request is sent to.
     target: String,
     digest: RequestDigest,
     may_repeat: bool,
     deadline_us: u64,
-    run_info: RunInfo,
-    limits: ServiceLimits,
+    pub(super) run_info: RunInfo,
+    pub(super) limits: ServiceLimits,
     permit: Permit,
 }
 
@@ -101,6 +101,7 @@
             importance: head.importance,
             level,
             class: head.class,
+            chain_run: None,
             is_repeat: head.is_repeat,
             deadline_us: Some(deadline_us),
             workspace: head.workspace,
@@ -123,15 +124,15 @@
     /// cancelling it would leave its effect unknown.
     async fn run_at_target(self: &Arc<Self>, prepared: PreparedRequest) -> AttemptAnswer {
         if prepared.may_repeat {
-            return self.send_and_read(prepared).await;
+            return self.run_and_learn(prepared).await;
         }
         let this = self.clone();
-        let running = tokio::spawn(async move { this.send_and_read(prepared).await });
+        let running = tokio::spawn(async move { this.run_and_learn(prepared).await });
         running.await.unwrap_or_else(|_| unknown("the run broke off"))
     }
 
     /// Sends the request, reads the response and releases what was held.
-    async fn send_and_read(self: &Arc<Self>, prepared: PreparedRequest) -> AttemptAnswer {
+    pub(super) async fn send_and_read(self: &Arc<Self>, prepared: PreparedRequest) -> AttemptAnswer {
         let PreparedRequest {
             request,
             headers,
