--- a/crates/laurelstall_guard/src/wait_queue.rs
+++ b/crates/laurelstall_guard/src/wait_queue.rs
@@ -7,11 +7,12 @@
 use std::{cmp::Reverse, collections::BTreeMap};
 use tokio::sync::oneshot;
 
-/// Sort key of a queued call: importance, then workspaces within their share, then returns with a reserved
-/// place, then first attempts, then deadline, then arrival.
+/// Sort key of a queued call: importance, then that of the first caller of a chain, then workspaces within their
+/// share, then returns with a reserved place, then first attempts, then deadline, then arrival.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub struct QueueKey {
     importance: Reverse<u8>,
+    first_caller_importance: Reverse<u8>,
     is_over_share: bool,
     is_reserved: Reverse<bool>,
     is_caller_retry: bool,
@@ -23,6 +24,7 @@
     fn new(rank: Rank, deadline_us: u64, number: u64) -> Self {
         Self {
             importance: Reverse(rank.importance),
+            first_caller_importance: Reverse(rank.first_caller_importance()),
             is_over_share: rank.is_over_share,
             is_reserved: Reverse(rank.is_reserved),
             is_caller_retry: rank.is_caller_retry,
@@ -31,9 +33,11 @@
         }
     }
 
-    /// Returns the part of the key that the rank determines.
-    fn by_rank(&self) -> (Reverse<u8>, bool, Reverse<bool>, bool) {
-        (self.importance, self.is_over_share, self.is_reserved, self.is_caller_retry)
+    /// Returns the part of the key that decides which call loses its place in a full queue.
+    fn precedence(&self) -> impl Ord + use<> {
+        let Self { importance, first_caller_importance, is_over_share, is_reserved, is_caller_retry, .. } =
+            *self;
+        (importance, first_caller_importance, is_over_share, is_reserved, is_caller_retry)
     }
 
     /// Returns the deadline of the call, in µs of the guard's clock.
@@ -112,7 +116,7 @@
     /// Removes the call with the lowest priority if that is below `rank`; returns whether a call was removed.
     pub fn evict_below(&mut self, rank: Rank) -> bool {
         let Some((last, _)) = self.waiting.last_key_value() else { return false };
-        let is_lower = last.by_rank() > QueueKey::new(rank, 0, 0).by_rank();
+        let is_lower = last.precedence() > QueueKey::new(rank, 0, 0).precedence();
         if is_lower {
             self.waiting.pop_last();
         }
--- a/crates/laurelstall_node/src/counters.rs
+++ b/crates/laurelstall_node/src/counters.rs
@@ -93,6 +93,10 @@
     returns_claimed,
     /// Calls that claimed a reserved place and were refused again.
     returns_refused_again,
+    /// Calls refused by this node's guard because a service that their runs call fails.
+    chain_refusals,
+    /// Calls admitted although a service that their runs call fails, to notice its recovery.
+    chain_trials,
     /// Calls refused because they have no key and need one.
     keys_missing,
     /// Calls refused because no workspace has their key.
