--- a/crates/laurelstall_guard/src/admission_request.rs
+++ b/crates/laurelstall_guard/src/admission_request.rs
@@ -82,7 +82,7 @@
 
 impl Rank {
     /// Creates the rank of a call whose workspace is within its share.
-    pub fn new(importance: u8, is_caller_retry: bool) -> Self {
+    pub const fn new(importance: u8, is_caller_retry: bool) -> Self {
         let level = CallLevel { importance, bucket: 0 };
         Self {
             importance,
@@ -100,7 +100,7 @@
     }
 
     /// Returns the rank of a call for which a place may be reserved.
-    pub fn with_reservation(self, is_reserved: bool) -> Self {
+    pub const fn with_reservation(self, is_reserved: bool) -> Self {
         Self { is_reserved, ..self }
     }
 
--- a/crates/laurelstall_guard/tests/nested_order.rs
+++ b/crates/laurelstall_guard/tests/nested_order.rs
@@ -25,6 +25,7 @@
     queue_wait_max_ms: 1_000,
     cold_calls_per_s: 0,
     cold_start_ms: 0,
+    has_refusal_causes: false,
     may_hold: false,
 };
 
--- a/crates/laurelstall_guard/tests/overload.rs
+++ b/crates/laurelstall_guard/tests/overload.rs
@@ -20,6 +20,7 @@
     queue_wait_max_ms: 1_000,
     cold_calls_per_s: 0,
     cold_start_ms: 0,
+    has_refusal_causes: false,
     may_hold: true,
 };
 const LOADS: [f64; 6] = [0.5, 1.0, 1.5, 2.5, 4.0, 8.0];
--- a/crates/laurelstall_guard/tests/reserved_returns.rs
+++ b/crates/laurelstall_guard/tests/reserved_returns.rs
@@ -18,14 +18,14 @@
     queue_wait_max_ms: 1_000,
     cold_calls_per_s: 0,
     cold_start_ms: 0,
+    has_refusal_causes: false,
     may_hold: false,
 };
 const FIRST_ATTEMPT: Rank = rank(5, false, false);
 const RESERVED: Rank = rank(5, true, true);
 
 const fn rank(importance: u8, is_reserved: bool, is_caller_retry: bool) -> Rank {
-    let level = laurelstall_overload::call_level::CallLevel { importance, bucket: 0 };
-    Rank { importance, is_over_share: false, is_reserved, is_caller_retry, level }
+    Rank::new(importance, is_caller_retry).with_reservation(is_reserved)
 }
 
 async fn enqueue(
