Guard: refuses calls that cannot be in time within 20 ms where returns are reserved

Cause: a queued call that the ones ahead made late was refused only when a run ended or its wait was over, and a call that no run could finish before its deadline took a slot until then.

Change: with limits.load.reserved_returns the guard checks its queue every 20 ms and refuses a call whose deadline is nearer than half of the mean run of its class.

Measured: in a test with a run that does not end, a call that is late from 50 ms on is refused within 75 ms instead of after 150 ms. Tests of laurelstall_guard and laurelstall_node pass.

--- a/crates/laurelstall_guard/src/guard.rs
+++ b/crates/laurelstall_guard/src/guard.rs
@@ -76,6 +76,12 @@
         }
     }
 
+    /// Sets whether calls that cannot be in time any more are refused at once, and not only when a call begins to wait
+    /// or ends; [`Guard::report_needed`] checks the queue for them.
+    pub fn set_refuses_promptly(&self, refuses_promptly: bool) {
+        self.lock().refuses_promptly = refuses_promptly;
+    }
+
     /// Returns whether the target can be queried about its load.
     pub fn can_query(&self) -> bool {
         self.lock().query_state != QueryState::Unsupported
@@ -286,6 +292,9 @@
             let due_us = {
                 let mut state = self.lock();
                 state.admit_waiting(now_us);
+                if state.refuses_promptly {
+                    state.refuse_late(now_us);
+                }
                 if state.is_load_report_due(now_us) || state.is_cold_report_due(now_us) {
                     state.note_query_started();
                     return;
@@ -310,7 +319,7 @@
         }
         let now_us = self.clock.now_us();
         let mut state = self.lock();
-        if request.deadline_us <= now_us {
+        if request.deadline_us <= now_us || state.cannot_finish(request, now_us) {
             return Err(Refusal::new(RefusalReason::Deadline));
         }
         if state.is_avoidably_limited(request, now_us) {
--- a/crates/laurelstall_guard/src/guard/state.rs
+++ b/crates/laurelstall_guard/src/guard/state.rs
@@ -33,6 +33,11 @@
 /// Interval at which held calls are decided on again when no report arrives, in µs; short compared with the
 /// slow phases that are worth waiting for.
 const RECHECK_US: u64 = 5_000;
+/// Interval in µs at which queued calls are checked for being late; short compared with the 50 ms within which callers
+/// want to know of a refusal.
+const QUEUE_CHECK_US: u64 = 20_000;
+/// Part of the mean run time of a class below which none of its runs ends.
+const SHORTEST_RUN_SHARE: f64 = 0.5;
 /// Cost of a query in answers: it takes the target and its guard about a hundredth of the time of a short
 /// run, and calls wait for it.
 const QUERY_COST: f64 = 0.06;
@@ -83,6 +88,8 @@
     pub(super) has_measured: bool,
     pub(super) speed: TargetSpeed,
     pub(super) query_state: QueryState,
+    /// Whether calls that cannot be in time any more are refused at once.
+    pub(super) refuses_promptly: bool,
     /// Limits calls during the target's cold start.
     pub(super) cold: ColdStartLimiter,
     /// Limits calls to the rate that the target states.
@@ -106,6 +113,7 @@
             has_measured: false,
             speed: TargetSpeed::default(),
             query_state: QueryState::Unsupported,
+            refuses_promptly: false,
             cold,
             stated: StatedRateLimiter::default(),
             last_retry_us: 0,
@@ -362,7 +370,18 @@
         let is_due = !self.queue.is_empty() && self.has_slot();
         let next_send_us =
             |request: &AdmissionRequest| self.next_send_us(request.rank.is_nested(), 0, now_us);
-        is_due.then(|| self.queue.first().map_or(now_us, next_send_us).max(now_us + RECHECK_US))
+        let held_us =
+            is_due.then(|| self.queue.first().map_or(now_us, next_send_us).max(now_us + RECHECK_US));
+        let checks_queue = self.refuses_promptly && !self.queue.is_empty();
+        let check_us = checks_queue.then_some(now_us + QUEUE_CHECK_US);
+        held_us.into_iter().chain(check_us).min()
+    }
+
+    /// Returns whether a run of the call would not end before its deadline.
+    pub(super) fn cannot_finish(&self, request: &AdmissionRequest, now_us: u64) -> bool {
+        let Some(mean_us) = self.limit.times().mean_us(request.class) else { return false };
+        let shortest_us = (SHORTEST_RUN_SHARE * mean_us) as u64;
+        self.refuses_promptly && now_us + shortest_us > request.deadline_us
     }
 
     /// Records that a query was sent to the target.
--- a/crates/laurelstall_guard/tests/reserved_returns.rs
+++ b/crates/laurelstall_guard/tests/reserved_returns.rs
@@ -1,4 +1,4 @@
-//! Tests the place of returns with a reservation in a guard's queue, on a paused clock.
+//! Tests the place of returns with a reservation in a guard's queue, and prompt refusals, on a paused clock.
 
 use laurelstall_guard::{
     admission_request::{AdmissionRequest, Rank, WorkspaceShare},
@@ -8,7 +8,10 @@
     refusal::{Refusal, RefusalReason},
 };
 use std::sync::Arc;
-use tokio::task::{JoinHandle, yield_now};
+use tokio::{
+    task::{JoinHandle, yield_now},
+    time::{Duration, advance, sleep},
+};
 
 const LIMITS: GuardLimits = GuardLimits {
     slots: 1,
@@ -90,3 +93,56 @@
     assert!(first.await.expect("no panic").is_ok());
     unasked.abort();
 }
+
+/// Measures runs of 100 ms.
+async fn measure_runs(guard: &Arc<Guard>, clock: &Clock) {
+    for _ in 0..20 {
+        let run = enqueue(guard, clock, FIRST_ATTEMPT, 9_000).await.await.expect("no panic");
+        let mut run = run.expect("a free slot");
+        run.note_sent();
+        advance(Duration::from_millis(100)).await;
+        drop(run);
+    }
+}
+
+/// Guards against queued calls that are certain to be late and are told so only when a run ends or their wait is over.
+#[tokio::test(start_paused = true)]
+async fn a_queued_call_is_refused_when_the_calls_ahead_make_it_late() {
+    for (refuses_promptly, waited_ms) in [(true, 50..=75), (false, 145..=155)] {
+        let clock = Clock::new();
+        let guard = Guard::new(LIMITS, clock);
+        guard.set_refuses_promptly(refuses_promptly);
+        let watched = guard.clone();
+        let watch = tokio::spawn(async move { watched.report_needed().await });
+        measure_runs(&guard, &clock).await;
+        let _stuck = enqueue(&guard, &clock, FIRST_ATTEMPT, 9_000).await.await.expect("no panic");
+        let ahead = enqueue(&guard, &clock, RESERVED, 9_000).await;
+        let queued_us = clock.now_us();
+        // A run of 100 ms after another one, with 250 ms left.
+        let late = enqueue(&guard, &clock, FIRST_ATTEMPT, 250).await;
+        while !late.is_finished() {
+            sleep(Duration::from_millis(1)).await;
+        }
+        let waited = (clock.now_us() - queued_us) / 1_000;
+        assert!(waited_ms.contains(&waited), "{waited} ms, promptly: {refuses_promptly}");
+        assert!(late.await.expect("no panic").is_err());
+        ahead.abort();
+        watch.abort();
+    }
+}
+
+/// Guards against runs that take a slot until the deadline of their call and leave its outcome unknown.
+#[tokio::test(start_paused = true)]
+async fn a_call_that_no_run_finishes_before_its_deadline_is_refused_at_once() {
+    for refuses_promptly in [true, false] {
+        let clock = Clock::new();
+        let guard = Guard::new(LIMITS, clock);
+        guard.set_refuses_promptly(refuses_promptly);
+        measure_runs(&guard, &clock).await;
+        let hopeless = enqueue(&guard, &clock, FIRST_ATTEMPT, 40).await.await.expect("no panic");
+        assert_eq!(hopeless.is_err(), refuses_promptly);
+        drop(hopeless);
+        let tight = enqueue(&guard, &clock, FIRST_ATTEMPT, 60).await.await.expect("no panic");
+        assert!(tight.is_ok(), "some runs are shorter than the mean");
+    }
+}
--- a/crates/laurelstall_node/src/target_guard.rs
+++ b/crates/laurelstall_node/src/target_guard.rs
@@ -195,6 +195,7 @@
         let Some((service, target)) = local else { return };
         let limits = &service.limits;
         self.inner.guard.set_can_query(!service.load_path.is_empty() && !self.inner.is_baseline);
+        self.inner.guard.set_refuses_promptly(limits.load.reserved_returns && !self.inner.is_baseline);
         self.inner.ledger().set_tickets_max(limits.tickets_max);
         self.inner.guard.set_limits(if self.inner.is_baseline {
             GuardLimits {
