Chains: refusals of guards have the reason overloaded; metrics

Cause: a guard that refuses a call for a service behind said busy, from which a guard further up could not tell the levels that are refused.

Change: the reason is overloaded for attempts that state their level, and busy for others. A nested call refused for it shows that the service refuses this level and those below.

--- a/crates/laurelstall_guard/src/refusal.rs
+++ b/crates/laurelstall_guard/src/refusal.rs
@@ -47,6 +47,9 @@
     /// The request is quarantined because targets crashed while running it.
     #[serde(rename = "Held")]
     Quarantined,
+    /// The target is overloaded, and the level of the call is below the admission threshold. Sent only for attempts that
+    /// stated their level, because nodes of earlier versions do not know this reason.
+    Overloaded,
 }
 
 /// The component that refused an attempt.
@@ -125,7 +128,7 @@
 
 impl RefusalReason {
     /// All reasons, in the order of their index.
-    pub const ALL: [Self; 16] = [
+    pub const ALL: [Self; 17] = [
         Self::Draining,
         Self::QueueFull,
         Self::Deadline,
@@ -142,6 +145,7 @@
         Self::Replaced,
         Self::RateLimited,
         Self::Quarantined,
+        Self::Overloaded,
     ];
 
     /// Returns how this reason is reported and handled.
@@ -167,6 +171,7 @@
             Self::Replaced      => ("replaced",      S::Target, N::RetryBudgeted, T::Failing,     false),
             Self::RateLimited   => ("cold",          S::Guard,  N::RetryLimited,  T::RateLimit,   true),
             Self::Quarantined   => ("held",          S::Guard,  N::GiveUp,        T::Nothing,     true),
+            Self::Overloaded    => ("overloaded",    S::Guard,  N::RetryLimited,  T::Full,        true),
         };
         RefusalProperties { name, source, next, signal, proves_ticket_not_run }
     }
--- a/crates/laurelstall_node/src/background.rs
+++ b/crates/laurelstall_node/src/background.rs
@@ -97,6 +97,7 @@
         ("is_evacuated", u64::from(guard.is_evacuated())),
         ("has_rate_limit", u64::from(guard.rate_limit_milli_per_s().is_some())),
         ("rate_limit_milli_per_s", guard.rate_limit_milli_per_s().unwrap_or(0)),
+        ("known_chains", guard.known_chains() as u64),
         ("control_bytes", meter.control_bytes.load(Ordering::Relaxed)),
         ("peer_connections", meter.open.load(Ordering::Relaxed)),
         ("platform_era", fleet_version.era),
--- a/crates/laurelstall_node/src/chains.rs
+++ b/crates/laurelstall_node/src/chains.rs
@@ -62,6 +62,12 @@
         Some(OpenCall { chains: self.clone(), run, service, level: request.level, times, end })
     }
 
+    /// Returns the lowest level that the services behind the runs of a class serve; `None` when they refuse none by
+    /// level.
+    pub fn required_level(&self, class: CallClass) -> Option<CallLevel> {
+        self.lock().required_level(class, self.clock.now_us())
+    }
+
     /// Returns the number of remembered pairs of a class and a service that its runs call.
     pub fn len(&self) -> usize {
         self.lock().len()
@@ -143,6 +149,7 @@
 fn end_of_refused(refusal: &Refusal) -> CallEnd {
     match refusal.reason {
         RefusalReason::Deadline => CallEnd::OutOfTime,
+        RefusalReason::Overloaded => CallEnd::RefusedByLevel,
         RefusalReason::Quarantined | RefusalReason::TicketVoid | RefusalReason::Unreadable => {
             CallEnd::Unrelated
         }
--- a/crates/laurelstall_node/src/target_guard.rs
+++ b/crates/laurelstall_node/src/target_guard.rs
@@ -332,8 +332,8 @@
     pub(crate) deadline_us: u64,
     useful_until_us: u64,
     useful_us: u64,
-    /// Level of the first request of the chain.
-    level: CallLevel,
+    /// Level of the first request of the chain; `None` if the entry did not state it.
+    level: Option<CallLevel>,
     pub(crate) limits: ServiceLimits,
 }
 
@@ -404,7 +404,6 @@
             self.guard.note_rate_known_to_entry(per_s);
         }
         let level = take_call_level(&mut head.headers);
-        let level = level.unwrap_or(CallLevel { importance: head.importance, bucket: 0 });
         let snapshot = self.active.load();
         let local = self.local_target(&snapshot);
         let Some((service, _)) = local.filter(|(_, target)| self.is_named(target, &head)) else {
@@ -453,7 +452,7 @@
         }
         let request = AdmissionRequest {
             rank: Rank::new(pending.head.importance, pending.head.is_return)
-                .with_level(pending.level)
+                .with_level(pending.level())
                 .by_first_caller(pending.limits.load.chains),
             workspace_share: self.workspace_share(&pending.head),
             class: pending.head.class,
--- a/crates/laurelstall_node/src/target_guard/chains.rs
+++ b/crates/laurelstall_node/src/target_guard/chains.rs
@@ -1,12 +1,27 @@
 //! Learns from the runs at the target which calls they make, and refuses calls whose runs would fail at a service behind.
 
-use super::{Inner, PendingAttempt, forwarding::PreparedRequest};
+use super::{Inner, PendingAttempt, TargetGuard, forwarding::PreparedRequest};
 use crate::{chains::OpenRun, counters::count};
 use laurelstall_chains::chain_table::{ChainDecision, RefusalChange, Verdict};
 use laurelstall_guard::refusal::{Refusal, RefusalReason};
+use laurelstall_overload::call_level::CallLevel;
 use laurelstall_peer::attempt::{AttemptAnswer, AttemptOutcome};
 use std::sync::Arc;
 
+impl TargetGuard {
+    /// Returns the number of remembered pairs of a class and a service that its runs call.
+    pub fn known_chains(&self) -> usize {
+        self.inner.chains.len()
+    }
+}
+
+impl PendingAttempt {
+    /// Returns the level of the first request of the chain; that of its importance if the entry did not state it.
+    pub(super) fn level(&self) -> CallLevel {
+        self.level.unwrap_or(CallLevel { importance: self.head.importance, bucket: 0 })
+    }
+}
+
 impl Inner {
     /// Returns why the call is not admitted: its run would probably fail at a service behind. `None` if nothing speaks
     /// against it.
@@ -17,7 +32,7 @@
         if !pending.limits.load.chains || is_exempt {
             return None;
         }
-        let ChainDecision { verdict, change } = self.chains.decide(pending.head.class, pending.level);
+        let ChainDecision { verdict, change } = self.chains.decide(pending.head.class, pending.level());
         change.iter().for_each(log_change);
         match verdict {
             Verdict::Admit => None,
@@ -27,7 +42,12 @@
             }
             Verdict::Refuse { retry_after_ms } => {
                 count(&self.counters.chain_refusals);
-                Some(Refusal::new(RefusalReason::Busy).with_retry_after_ms(retry_after_ms))
+                // Nodes of earlier versions, which state no level, do not know the reason.
+                let reason = match pending.level {
+                    Some(_) => RefusalReason::Overloaded,
+                    None => RefusalReason::Busy,
+                };
+                Some(Refusal::new(reason).with_retry_after_ms(retry_after_ms))
             }
         }
     }
--- a/crates/laurelstall_node/src/target_guard/forwarding.rs
+++ b/crates/laurelstall_node/src/target_guard/forwarding.rs
@@ -48,8 +48,8 @@
         pending: PendingAttempt,
         permit: Permit,
     ) -> AttemptAnswer {
-        let PendingAttempt { head, body, mut admission, deadline_us, useful_until_us, level, limits, .. } =
-            pending;
+        let level = pending.level();
+        let PendingAttempt { head, body, mut admission, deadline_us, useful_until_us, limits, .. } = pending;
         let now_us = self.clock.now_us();
         if now_us >= deadline_us {
             permit.release_uncounted();
