Bodies that leave over the node's link are sent in pieces, and calls admitted by link time

Large answers and uploads went to the connections as fast as they arrived, and small answers queued behind them in the layers below. A node with link_mbps now owns a LinkPacer; PacedBody asks it for each piece of answers to entries and callers on other hosts and of uploads to guards on other hosts, for services with limits.load.link. Guards refuse calls whose answer cannot be sent in time as busy before they are queued, and entries refuse such uploads. Counters, gauges, a histogram of waits, and link_mbps in the node's status.

--- a/crates/laurelstall_link/src/link_scheduler.rs
+++ b/crates/laurelstall_link/src/link_scheduler.rs
@@ -49,7 +49,10 @@
 #[derive(Debug)]
 struct Flow {
     importance: u8,
+    /// Bytes that remain; 0 if the size is unknown.
     remaining_bytes: u64,
+    sent_bytes: u64,
+    is_size_known: bool,
     /// Start tag of the flow's next piece.
     next_tag: u64,
     /// The piece that waits: its rank and its size in bytes.
@@ -103,12 +106,19 @@
         (bytes as f64 / self.bytes_per_us) as u64
     }
 
-    /// Adds a body of this size, which has yet to be sent.
-    pub fn open(&mut self, importance: u8, size_bytes: u64) -> FlowId {
+    /// Adds a body of this size, which has yet to be sent. Of a body of unknown size as much is expected to remain as
+    /// was sent.
+    pub fn open(&mut self, importance: u8, size_bytes: Option<u64>) -> FlowId {
         self.opened += 1;
         let id = FlowId(self.opened);
-        let flow =
-            Flow { importance, remaining_bytes: size_bytes, next_tag: self.virtual_bytes, waiting: None };
+        let flow = Flow {
+            importance,
+            remaining_bytes: size_bytes.unwrap_or(0),
+            sent_bytes: 0,
+            is_size_known: size_bytes.is_some(),
+            next_tag: self.virtual_bytes,
+            waiting: None,
+        };
         self.flows.insert(id, flow);
         id
     }
@@ -117,9 +127,10 @@
     pub fn request(&mut self, id: FlowId, piece_bytes: u64, now_us: u64) {
         self.limit_credit(now_us);
         let Some(flow) = self.flows.get_mut(&id).filter(|flow| flow.waiting.is_none()) else { return };
+        let remaining_bytes = if flow.is_size_known { flow.remaining_bytes } else { flow.sent_bytes };
         let rank = PieceRank {
             importance: Reverse(flow.importance),
-            size_class: size_class(flow.remaining_bytes.max(piece_bytes)),
+            size_class: size_class(remaining_bytes.max(piece_bytes)),
             start_tag: flow.next_tag.max(self.virtual_bytes),
             flow: id,
         };
@@ -136,6 +147,7 @@
         let flow = self.flows.get_mut(&rank.flow)?;
         let (_, piece_bytes) = flow.waiting.take()?;
         flow.remaining_bytes = flow.remaining_bytes.saturating_sub(piece_bytes);
+        flow.sent_bytes += piece_bytes;
         flow.next_tag = rank.start_tag + piece_bytes;
         self.virtual_bytes = self.virtual_bytes.max(rank.start_tag);
         let starts_us = self.busy_until_us.max(now_us as f64 - CATCH_UP_US);
--- a/crates/laurelstall_link/tests/link_admission.rs
+++ b/crates/laurelstall_link/tests/link_admission.rs
@@ -88,7 +88,7 @@
     admission.end(admitted);
     let again = admission.admit_answer(&call(LARGE), &link, false, 0).expect("the room of the ended call");
     admission.end(again);
-    let body = link.open(3, LARGE_BYTES);
+    let body = link.open(3, Some(LARGE_BYTES));
     assert!(admission.admit_answer(&call(LARGE), &link, false, 0).is_err());
     link.close(body);
     assert!(admission.admit_answer(&call(LARGE), &link, false, 0).is_ok());
@@ -98,7 +98,7 @@
 #[test]
 fn uploads_are_admitted_by_their_size() {
     let (mut admission, mut link) = (LinkAdmission::default(), link());
-    link.open(3, 2_000_000);
+    link.open(3, Some(2_000_000));
     assert!(admission.admit_upload(&call(UNKNOWN), 60_000, &link, false, 0).is_err());
     assert!(admission.admit_upload(&call(UNKNOWN), 4_000, &link, false, 0).is_ok());
 }
--- a/crates/laurelstall_node/src/admin.rs
+++ b/crates/laurelstall_node/src/admin.rs
@@ -287,6 +287,8 @@
             "queued": load.queued,
             "limit": load.limit,
             "rate_limit_milli_per_s": self.guard.rate_limit_milli_per_s(),
+            "link_mbps": self.guard.link().map(|link| link.link_mbps()),
+            "link_waiting_bytes": self.guard.link().map(|link| link.waiting_bytes()),
             "open_tickets": self.guard.open_tickets(),
             "observe_bytes": observed.bytes,
             "observe_messages": observed.messages,
--- a/crates/laurelstall_node/src/background.rs
+++ b/crates/laurelstall_node/src/background.rs
@@ -99,6 +99,8 @@
         ("rate_limit_milli_per_s", guard.rate_limit_milli_per_s().unwrap_or(0)),
         ("control_bytes", meter.control_bytes.load(Ordering::Relaxed)),
         ("peer_connections", meter.open.load(Ordering::Relaxed)),
+        ("link_waiting_bytes", guard.link().map_or(0, |link| link.waiting_bytes())),
+        ("link_held_bytes", guard.link().map_or(0, |link| link.held_bytes())),
         ("platform_era", fleet_version.era),
         ("platform_returns", active.restores.load(Ordering::Relaxed)),
     ]
--- a/crates/laurelstall_node/src/call.rs
+++ b/crates/laurelstall_node/src/call.rs
@@ -6,6 +6,7 @@
     counters::Counters,
     decision_log::DecisionLog,
     dialect::HeaderDialect,
+    link_pacer::LinkPacer,
     metrics::Latencies,
     observer::Observer,
     services::ServiceState,
@@ -32,6 +33,7 @@
 mod retries;
 mod target_choice;
 mod target_probes;
+mod uploads;
 
 /// State shared by all calls of an entry.
 #[derive(Debug)]
@@ -56,6 +58,8 @@
     pub dialect: Arc<dyn HeaderDialect>,
     /// Records of requests that may crash targets.
     pub crashes: Arc<CrashRegistry>,
+    /// Paces bodies over this node's link; `None` if its bandwidth is unknown.
+    pub link: Option<Arc<LinkPacer>>,
 }
 
 /// A target's server error, returned to the caller if the retries yield no better answer.
@@ -86,6 +90,8 @@
     service: Arc<ServiceState>,
     request: CallRequest,
     body: Option<AttemptBody>,
+    /// Whether the body is a stream that was wrapped to be paced.
+    is_stream_paced: bool,
     /// Indices of targets that are not tried again.
     excluded: Vec<usize>,
     /// Number of attempts made, including hedges.
@@ -119,6 +125,7 @@
             service,
             request,
             body: Some(body),
+            is_stream_paced: false,
             excluded: Vec::new(),
             attempts: 0,
             possible_runs: 0,
@@ -152,6 +159,9 @@
             let Some(destination) = self.choose(now_us) else {
                 return self.give_up(RefusalReason::NoTarget);
             };
+            if let Some(outcome) = self.refuse_upload(&destination) {
+                return outcome;
+            }
             // The body was a stream that has been read, so another attempt cannot send it.
             let Some(body) = self.take_body() else {
                 return self.give_up(RefusalReason::NoTarget);
--- a/crates/laurelstall_node/src/call/attempts.rs
+++ b/crates/laurelstall_node/src/call/attempts.rs
@@ -101,7 +101,7 @@
     }
 
     /// Sends an attempt to the local guard or another node; it ends as unknown at the call's deadline.
-    fn send(&self, destination: &Destination, body: AttemptBody) -> BoxFuture<'a, AttemptAnswer> {
+    fn send(&mut self, destination: &Destination, body: AttemptBody) -> BoxFuture<'a, AttemptAnswer> {
         let context = self.context;
         let now_us = context.clock.now_us();
         let limits = *self.service.balancer().limits();
@@ -152,7 +152,7 @@
             },
             wants_hint: self.wants_hint(destination, observe_percent, now_us),
         };
-        let attempt = Attempt { head, body };
+        let attempt = Attempt { head, body: self.paced_upload(destination, body) };
         let deadline = context.clock.instant_of(self.request.deadline_us);
         let address = self.service.address(&destination.host);
         count(&context.counters.attempts);
@@ -178,7 +178,7 @@
     ///
     /// A call that may run only once can then still be sent to another target if the guard's node fails while the call
     /// is queued there.
-    fn sends_body_after_admission(&self, is_local: bool) -> bool {
+    pub(super) fn sends_body_after_admission(&self, is_local: bool) -> bool {
         !is_local && !self.request.route.may_repeat && self.request.ticket.is_none()
     }
 
@@ -188,7 +188,7 @@
     }
 
     /// Returns the time left of the latency objective in µs, or the whole time budget if there is no objective.
-    fn useful_us(&self, now_us: u64) -> u64 {
+    pub(super) fn useful_us(&self, now_us: u64) -> u64 {
         let until_us = self.request.useful_until_us.unwrap_or(self.request.deadline_us);
         until_us.saturating_sub(now_us)
     }
--- a/crates/laurelstall_node/src/counters.rs
+++ b/crates/laurelstall_node/src/counters.rs
@@ -97,6 +97,10 @@
     quota_unanswered,
     /// Dropped lines of the decision log.
     decisions_dropped,
+    /// Bytes of heads and bodies counted on this node's link.
+    link_bytes,
+    /// Calls refused because the link could not send their body in time.
+    link_refusals,
     /// Failed runs of routing programs.
     program_errors,
 }
--- a/crates/laurelstall_node/src/entry.rs
+++ b/crates/laurelstall_node/src/entry.rs
@@ -6,6 +6,7 @@
     call::{Call, CallContext},
     call_request::CallOutcome,
     caller_limits::ActiveCallerLimits,
+    caller_link::{CallerLink, is_remote_caller},
     counters::count,
     decision_log::{CallEnd, Decision},
     dialect::FailureInfo,
@@ -262,13 +263,15 @@
             Err(failed) => return Ok(Reply::Failed(failed)),
         };
         let accepted = AcceptedHead { route, depth, service: full_name, caller };
+        let is_remote = is_remote_caller(&parts);
         let read = self.read_call(id, parts, body, accepted).await;
         let request = read.inspect_err(|_| self.quotas.give_back(token.as_ref()))?;
+        let caller_link = CallerLink::new(self.context.link.as_ref(), is_remote, &service, &request);
         let outcome = Call::new(&self.context, &snapshot, service, request).run().await;
         if matches!(outcome, CallOutcome::NotRun(_)) {
             self.quotas.give_back(token.as_ref());
         }
-        Ok(self.reply(outcome))
+        Ok(self.reply(caller_link.pace(outcome)))
     }
 
     /// Checks the request head and returns its depth in the chain of calls.
--- a/crates/laurelstall_node/src/listener.rs
+++ b/crates/laurelstall_node/src/listener.rs
@@ -3,6 +3,7 @@
 use crate::{
     body::full_body,
     caller_limits::ActiveCallerLimits,
+    caller_link::responder_of,
     counters::{Counters, count},
     entry::Entry,
     pipelined_connection::{ConnectionOptions, serve_pipelined},
@@ -86,7 +87,7 @@
                 accepted = listener.accept() => accepted,
                 _ = self.stopping.wait_for(|is_stopping| *is_stopping) => break,
             };
-            let Ok((stream, _)) = accepted else {
+            let Ok((stream, caller)) = accepted else {
                 // The process is out of file descriptors, or the connection was reset before it was accepted.
                 tokio::time::sleep(Duration::from_millis(10)).await;
                 continue;
@@ -105,7 +106,7 @@
             let _ = stream.set_nodelay(true);
             let idle = Duration::from_millis(self.limits.current().idle_timeout_ms);
             let options = ConnectionOptions {
-                responder: self.responder.clone(),
+                responder: responder_of(&self.responder, caller, stream.local_addr().ok()),
                 limits: self.limits.clone(),
                 stopping: self.stopping.clone(),
             };
--- a/crates/laurelstall_node/src/metrics.rs
+++ b/crates/laurelstall_node/src/metrics.rs
@@ -29,6 +29,8 @@
     pub waits: Histogram,
     /// Duration of runs at the local target, from admission to the end of a short answer.
     pub runs: Histogram,
+    /// Time that pieces of bodies waited for this node's link.
+    pub link_waits: Histogram,
 }
 
 impl Default for Latencies {
@@ -38,6 +40,7 @@
             attempts: latency_histogram(),
             waits: latency_histogram(),
             runs: latency_histogram(),
+            link_waits: latency_histogram(),
         }
     }
 }
@@ -88,6 +91,7 @@
     registry.register("attempt_seconds", "time of attempts", latencies.attempts.clone());
     registry.register("guard_wait_seconds", "waits at the guard", latencies.waits.clone());
     registry.register("target_run_seconds", "runs at the target", latencies.runs.clone());
+    registry.register("link_wait_seconds", "waits for the link", latencies.link_waits.clone());
     let help = "time from the first read of a version to its being in force";
     registry.register("version_delay_seconds", help, version_delays.clone());
     registry.register_collector(Box::new(CounterCollector { counters, gauges }));
--- a/crates/laurelstall_node/src/node.rs
+++ b/crates/laurelstall_node/src/node.rs
@@ -10,6 +10,7 @@
     decision_log::DecisionLog,
     dialect::{DefaultDialect, HeaderDialect},
     entry::Entry,
+    link_pacer::LinkPacer,
     listener::HttpListener,
     logging,
     metrics::Latencies,
@@ -237,6 +238,7 @@
         let counters = Arc::new(Counters::default());
         let caller_limits = ActiveCallerLimits::new(settings.callers);
         let latencies = Arc::new(Latencies::default());
+        let link_pacer = LinkPacer::new(settings.node.link_mbps, clock, counters.clone(), latencies.clone());
         let meter = Arc::new(Meter::default());
         let active = ActiveConfig::new();
         let observer = Arc::new(Observer::new(clock, counters.clone()));
@@ -278,6 +280,7 @@
             dialect: dialect.clone(),
             running: running.clone(),
             crashes: replicator.crashes().clone(),
+            link: link_pacer.clone(),
         });
         let quotas = Quotas::new(QuotaOptions {
             clock,
@@ -304,6 +307,7 @@
                 latencies,
                 dialect,
                 crashes: replicator.crashes().clone(),
+                link: link_pacer.clone(),
             },
             own_service: own_service(&settings),
             running: running.clone(),
@@ -327,7 +331,7 @@
             quotas.clone(),
         ));
         let peers = PeerRequestHandler {
-            guard: guard.clone(),
+            guard: guard.for_other_hosts(),
             replicator: replicator.clone(),
             active: active.clone(),
             observer: observer.clone(),
@@ -344,6 +348,9 @@
         let probe_observer = observer.clone();
         background.spawn(async move { probe_observer.run_probes(&services, &probe_client).await });
         background.spawn(close_idle(client));
+        if let Some(link_pacer) = link_pacer {
+            background.spawn(async move { link_pacer.run().await });
+        }
         background.spawn(catch_up_after_suspension(clock, replicator.clone()));
         background.spawn(async move { quotas.monitor_connectivity().await });
         let watched = guard.clone();
@@ -487,6 +494,7 @@
         ("the addresses", is_address_changed),
         ("host or data centre", is_identity_changed),
         ("the target", old.target != new.target),
+        ("the bandwidth of the link", old.node.link_mbps != new.node.link_mbps),
         ("the format of the decision log", old.log.decisions != new.log.decisions),
     ];
     changes.into_iter().filter(|(_, is_changed)| *is_changed).map(|(setting, _)| setting).collect()
--- a/crates/laurelstall_node/src/target_guard.rs
+++ b/crates/laurelstall_node/src/target_guard.rs
@@ -5,6 +5,7 @@
     counters::{Counters, count},
     dialect::HeaderDialect,
     headers::{take_call_level, take_known_rate_limit},
+    link_pacer::LinkPacer,
     metrics::{Latencies, record_us},
     observer::Observer,
     running_requests::RunningRequests,
@@ -19,7 +20,7 @@
     settings::TargetSettings,
     team::{Service, ServiceLimits, Target},
 };
-use laurelstall_crash::{crash_record::CrashReport, run_tracker::RunTracker};
+use laurelstall_crash::run_tracker::RunTracker;
 use laurelstall_guard::{
     admission_request::{AdmissionRequest, Rank, WorkspaceShare},
     clock::Clock,
@@ -31,7 +32,7 @@
 };
 use laurelstall_overload::call_level::CallLevel;
 use laurelstall_peer::{
-    attempt::{Admission, Attempt, AttemptAnswer, AttemptBody, AttemptHandler, AttemptOutcome, UnknownCause},
+    attempt::{Admission, Attempt, AttemptAnswer, AttemptBody, AttemptHandler, AttemptOutcome},
     crash_registry::CrashRegistry,
     message::{AttemptHead, PeerAnswer, TicketsRequest},
 };
@@ -44,13 +45,17 @@
     time::{Duration, timeout},
 };
 
+mod answers;
 mod crash_detection;
 mod forwarding;
 mod instance;
+mod link_admission;
 mod listed_target;
 mod notices;
 mod responses;
 
+use answers::{connection_lost, not_run};
+pub(crate) use answers::{refused, unknown};
 use crash_detection::{CrashCheck, WatchedRun};
 use listed_target::ListedTarget;
 use notices::InstanceNotices;
@@ -105,12 +110,15 @@
     observer: Arc<Observer>,
     pub(crate) counters: Arc<Counters>,
     latencies: Arc<Latencies>,
+    link: Option<Arc<LinkPacer>>,
 }
 
 /// Handles all attempts at the local target.
 #[derive(Debug, Clone)]
 pub struct TargetGuard {
     inner: Arc<Inner>,
+    /// Whether its answers pass over the node's link, because the attempts come from other hosts.
+    passes_link: bool,
 }
 
 /// Parts and settings of a [`TargetGuard`].
@@ -141,6 +149,8 @@
     pub running: Arc<RunningRequests>,
     /// Records of requests that may crash targets.
     pub crashes: Arc<CrashRegistry>,
+    /// Paces bodies over this node's link; `None` if its bandwidth is unknown.
+    pub link: Option<Arc<LinkPacer>>,
 }
 
 impl TargetGuard {
@@ -182,8 +192,9 @@
             observer: options.observer,
             counters: options.counters,
             latencies: options.latencies,
+            link: options.link,
         };
-        Self { inner: Arc::new(inner) }
+        Self { inner: Arc::new(inner), passes_link: false }
     }
 
     /// Applies the current configuration: the state of the host, the listed target and its limits.
@@ -295,10 +306,13 @@
 impl AttemptHandler for TargetGuard {
     fn attempt(&self, attempt: Attempt, admission: Admission) -> BoxFuture<'_, AttemptAnswer> {
         let inner = self.inner.clone();
+        let passes_link = self.passes_link;
         async move {
             count(&inner.counters.guard_attempts);
             let wants_hint = attempt.head.wants_hint;
-            let mut answer = inner.handle_attempt(attempt, admission).await;
+            let answer_link = inner.answer_link(&attempt.head, passes_link);
+            let answer = inner.handle_attempt(attempt, admission, passes_link).await;
+            let mut answer = answer_link.pace(answer);
             match &answer.outcome {
                 AttemptOutcome::NotRun(_) => count(&inner.counters.guard_refused),
                 AttemptOutcome::Unknown(_) => count(&inner.counters.guard_unknown),
@@ -329,6 +343,8 @@
     /// Level of the first request of the chain.
     level: CallLevel,
     pub(crate) limits: ServiceLimits,
+    /// Whether the answer passes over the node's link.
+    passes_link: bool,
 }
 
 impl Inner {
@@ -391,7 +407,12 @@
     }
 
     /// Checks an attempt and runs it, with its ticket if it has one.
-    async fn handle_attempt(self: &Arc<Self>, attempt: Attempt, admission: Admission) -> AttemptAnswer {
+    async fn handle_attempt(
+        self: &Arc<Self>,
+        attempt: Attempt,
+        admission: Admission,
+        passes_link: bool,
+    ) -> AttemptAnswer {
         let Attempt { mut head, body } = attempt;
         // A guard that has just started knows of the limit before it sends the first call.
         if let Some(per_s) = take_known_rate_limit(&mut head.headers) {
@@ -419,8 +440,17 @@
         let useful_until_us = now_us + useful_us;
         let limits = service.limits;
         let ticket = head.ticket;
-        let pending =
-            PendingAttempt { head, body, admission, deadline_us, useful_until_us, useful_us, level, limits };
+        let pending = PendingAttempt {
+            head,
+            body,
+            admission,
+            deadline_us,
+            useful_until_us,
+            useful_us,
+            level,
+            limits,
+            passes_link,
+        };
         match ticket {
             None => self.admit_and_run(pending).await,
             Some((incarnation, number)) => self.run_ticket(pending, incarnation, number).await,
@@ -442,6 +472,10 @@
 
     /// Admits an attempt and runs it at the target.
     pub(crate) async fn admit_and_run(self: &Arc<Self>, pending: PendingAttempt) -> AttemptAnswer {
+        let _link_reservation = match self.reserve_link(&pending) {
+            Ok(reservation) => reservation,
+            Err(refusal) => return not_run(refusal, Some(pending.body)),
+        };
         let request = AdmissionRequest {
             rank: Rank::new(pending.head.importance, pending.head.is_return).with_level(pending.level),
             workspace_share: self.workspace_share(&pending.head),
@@ -489,31 +523,6 @@
     watched_run: WatchedRun,
 }
 
-/// Builds the answer for a broken connection, with the crash report on the request if the target has crashed.
-fn connection_lost(reason: &'static str, crash_report: Option<CrashReport>) -> AttemptAnswer {
-    let cause =
-        if crash_report.is_some() { UnknownCause::TargetCrashed } else { UnknownCause::AnswerLost(reason) };
-    AttemptAnswer { crash_report, ..AttemptAnswer::new(AttemptOutcome::Unknown(cause)) }
-}
-
-/// Builds the answer of an attempt that may have run.
-pub(crate) fn unknown(reason: &'static str) -> AttemptAnswer {
-    AttemptAnswer::new(AttemptOutcome::Unknown(UnknownCause::AnswerLost(reason)))
-}
-
-/// Builds the answer of an attempt that did not run, returning an unread body stream to the entry.
-pub(crate) fn refused(reason: RefusalReason, body: Option<AttemptBody>) -> AttemptAnswer {
-    not_run(Refusal::new(reason), body)
-}
-
-fn not_run(refusal: Refusal, body: Option<AttemptBody>) -> AttemptAnswer {
-    let mut answer = AttemptAnswer::new(AttemptOutcome::NotRun(refusal));
-    if let Some(AttemptBody::Stream(body)) = body {
-        answer.unread = Some(body);
-    }
-    answer
-}
-
 /// Waits up to `limit` until the guard has no running or queued calls; returns whether it got there.
 pub async fn drained(guard: &TargetGuard, limit: Duration) -> bool {
     timeout(limit, guard.guard().drained()).await.is_ok()
--- a/crates/laurelstall_peer/src/client.rs
+++ b/crates/laurelstall_peer/src/client.rs
@@ -111,8 +111,7 @@
             Err(_) => return not_sent(body),
         };
         if kind == BodyKind::BufferedAfterAdmission {
-            let AttemptBody::Whole(bytes) = body else { return not_sent(body) };
-            return attempt_buffered(head, bytes, response, stream, in_flight).await;
+            return attempt_buffered(head, body, response, stream, in_flight).await;
         }
         let frame = encode(&PeerRequest::Attempt(head));
         let unsent = match send_head(frame, body, kind, &mut stream).await {
@@ -208,7 +207,7 @@
 /// Runs an attempt whose guard buffers the body first: until the whole body is sent, nothing can have run.
 async fn attempt_buffered(
     head: AttemptHead,
-    body: Bytes,
+    body: AttemptBody,
     response: ResponseFuture,
     mut stream: SendStream<Bytes>,
     in_flight: InFlight,
@@ -225,19 +224,26 @@
         // Dropping the stream cancels the call at the guard, which has not received the body.
         Err(_) => return not_run(RefusalReason::Deadline),
     };
-    let sent = async {
-        if !body.is_empty() {
-            send_data(body, &mut stream).await?;
-        }
-        stream.send_data(Bytes::new(), true).map_err(BodyError::from)
-    };
-    if sent.await.is_err() {
+    if send_attempt_body(body, &mut stream).await.is_err() {
         return AttemptAnswer::new(AttemptOutcome::Unknown(UnknownCause::AnswerLost("stream broke")));
     }
     let answer = reader.read(HEAD_BYTES_MAX).await;
     read_answer(answer, reader, call_id, resources)
 }
 
+/// Sends the body of an attempt and ends the stream.
+async fn send_attempt_body(body: AttemptBody, stream: &mut SendStream<Bytes>) -> Result<(), BodyError> {
+    match body {
+        AttemptBody::Whole(bytes) => {
+            if !bytes.is_empty() {
+                send_data(bytes, stream).await?;
+            }
+            stream.send_data(Bytes::new(), true).map_err(BodyError::from)
+        }
+        AttemptBody::Stream(body) => send_body(body, stream).await,
+    }
+}
+
 async fn request_slot(
     frame: Bytes,
     response: ResponseFuture,
@@ -278,8 +284,13 @@
                 return Ok(None);
             }
             send_data(frame, stream).await.map_err(lost)?;
-            send_data(bytes, stream).await.map_err(lost)?;
-            stream.send_data(Bytes::new(), true).map_err(|error| lost(error.into()))?;
+            send_attempt_body(AttemptBody::Whole(bytes), stream).await.map_err(lost)?;
+            Ok(None)
+        }
+        // A whole body that is paced.
+        AttemptBody::Stream(body) if kind == BodyKind::AtOnce => {
+            send_data(frame, stream).await.map_err(lost)?;
+            send_body(body, stream).await.map_err(lost)?;
             Ok(None)
         }
         AttemptBody::Stream(body) => {
