--- a/crates/laurelstall_node/src/background.rs
+++ b/crates/laurelstall_node/src/background.rs
@@ -100,6 +100,8 @@
         ("known_chains", guard.known_chains() as u64),
         ("control_bytes", meter.control_bytes.load(Ordering::Relaxed)),
         ("peer_connections", meter.open.load(Ordering::Relaxed)),
+        ("link_waiting_bytes", guard.link().map_or(0, |link| link.waiting_bytes())),
+        ("link_held_bytes", guard.link().map_or(0, |link| link.held_bytes())),
         ("platform_era", fleet_version.era),
         ("platform_returns", active.restores.load(Ordering::Relaxed)),
     ]
--- a/crates/laurelstall_node/src/entry.rs
+++ b/crates/laurelstall_node/src/entry.rs
@@ -6,6 +6,7 @@
     call::{Call, CallContext},
     call_request::CallOutcome,
     caller_limits::ActiveCallerLimits,
+    caller_link::{CallerLink, is_remote_caller},
     chains::Chains,
     counters::count,
     decision_log::{CallEnd, Decision},
@@ -265,9 +266,11 @@
             Err(failed) => return Ok(Reply::Failed(failed)),
         };
         let accepted = AcceptedHead { route, depth, service: full_name, caller };
+        let is_remote = is_remote_caller(&parts);
         let read = self.read_call(id, parts, body, accepted).await;
         let request = read.inspect_err(|_| self.quotas.give_back(token.as_ref()))?;
         let open_call = self.chains.begin_call(&service.name, &request);
+        let caller_link = CallerLink::new(self.context.link.as_ref(), is_remote, &service, &request);
         let outcome = Call::new(&self.context, &snapshot, service, request).run().await;
         if let Some(open_call) = open_call {
             open_call.end(&outcome);
@@ -275,7 +278,7 @@
         if matches!(outcome, CallOutcome::NotRun(_)) {
             self.quotas.give_back(token.as_ref());
         }
-        Ok(self.reply(outcome))
+        Ok(self.reply(caller_link.pace(outcome)))
     }
 
     /// Checks the request head and returns its depth in the chain of calls.
