Retry budget: entry nodes lend each other unused tokens (decisions)

Cause: each entry has its own small part of the retry budget, so much of the bound stays unused where only some entries need it, and fractions of a token are lost.

Change: SharedRetryBudget, used where limits.load.shared_retries is on. A token exists at one node only: a lender loses what it lends, a node starts without tokens, deposits and loans expire within a second, and little of the reserve is saved. Lending between nodes is not wired yet. A model of loans in laurelstall_spec.

The model holds, and all four mutants are found.

--- a/crates/laurelstall_balance/src/lib.rs
+++ b/crates/laurelstall_balance/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod observe_budget;
 pub mod recent_count;
 pub mod service_balancer;
+pub mod shared_retry_budget;
 pub mod spillover;
 pub mod target_view;
 pub mod typical_budgets;
--- a/crates/laurelstall_balance/src/service_balancer.rs
+++ b/crates/laurelstall_balance/src/service_balancer.rs
@@ -7,6 +7,7 @@
     ejection::Ejection,
     hint::{Hint, NORMAL_PERCENT},
     importance_tracker::ImportanceTracker,
+    shared_retry_budget::SharedRetryBudget,
     spillover::Spillover,
     target_view::TargetView,
 };
@@ -115,6 +116,8 @@
     entries: usize,
     chooser: Box<dyn Chooser>,
     retries: AttemptBudget,
+    /// Used in place of `retries` where entry nodes lend each other retry tokens.
+    shared_retries: Option<SharedRetryBudget>,
     importance_tracker: ImportanceTracker,
     reroutes: AttemptBudget,
     hedges: AttemptBudget,
@@ -140,6 +143,7 @@
             entries: 1,
             chooser,
             retries: AttemptBudget::new(limits.retry_percent, reserve_per_entry(&limits, 1)),
+            shared_retries: None,
             importance_tracker: ImportanceTracker::default(),
             reroutes: AttemptBudget::new(REROUTE_PERCENT, REROUTE_RESERVE),
             hedges: AttemptBudget::new(limits.hedge_percent, HEDGE_RESERVE),
@@ -244,7 +248,7 @@
                 let slowness = view.slowness_percent(now_us) / f64::from(NORMAL_PERCENT);
                 self.class_times.note(class, latency_us as f64 / slowness);
                 self.mean_us += MEAN_WEIGHT * (latency_us as f64 - self.mean_us);
-                self.retries.deposit(now_us);
+                self.deposit_retry(now_us);
                 self.hedges.deposit(now_us);
             }
             AttemptResult::Failed => view.note_result(true, 0, now_us),
--- a/crates/laurelstall_balance/src/service_balancer/budgets.rs
+++ b/crates/laurelstall_balance/src/service_balancer/budgets.rs
@@ -1,7 +1,10 @@
 //! Budgets for attempts beyond the first of a call: retries, hedges and reroutes.
 
 use super::ServiceBalancer;
-use crate::attempt_budget::BudgetClass;
+use crate::{
+    attempt_budget::BudgetClass,
+    shared_retry_budget::{SharedRetryBudget, TokenLoan},
+};
 use laurelstall_config::team::ServiceLimits;
 use rand::RngExt;
 
@@ -27,7 +30,43 @@
     /// Sets the number of entry nodes that share the retry reserve.
     pub fn set_entries(&mut self, entries: usize) {
         self.entries = entries;
-        self.retries.set_limits(self.limits.retry_percent, reserve_per_entry(&self.limits, entries));
+        let reserve = reserve_per_entry(&self.limits, entries);
+        self.retries.set_limits(self.limits.retry_percent, reserve);
+        match &mut self.shared_retries {
+            _ if !self.limits.load.shared_retries => self.shared_retries = None,
+            Some(shared) => shared.set_limits(self.limits.retry_percent, reserve),
+            None => self.shared_retries = Some(SharedRetryBudget::new(self.limits.retry_percent, reserve)),
+        }
+    }
+
+    /// Returns the part of a retry token that a call of this importance has to borrow from other entry nodes; `None` if
+    /// the budget has a token or the call may not borrow. Only the most important calls borrow, because a lender's own
+    /// important calls may need the tokens.
+    pub fn missing_retry_tokens(&mut self, importance: u8, now_us: u64) -> Option<f64> {
+        if self.importance_tracker.class_of(importance, now_us) != BudgetClass::MostImportant {
+            return None;
+        }
+        self.shared_retries.as_mut()?.missing(now_us)
+    }
+
+    /// Adds retry tokens that another entry node lent on a request sent at `asked_us`.
+    pub fn add_retry_loan(&mut self, loan: TokenLoan, asked_us: u64, now_us: u64) {
+        if let Some(shared) = &mut self.shared_retries {
+            shared.add_loan(loan, asked_us, now_us);
+        }
+    }
+
+    /// Takes up to `wanted` retry tokens out of the budget for another entry node; `None` if the service shares none.
+    pub fn lend_retry_tokens(&mut self, wanted: f64, now_us: u64) -> Option<TokenLoan> {
+        Some(self.shared_retries.as_mut()?.lend(wanted, now_us))
+    }
+
+    /// Adds to the retry budget for one call.
+    pub(super) fn deposit_retry(&mut self, now_us: u64) {
+        match &mut self.shared_retries {
+            Some(shared) => shared.deposit(now_us),
+            None => self.retries.deposit(now_us),
+        }
     }
 
     /// Records a call to the service before its first attempt.
@@ -41,8 +80,14 @@
         self.hedges.note_call(now_us);
         self.reroutes.note_call(now_us);
         self.reroutes.deposit(now_us);
+        if let Some(shared) = &mut self.shared_retries {
+            shared.note_call(now_us);
+        }
         if is_parent_retry {
-            self.retries.charge(now_us);
+            match &mut self.shared_retries {
+                Some(shared) => shared.charge(now_us),
+                None => self.retries.charge(now_us),
+            }
         }
     }
 
@@ -51,7 +96,7 @@
     /// The call did not run, so another target may well serve it; without this, the budget would be empty when retries
     /// help most. A run that failed adds nothing: it may fail everywhere, and each run makes its own calls again.
     pub fn note_refused_by_target(&mut self, now_us: u64) {
-        self.retries.deposit(now_us);
+        self.deposit_retry(now_us);
     }
 
     /// Withdraws a retry for a call of this importance, one of whose attempts reached a target. Returns whether the
@@ -59,7 +104,10 @@
     pub fn try_withdraw_retry(&mut self, importance: u8, now_us: u64) -> bool {
         let class = self.importance_tracker.class_of(importance, now_us);
         let draw = self.rng.random::<f64>();
-        self.retries.try_withdraw(class, draw, now_us)
+        match &mut self.shared_retries {
+            Some(shared) => shared.try_withdraw(class, draw, now_us),
+            None => self.retries.try_withdraw(class, draw, now_us),
+        }
     }
 
     /// Withdraws a reroute for a call that a guard refused because it has no free slot. Returns whether the budget
@@ -81,9 +129,10 @@
 
     /// The counts since this balancer was created.
     pub fn totals(&self) -> BalancerTotals {
+        let shared = self.shared_retries.as_ref();
         BalancerTotals {
-            retries: self.retries.granted(),
-            retries_refused: self.retries.refused(),
+            retries: self.retries.granted() + shared.map_or(0, SharedRetryBudget::granted),
+            retries_refused: self.retries.refused() + shared.map_or(0, SharedRetryBudget::refused),
             hedges: self.hedges.granted(),
             ejections: self.ejections,
         }
--- a/crates/laurelstall_spec/src/bin/laurelstall-spec.rs
+++ b/crates/laurelstall_spec/src/bin/laurelstall-spec.rs
@@ -5,6 +5,7 @@
     quotas::{self, QuotaModel},
     replication::{self, ReplicationModel},
     restores::{self, RestoreModel},
+    retry_loans::{self, RetryLoanModel},
     search::{Model, search},
     tickets::{self, TicketModel},
 };
@@ -14,7 +15,7 @@
     use {
         attempts::Mutation as AttemptMutation, quotas::Mutation as QuotaMutation,
         replication::Mutation as ReplicationMutation, restores::Mutation as RestoreMutation,
-        tickets::Mutation as TicketMutation,
+        retry_loans::Mutation as LoanMutation, tickets::Mutation as TicketMutation,
     };
     for mutation in [
         TicketMutation::None,
@@ -43,6 +44,15 @@
     ] {
         explore("quotas", &mutation, &QuotaModel { mutation });
     }
+    for mutation in [
+        LoanMutation::None,
+        LoanMutation::LenderKeepsTokens,
+        LoanMutation::LostLoanIsReturned,
+        LoanMutation::LoansDoNotExpire,
+        LoanMutation::FullAtStart,
+    ] {
+        explore("loans", &mutation, &RetryLoanModel { mutation });
+    }
     for mutation in [
         RestoreMutation::None,
         RestoreMutation::IgnoresEraOnRead,
--- a/crates/laurelstall_spec/src/lib.rs
+++ b/crates/laurelstall_spec/src/lib.rs
@@ -1,4 +1,4 @@
-//! Model-checked specifications of call outcomes, tickets, quotas, the replication of configuration and
+//! Model-checked specifications of call outcomes, tickets, quotas, loans of retry tokens, the replication of configuration and
 //! restores of the platform from older copies.
 //!
 //! Each model is a small state machine that is explored breadth first until no new state is reachable. A
@@ -10,6 +10,7 @@
 pub mod quotas;
 pub mod replication;
 pub mod restores;
+pub mod retry_loans;
 pub mod search;
 pub mod tickets;
 
@@ -20,6 +21,7 @@
         quotas::QuotaModel,
         replication::ReplicationModel,
         restores::RestoreModel,
+        retry_loans::RetryLoanModel,
         search::{Model, SearchResult, search},
         tickets::TicketModel,
     };
--- a/crates/laurelstall_spec/tests/models.rs
+++ b/crates/laurelstall_spec/tests/models.rs
@@ -6,6 +6,7 @@
     quotas::{self, QuotaModel},
     replication::{self, ReplicationModel},
     restores::{self, RestoreModel},
+    retry_loans::{self, RetryLoanModel},
     search::{Model, search},
     tickets::{self, TicketModel},
 };
@@ -115,3 +116,21 @@
         "nodes that have read the store hold a different list",
     );
 }
+
+#[test]
+fn retry_loans_hold() {
+    assert_holds(&RetryLoanModel { mutation: retry_loans::Mutation::None }, 1_000);
+}
+
+#[test]
+fn retry_loans_break_without_each_rule() {
+    use retry_loans::Mutation;
+    for mutation in [
+        Mutation::LenderKeepsTokens,
+        Mutation::LostLoanIsReturned,
+        Mutation::LoansDoNotExpire,
+        Mutation::FullAtStart,
+    ] {
+        assert_violates(&RetryLoanModel { mutation }, "more retries were made than the bound allows");
+    }
+}
