Node: guards report their admission threshold, entries refuse what most guards would refuse

Cause: an entry learned that a service is overloaded only from one refusal after another, each of which costs an attempt. Change: where limits.load.overload is on, a guard adds laurelstall-admission-threshold to its answers while it is in force; the entry removes the field in any case, keeps the thresholds for 400 ms and refuses calls that three quarters of the known guards would refuse, except nested calls, calls with a ticket and one call in 100 ms. A guard says busy instead of overloaded to an entry that did not state the level. Counters guard_overloaded and entry_overloaded, gauges is_overloaded and admission_threshold (importance times 64 plus bucket). Tests of laurelstall_node, laurelstall_peer, laurelstall_standin and laurelstall_guard pass.

--- a/crates/laurelstall_guard/src/refusal.rs
+++ b/crates/laurelstall_guard/src/refusal.rs
@@ -205,6 +205,15 @@
         Self { reason, retry_after_ms: 0, slowness_percent: NORMAL_PERCENT }
     }
 
+    /// Returns the refusal with a reason that entries know which did not state the level of the call.
+    pub fn without_level(self) -> Self {
+        let reason = match self.reason {
+            RefusalReason::Overloaded => RefusalReason::Busy,
+            reason => reason,
+        };
+        Self { reason, ..self }
+    }
+
     /// Returns the refusal with `retry_after_ms` set.
     pub fn with_retry_after_ms(self, retry_after_ms: u32) -> Self {
         Self { retry_after_ms, ..self }
--- a/crates/laurelstall_guard/tests/refusal.rs
+++ b/crates/laurelstall_guard/tests/refusal.rs
@@ -1,6 +1,6 @@
 //! How refusals are reported and handled, by reason.
 
-use laurelstall_guard::refusal::{NextStep, RefusalReason, RefusalSource, TargetSignal};
+use laurelstall_guard::refusal::{NextStep, Refusal, RefusalReason, RefusalSource, TargetSignal};
 use std::collections::HashSet;
 
 #[test]
@@ -47,6 +47,17 @@
     }
 }
 
+/// Nodes of earlier versions cannot decode the message with this reason.
+#[test]
+fn overloaded_is_not_said_to_entries_that_do_not_know_it() {
+    for reason in RefusalReason::ALL {
+        let refusal = Refusal::new(reason).with_retry_after_ms(120).without_level();
+        let is_known = reason != RefusalReason::Overloaded;
+        assert_eq!(refusal.reason, if is_known { reason } else { RefusalReason::Busy });
+        assert_eq!(refusal.retry_after_ms, 120);
+    }
+}
+
 #[test]
 fn the_page_on_refusals_matches_the_code() {
     let page = include_str!("../../../docs/REFUSALS.md");
--- a/crates/laurelstall_node/src/admin.rs
+++ b/crates/laurelstall_node/src/admin.rs
@@ -273,6 +273,7 @@
 
     fn status(&self) -> Value {
         let load = self.guard.guard().load();
+        let overload = self.guard.guard().overload_state();
         let observed = self.entry.context.observer.usage();
         let meter = self.entry.context.client.pool().meter();
         let counters = self.counters.all().into_iter().map(|(name, count)| (name.to_owned(), count.into()));
@@ -287,6 +288,8 @@
             "queued": load.queued,
             "limit": load.limit,
             "rate_limit_milli_per_s": self.guard.rate_limit_milli_per_s(),
+            "is_overloaded": overload.map(|overload| overload.is_overloaded),
+            "admission_threshold": overload.map(|overload| overload.threshold.to_string()),
             "open_tickets": self.guard.open_tickets(),
             "observe_bytes": observed.bytes,
             "observe_messages": observed.messages,
--- a/crates/laurelstall_node/src/background.rs
+++ b/crates/laurelstall_node/src/background.rs
@@ -11,6 +11,7 @@
 };
 use laurelstall_config::document::DocumentName;
 use laurelstall_guard::clock::Clock;
+use laurelstall_overload::call_level::CallLevel;
 use laurelstall_peer::{client::PeerClient, meter::Meter, replicator::Replicator};
 use std::sync::{Arc, atomic::Ordering};
 use tokio::time::{Duration, sleep};
@@ -88,6 +89,8 @@
 pub fn gauges(guard: &TargetGuard, meter: &Meter, active: &ActiveConfig) -> Gauges {
     let load = guard.guard().load();
     let fleet_version = active.load().configuration.version(&DocumentName::Fleet);
+    let overload = guard.guard().overload_state();
+    let threshold = overload.map_or(CallLevel::LOWEST, |overload| overload.threshold);
     vec![
         ("in_flight", u64::from(load.in_flight)),
         ("queued", u64::from(load.queued)),
@@ -97,6 +100,8 @@
         ("is_evacuated", u64::from(guard.is_evacuated())),
         ("has_rate_limit", u64::from(guard.rate_limit_milli_per_s().is_some())),
         ("rate_limit_milli_per_s", guard.rate_limit_milli_per_s().unwrap_or(0)),
+        ("is_overloaded", u64::from(overload.is_some_and(|overload| overload.is_overloaded))),
+        ("admission_threshold", threshold.ordinal()),
         ("control_bytes", meter.control_bytes.load(Ordering::Relaxed)),
         ("peer_connections", meter.open.load(Ordering::Relaxed)),
         ("platform_era", fleet_version.era),
--- a/crates/laurelstall_node/src/call.rs
+++ b/crates/laurelstall_node/src/call.rs
@@ -28,6 +28,7 @@
 
 mod attempts;
 mod outcomes;
+mod pressure;
 mod quarantine;
 mod retries;
 mod target_choice;
@@ -136,6 +137,9 @@
         let now_us = self.context.clock.now_us();
         let request = &self.request;
         self.service.balancer().note_call(request.budget_importance, request.is_parent_retry, now_us);
+        if let Some(refusal) = self.pressure_refusal(now_us) {
+            return CallOutcome::NotRun(refusal);
+        }
         if self.request.ticket.is_none() {
             target_probes::probe_targets(self.context, &self.service).await;
         }
--- a/crates/laurelstall_node/src/call/retries.rs
+++ b/crates/laurelstall_node/src/call/retries.rs
@@ -31,6 +31,7 @@
         {
             self.service.note_leaving(&instance);
         }
+        self.note_pressure(destination, &mut answer);
         self.record_outcome(destination, &answer);
         match answer.outcome {
             AttemptOutcome::Answered { status, headers, body } => {
@@ -119,6 +120,7 @@
         }
         let now_us = self.context.clock.now_us();
         self.overload_refusals < self.request.route.tries
+            && !self.is_refused_by_pressure(now_us)
             && self.service.balancer().try_withdraw_reroute(now_us)
     }
 
--- a/crates/laurelstall_node/src/counters.rs
+++ b/crates/laurelstall_node/src/counters.rs
@@ -57,6 +57,10 @@
     guard_attempts,
     /// Attempts that this node's guard refused or handed back.
     guard_refused,
+    /// Attempts that this node's guard refused because their level was below its admission threshold.
+    guard_overloaded,
+    /// Calls that this entry refused without an attempt, because most guards of the service would refuse them.
+    entry_overloaded,
     /// Attempts whose outcome at the target is unknown.
     guard_unknown,
     /// Requests sent to the local target.
--- a/crates/laurelstall_node/src/headers.rs
+++ b/crates/laurelstall_node/src/headers.rs
@@ -41,6 +41,9 @@
 /// Level of a call, in an attempt to the target's guard.
 const CALL_LEVEL: &str = "laurelstall-call-level";
 
+/// Lowest level from which the guard that answered admits calls, from the guard to the entry.
+const ADMISSION_THRESHOLD: &str = "laurelstall-admission-threshold";
+
 /// Name of the instance that answered, from its guard to the entry when the instance is leaving. The entry may have
 /// addressed it by an older name.
 const LEAVING_INSTANCE: &str = "laurelstall-leaving-instance";
@@ -86,6 +89,7 @@
     headers.remove(http::header::EXPECT);
     headers.remove(KNOWN_RATE_LIMIT);
     headers.remove(CALL_LEVEL);
+    headers.remove(ADMISSION_THRESHOLD);
     if is_buffered {
         headers.remove(CONTENT_LENGTH);
     }
@@ -142,6 +146,22 @@
     CallLevel::parse(str::from_utf8(&value).ok()?)
 }
 
+/// Returns whether an attempt states the level of the call, as entries do that know of admission by level.
+pub fn has_call_level(headers: &[(String, Vec<u8>)]) -> bool {
+    headers.iter().any(|(name, _)| name == CALL_LEVEL)
+}
+
+/// Adds the lowest level from which the guard admits calls to an answer.
+pub fn insert_admission_threshold(headers: &mut HeaderMap, threshold: CallLevel) {
+    headers.insert(ADMISSION_THRESHOLD, text_value(&threshold.to_string()));
+}
+
+/// Removes the admission threshold from an answer, and returns it.
+pub fn take_admission_threshold(headers: &mut HeaderMap) -> Option<CallLevel> {
+    let threshold = headers.remove(ADMISSION_THRESHOLD)?;
+    CallLevel::parse(threshold.to_str().ok()?)
+}
+
 /// Adds the name of the leaving instance to its answer.
 pub fn insert_leaving_instance(headers: &mut HeaderMap, instance: &str) {
     headers.insert(LEAVING_INSTANCE, text_value(instance));
--- a/crates/laurelstall_node/src/services.rs
+++ b/crates/laurelstall_node/src/services.rs
@@ -7,6 +7,7 @@
 };
 use laurelstall_config::{configuration::Configuration, team::Service};
 use laurelstall_guard::clock::Clock;
+use laurelstall_overload::service_pressure::ServicePressure;
 use std::{
     collections::HashMap,
     fmt,
@@ -26,6 +27,8 @@
     /// Full name, `team/service`.
     pub name: String,
     balancer: Mutex<ServiceBalancer>,
+    /// Admission thresholds learned from the targets' guards.
+    pressure: Mutex<ServicePressure>,
     /// Targets of all services that have stated that they are leaving; locked after `balancer`.
     leaving: Arc<Mutex<LeavingTargets>>,
     /// Addresses at which the nodes of the targets' hosts accept other nodes, by host.
@@ -42,6 +45,11 @@
         self.balancer.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Locks the admission thresholds; the lock must not be held across an `.await`.
+    pub fn pressure(&self) -> MutexGuard<'_, ServicePressure> {
+        self.pressure.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Records that a target has stated in an answer that it is leaving. This entry sends it no new calls, whatever the
     /// list of targets says.
     pub fn note_leaving(&self, target: &str) {
@@ -190,6 +198,7 @@
         Arc::new(ServiceState {
             name: full_name.to_owned(),
             balancer: Mutex::new(ServiceBalancer::new(service.limits, (self.chooser)(), seed)),
+            pressure: Mutex::default(),
             leaving: self.leaving.clone(),
             addresses: Mutex::default(),
             generation: AtomicU64::new(0),
--- a/crates/laurelstall_node/src/target_guard.rs
+++ b/crates/laurelstall_node/src/target_guard.rs
@@ -4,7 +4,7 @@
     active_config::{ActiveConfig, ConfigSnapshot},
     counters::{Counters, count},
     dialect::HeaderDialect,
-    headers::{take_call_level, take_known_rate_limit},
+    headers::{has_call_level, take_call_level, take_known_rate_limit},
     metrics::{Latencies, record_us},
     observer::Observer,
     running_requests::RunningRequests,
@@ -49,6 +49,7 @@
 mod instance;
 mod listed_target;
 mod notices;
+mod overload;
 mod responses;
 
 use crash_detection::{CrashCheck, WatchedRun};
@@ -196,6 +197,7 @@
         let limits = &service.limits;
         self.inner.guard.set_can_query(!service.load_path.is_empty() && !self.inner.is_baseline);
         self.inner.ledger().set_tickets_max(limits.tickets_max);
+        self.inner.guard.set_overload_control(limits.load.overload && !self.inner.is_baseline);
         self.inner.guard.set_limits(if self.inner.is_baseline {
             GuardLimits {
                 slots: target.slots,
@@ -298,7 +300,9 @@
         async move {
             count(&inner.counters.guard_attempts);
             let wants_hint = attempt.head.wants_hint;
+            let has_level = has_call_level(&attempt.head.headers);
             let mut answer = inner.handle_attempt(attempt, admission).await;
+            inner.report_overload(&mut answer, has_level);
             match &answer.outcome {
                 AttemptOutcome::NotRun(_) => count(&inner.counters.guard_refused),
                 AttemptOutcome::Unknown(_) => count(&inner.counters.guard_unknown),
--- a/crates/laurelstall_node/src/target_guard/responses.rs
+++ b/crates/laurelstall_node/src/target_guard/responses.rs
@@ -7,7 +7,7 @@
     body::{Collected, WatchedBody, collect, full_body},
     counters::count,
     dialect::AnswerKind,
-    headers::{insert_leaving_instance, strip_hop_by_hop, take_leaving_instance},
+    headers::{insert_leaving_instance, strip_hop_by_hop, take_admission_threshold, take_leaving_instance},
     target_pool::UsedConnection,
 };
 use http_body_util::BodyExt;
@@ -39,8 +39,9 @@
         let (parts, body) = response.into_parts();
         let status = parts.status;
         let mut headers = parts.headers;
-        // Only guards say which instance is leaving.
+        // Only guards say which instance is leaving, and from which level they admit calls.
         take_leaving_instance(&mut headers);
+        take_admission_threshold(&mut headers);
         let notice = self.dialect.notice(&headers);
         if let Some(load) = self.dialect.load(&headers) {
             self.guard.note_slowness(load.slowness_percent);
--- a/crates/laurelstall_overload/src/call_level.rs
+++ b/crates/laurelstall_overload/src/call_level.rs
@@ -36,6 +36,11 @@
         self.importance.checked_add(1).map_or(self, |importance| Self { importance, bucket: 0 })
     }
 
+    /// Returns the position among all levels, for metrics: the importance times [`BUCKETS`], plus the bucket.
+    pub fn ordinal(self) -> u64 {
+        u64::from(self.importance) * u64::from(BUCKETS) + u64::from(self.bucket)
+    }
+
     /// Parses the form that [`Display`](std::fmt::Display) writes; `None` if it is invalid.
     pub fn parse(text: &str) -> Option<Self> {
         let (importance, bucket) = text.split_once('.')?;
