--- a/crates/laurelstall_node/src/admin.rs
+++ b/crates/laurelstall_node/src/admin.rs
@@ -273,6 +273,7 @@
 
     fn status(&self) -> Value {
         let load = self.guard.guard().load();
+        let overload = self.guard.guard().overload_state();
         let observed = self.entry.context.observer.usage();
         let meter = self.entry.context.client.pool().meter();
         let counters = self.counters.all().into_iter().map(|(name, count)| (name.to_owned(), count.into()));
@@ -289,6 +290,8 @@
             "rate_limit_milli_per_s": self.guard.rate_limit_milli_per_s(),
             "link_mbps": self.guard.link().map(|link| link.link_mbps()),
             "link_waiting_bytes": self.guard.link().map(|link| link.waiting_bytes()),
+            "is_overloaded": overload.map(|overload| overload.is_overloaded),
+            "admission_threshold": overload.map(|overload| overload.threshold.to_string()),
             "open_tickets": self.guard.open_tickets(),
             "observe_bytes": observed.bytes,
             "observe_messages": observed.messages,
--- a/crates/laurelstall_node/src/headers.rs
+++ b/crates/laurelstall_node/src/headers.rs
@@ -44,6 +44,9 @@
 /// Marks an attempt whose caller returned at a time for which a place was reserved.
 const RESERVED: &str = "laurelstall-reserved";
 
+/// Lowest level from which the guard that answered admits calls, from the guard to the entry.
+const ADMISSION_THRESHOLD: &str = "laurelstall-admission-threshold";
+
 /// Name of the instance that answered, from its guard to the entry when the instance is leaving. The entry may have
 /// addressed it by an older name.
 const LEAVING_INSTANCE: &str = "laurelstall-leaving-instance";
@@ -90,6 +93,7 @@
     headers.remove(KNOWN_RATE_LIMIT);
     headers.remove(CALL_LEVEL);
     headers.remove(RESERVED);
+    headers.remove(ADMISSION_THRESHOLD);
     if is_buffered {
         headers.remove(CONTENT_LENGTH);
     }
@@ -158,6 +162,22 @@
     headers.len() < count
 }
 
+/// Returns whether an attempt states the level of the call, as entries do that know of admission by level.
+pub fn has_call_level(headers: &[(String, Vec<u8>)]) -> bool {
+    headers.iter().any(|(name, _)| name == CALL_LEVEL)
+}
+
+/// Adds the lowest level from which the guard admits calls to an answer.
+pub fn insert_admission_threshold(headers: &mut HeaderMap, threshold: CallLevel) {
+    headers.insert(ADMISSION_THRESHOLD, text_value(&threshold.to_string()));
+}
+
+/// Removes the admission threshold from an answer, and returns it.
+pub fn take_admission_threshold(headers: &mut HeaderMap) -> Option<CallLevel> {
+    let threshold = headers.remove(ADMISSION_THRESHOLD)?;
+    CallLevel::parse(threshold.to_str().ok()?)
+}
+
 /// Adds the name of the leaving instance to its answer.
 pub fn insert_leaving_instance(headers: &mut HeaderMap, instance: &str) {
     headers.insert(LEAVING_INSTANCE, text_value(instance));
--- a/crates/laurelstall_node/src/services.rs
+++ b/crates/laurelstall_node/src/services.rs
@@ -7,7 +7,7 @@
 };
 use laurelstall_config::{configuration::Configuration, team::Service};
 use laurelstall_guard::clock::Clock;
-use laurelstall_overload::return_reservations::ReturnReservations;
+use laurelstall_overload::{return_reservations::ReturnReservations, service_pressure::ServicePressure};
 use std::{
     collections::HashMap,
     fmt,
@@ -29,6 +29,8 @@
     balancer: Mutex<ServiceBalancer>,
     /// Places for the callers of refused calls.
     returns: Mutex<ReturnReservations>,
+    /// Admission thresholds learned from the targets' guards.
+    pressure: Mutex<ServicePressure>,
     /// Targets of all services that have stated that they are leaving; locked after `balancer`.
     leaving: Arc<Mutex<LeavingTargets>>,
     /// Addresses at which the nodes of the targets' hosts accept other nodes, by host.
@@ -50,6 +52,11 @@
         self.returns.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Locks the admission thresholds; the lock must not be held across an `.await`.
+    pub fn pressure(&self) -> MutexGuard<'_, ServicePressure> {
+        self.pressure.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Records that a target has stated in an answer that it is leaving. This entry sends it no new calls, whatever the
     /// list of targets says.
     pub fn note_leaving(&self, target: &str) {
@@ -199,6 +206,7 @@
             name: full_name.to_owned(),
             balancer: Mutex::new(ServiceBalancer::new(service.limits, (self.chooser)(), seed)),
             returns: Mutex::default(),
+            pressure: Mutex::default(),
             leaving: self.leaving.clone(),
             addresses: Mutex::default(),
             generation: AtomicU64::new(0),
--- a/crates/laurelstall_node/src/target_guard.rs
+++ b/crates/laurelstall_node/src/target_guard.rs
@@ -5,7 +5,7 @@
     chains::Chains,
     counters::{Counters, count},
     dialect::HeaderDialect,
-    headers::{take_call_level, take_known_rate_limit, take_reserved},
+    headers::{has_call_level, take_call_level, take_known_rate_limit, take_reserved},
     link_pacer::LinkPacer,
     metrics::{Latencies, record_us},
     observer::Observer,
@@ -54,6 +54,7 @@
 mod link_admission;
 mod listed_target;
 mod notices;
+mod overload;
 mod responses;
 
 use answers::{connection_lost, not_run};
@@ -215,6 +216,7 @@
         self.inner.guard.set_can_query(!service.load_path.is_empty() && !self.inner.is_baseline);
         self.inner.guard.set_refuses_promptly(limits.load.reserved_returns && !self.inner.is_baseline);
         self.inner.ledger().set_tickets_max(limits.tickets_max);
+        self.inner.guard.set_overload_control(limits.load.overload && !self.inner.is_baseline);
         self.inner.guard.set_limits(if self.inner.is_baseline {
             GuardLimits {
                 slots: target.slots,
@@ -320,9 +322,11 @@
         async move {
             count(&inner.counters.guard_attempts);
             let wants_hint = attempt.head.wants_hint;
+            let has_level = has_call_level(&attempt.head.headers);
             let answer_link = inner.answer_link(&attempt.head, passes_link);
             let answer = inner.handle_attempt(attempt, admission, passes_link).await;
             let mut answer = answer_link.pace(answer);
+            inner.report_overload(&mut answer, has_level);
             match &answer.outcome {
                 AttemptOutcome::NotRun(_) => count(&inner.counters.guard_refused),
                 AttemptOutcome::Unknown(_) => count(&inner.counters.guard_unknown),
