Guard: a slow time is forgotten when runs are short again; counter limit_reductions

Cause: a trial of a lower limit in whose course a slow time ended looked like a gain, and the limit stayed low until a later trial, 10 s or more. In trials with the test of metastable overload 24 guards also kept trying limits in step, and a slow phase of seconds changed the usual length of slow phases.

Change: with limits.load.refusal_causes a limit that a trial lowered is confirmed by a trial of the one before, instead of the pause of 1 s; a gain of a higher limit with clearly shorter runs is discarded; the results of trials from a slow time are discarded, and its lowered limit raised, after six clearly shorter runs; pauses between trials are spread by up to 2 s; a slow phase counts for three times the mean at most; the guard's mean run time fades with time, as does the load of remote data centres. The counter limit_reductions counts refusals that lowered the limit. With the switch off nothing changes.

--- a/crates/laurelstall_balance/src/class_times.rs
+++ b/crates/laurelstall_balance/src/class_times.rs
@@ -29,20 +29,23 @@
 }
 
 impl ClassTime {
-    /// Replaces a mean from a time when the target was slow by that of recent runs, if all were clearly shorter.
+    /// Replaces a mean from a time when the target was slow by that of recent runs, if all were clearly shorter; returns
+    /// whether it did.
     ///
     /// Long runs do not replace it as quickly: the guard would refuse calls that will be in time.
-    fn forget_slow_runs(&mut self, run_us: f64) {
+    fn forget_slow_runs(&mut self, run_us: f64) -> bool {
         if run_us >= SHORT_SHARE * self.mean_us {
             (self.short_runs, self.short_sum_us) = (0, 0.0);
-            return;
+            return false;
         }
         self.short_runs += 1;
         self.short_sum_us += run_us;
-        if self.short_runs >= SHORT_RUNS {
+        let is_forgotten = self.short_runs >= SHORT_RUNS;
+        if is_forgotten {
             let mean_us = self.short_sum_us / f64::from(self.short_runs);
             *self = Self { mean_us, samples: self.short_runs, short_runs: 0, short_sum_us: 0.0 };
         }
+        is_forgotten
     }
 }
 
@@ -50,15 +53,9 @@
 #[derive(Debug, Clone, Default)]
 pub struct ClassTimes {
     times: HashMap<CallClass, ClassTime>,
-    has_fast_recovery: bool,
 }
 
 impl ClassTimes {
-    /// Sets whether the times of a slow target are forgotten as soon as it is quick again.
-    pub fn set_fast_recovery(&mut self, has_fast_recovery: bool) {
-        self.has_fast_recovery = has_fast_recovery;
-    }
-
     /// Adds the service time of a run, in µs.
     pub fn note(&mut self, class: CallClass, run_us: f64) {
         let class = if self.times.len() < CLASSES_MAX || self.times.contains_key(&class) { class } else { 0 };
@@ -71,9 +68,19 @@
         time.samples = time.samples.saturating_add(1);
         let weight = if time.samples <= INITIAL_SAMPLES { INITIAL_WEIGHT } else { WEIGHT };
         time.mean_us += weight * (run_us - time.mean_us);
-        if self.has_fast_recovery {
-            time.forget_slow_runs(run_us);
-        }
+    }
+
+    /// Replaces the mean of a class by that of recent runs, if the last few, of which one took `run_us`, were all clearly
+    /// shorter; returns whether it did.
+    ///
+    /// It is called after [`ClassTimes::note`] where the times of a slow target are to be forgotten when it is quick again.
+    pub fn forget_slow_runs(&mut self, class: CallClass, run_us: f64) -> bool {
+        self.times.get_mut(&class).is_some_and(|time| time.forget_slow_runs(run_us))
+    }
+
+    /// Multiplies all means by `factor`, because runs take that much longer or shorter from now on.
+    pub fn scale(&mut self, factor: f64) {
+        self.times.values_mut().for_each(|time| time.mean_us *= factor);
     }
 
     /// The mean service time of a class in µs; `None` before its first run.
--- a/crates/laurelstall_balance/src/service_balancer.rs
+++ b/crates/laurelstall_balance/src/service_balancer.rs
@@ -189,7 +189,6 @@
         }
         let has_fast_recovery = limits.load.refusal_causes;
         self.targets.iter_mut().for_each(|view| view.has_fast_recovery = has_fast_recovery);
-        self.class_times.set_fast_recovery(has_fast_recovery);
         self.spillover.set_fast_recovery(has_fast_recovery);
         self.in_flight = self.targets.iter().map(TargetView::in_flight).sum();
         self.limits = limits;
@@ -259,7 +258,11 @@
             AttemptResult::Succeeded(latency_us) => {
                 view.note_result(false, latency_us, now_us);
                 let slowness = view.slowness_percent(now_us) / f64::from(NORMAL_PERCENT);
-                self.class_times.note(class, latency_us as f64 / slowness);
+                let run_us = latency_us as f64 / slowness;
+                self.class_times.note(class, run_us);
+                if self.limits.load.refusal_causes {
+                    self.class_times.forget_slow_runs(class, run_us);
+                }
                 self.mean_us += mean_weight * (latency_us as f64 - self.mean_us);
                 self.mean_at_us = now_us;
                 self.retries.deposit(now_us);
--- a/crates/laurelstall_balance/src/spillover.rs
+++ b/crates/laurelstall_balance/src/spillover.rs
@@ -52,12 +52,12 @@
     pub fn note(&mut self, is_remote: bool, load: f64, local_targets: usize, now_us: u64) {
         if is_remote {
             let is_old = now_us.saturating_sub(self.remote_at_us) > REMOTE_LOAD_AGE_MAX_US;
+            let weight = self.load_weight(self.remote_at_us, now_us);
             self.remote_load =
-                if is_old { load } else { self.remote_load + LOAD_WEIGHT * (load - self.remote_load) };
+                if is_old { load } else { self.remote_load + weight * (load - self.remote_load) };
             self.remote_at_us = now_us;
         } else {
-            let age_us = now_us.saturating_sub(self.local_at_us);
-            let weight = if self.has_fast_recovery { faded_weight(LOAD_WEIGHT, age_us) } else { LOAD_WEIGHT };
+            let weight = self.load_weight(self.local_at_us, now_us);
             self.local_load += weight * (load - self.local_load);
             self.local_at_us = now_us;
         }
@@ -70,6 +70,12 @@
         self.noted_us = now_us;
     }
 
+    /// The weight of a new sample of a load whose last sample came at `last_us`.
+    fn load_weight(&self, last_us: u64, now_us: u64) -> f64 {
+        let passed_us = now_us.saturating_sub(last_us);
+        if self.has_fast_recovery { faded_weight(LOAD_WEIGHT, passed_us) } else { LOAD_WEIGHT }
+    }
+
     /// The load of the local data centre: a moving average of what its targets reported.
     pub fn local_load(&self) -> f64 {
         self.local_load
--- a/crates/laurelstall_balance/tests/fault_recovery.rs
+++ b/crates/laurelstall_balance/tests/fault_recovery.rs
@@ -186,22 +186,25 @@
 /// Guards against class times that stay long after a fault made all runs long, so that calls are refused as late.
 #[test]
 fn class_times_of_a_slow_target_are_replaced_after_six_short_runs() {
-    for (has_fast_recovery, is_forgotten) in [(true, true), (false, false)] {
-        let mut times = ClassTimes::default();
-        times.set_fast_recovery(has_fast_recovery);
-        (0..100).for_each(|_| times.note(3, 1_000_000.0));
-        (0..6).for_each(|_| times.note(3, 200_000.0));
-        assert_eq!(times.mean_us(3).is_some_and(|mean_us| mean_us < 210_000.0), is_forgotten);
-    }
+    let mut times = ClassTimes::default();
+    let mut has_forgotten = |run_us: f64| {
+        times.note(3, run_us);
+        times.forget_slow_runs(3, run_us)
+    };
+    assert!((0..100).all(|_| !has_forgotten(1_000_000.0)));
+    assert!((0..5).all(|_| !has_forgotten(200_000.0)));
+    assert!(has_forgotten(200_000.0));
+    assert_eq!(times.mean_us(3), Some(200_000.0));
 }
 
 /// Guards against short runs between others that are taken for the end of a fault.
 #[test]
 fn ordinary_variation_does_not_replace_class_times() {
     let mut times = ClassTimes::default();
-    times.set_fast_recovery(true);
     for number in 0..1_000 {
-        times.note(3, if number % 6 == 5 { 900_000.0 } else { 100_000.0 });
+        let run_us = if number % 6 == 5 { 900_000.0 } else { 100_000.0 };
+        times.note(3, run_us);
+        assert!(!times.forget_slow_runs(3, run_us));
     }
     let mean_us = times.mean_us(3).expect("runs were noted");
     assert!(mean_us > 180_000.0, "{mean_us}");
--- a/crates/laurelstall_guard/src/adaptive_limit.rs
+++ b/crates/laurelstall_guard/src/adaptive_limit.rs
@@ -8,7 +8,7 @@
 //! Here a trial is a test of another limit and the baseline its control measurement; neither has to do with
 //! the load balancer's baseline algorithms or with trial requests of a quarantine.
 
-use crate::shed_recovery::ShedRecovery;
+use crate::shed_recovery::{FAULT_MAX_US, ShedRecovery};
 use laurelstall_balance::class_times::{CallClass, ClassTimes};
 
 /// Number of calls that a trial measures.
@@ -35,13 +35,18 @@
 const PAUSE_MAX_US: u64 = 64_000_000;
 /// Pause after any trial, in µs.
 const PAUSE_BETWEEN_US: u64 = 500_000;
-/// Pause after a lower limit did better until a higher one is tried again, in µs, where what is learned during a fault
-/// expires: the lower one may have done better only because the fault ended meanwhile.
-const RETURN_PAUSE_US: u64 = 1_000_000;
+/// Run time in a trial of the limit before a lower one, relative to the baseline, below which the lower one brought
+/// nothing.
+const RETURN_SLOWDOWN_MAX: f64 = 1.1;
+/// Run time in a trial of a higher limit, relative to the baseline, below which its result is discarded where what is
+/// learned during a fault expires: runs get shorter because the fault has ended, not because more calls run.
+const PLAUSIBLE_SLOWDOWN_MIN: f64 = 0.8;
 /// Time over which the first trials after a time without saturation are spread, in µs, where what is learned during a
 /// fault expires. After a fault all guards are saturated again at once, and trials of lower limits at many targets in
 /// the same second make answers late.
 const TRIAL_SPREAD_US: u64 = 8_000_000;
+/// Time over which later trials are spread in addition to the pause, in µs, for the same reason.
+const PAUSE_SPREAD_US: u64 = 2_000_000;
 /// Factor by which the limit falls when the target sheds a request.
 const SHED_FACTOR: f64 = 0.9;
 
@@ -86,7 +91,8 @@
 
 #[derive(Debug)]
 struct Trial {
-    step: usize,
+    /// Index of the step; `None` for a return to the limit before a lower one was adopted.
+    step: Option<usize>,
     limit: u32,
     number: u32,
     started: u32,
@@ -97,8 +103,12 @@
 }
 
 impl Trial {
+    fn mean_slowdown(&self) -> f64 {
+        self.slowdown_sum / f64::from(self.counted.max(1))
+    }
+
     fn utility(&self) -> f64 {
-        utility(self.limit, self.slowdown_sum / f64::from(self.counted.max(1)))
+        utility(self.limit, self.mean_slowdown())
     }
 }
 
@@ -132,6 +142,10 @@
     not_before_us: u64,
     recovery: ShedRecovery,
     has_fast_recovery: bool,
+    /// The limit before trials lowered it, and when they first did, in µs.
+    before_trials: Option<(u32, u64)>,
+    /// The limit before a trial lowered it, which is tried again to tell whether only a fault ended meanwhile.
+    unconfirmed: Option<u32>,
     times: ClassTimes,
 }
 
@@ -154,6 +168,8 @@
             not_before_us: 0,
             recovery: ShedRecovery::default(),
             has_fast_recovery: false,
+            before_trials: None,
+            unconfirmed: None,
             times: ClassTimes::default(),
         }
     }
@@ -171,7 +187,6 @@
     /// Sets whether what was learned during a fault expires soon after it.
     pub fn set_fast_recovery(&mut self, has_fast_recovery: bool) {
         self.has_fast_recovery = has_fast_recovery;
-        self.times.set_fast_recovery(has_fast_recovery);
     }
 
     /// Returns how many calls may run at once now.
@@ -210,6 +225,12 @@
         let mean_us = self.times.mean_us(class);
         if let Some(run_us) = run_us {
             self.times.note(class, run_us);
+            // Runs are also shorter while a trial limits them to fewer at once.
+            let has_lower_trial = self.trial.as_ref().is_some_and(|trial| trial.limit < self.limit);
+            let may_forget = self.has_fast_recovery && !has_lower_trial;
+            if may_forget && self.times.forget_slow_runs(class, run_us) {
+                self.forget_trials(now_us);
+            }
         }
         let slowdown = run_us.zip(mean_us).map(|(run_us, mean_us)| run_us / mean_us.max(1.0));
         match sample {
@@ -234,7 +255,7 @@
     /// refused call began with `running` calls.
     pub fn note_shed_for_now(&mut self, running: u32, now_us: u64) {
         if let Some(trial) = self.trial.take_if(|trial| trial.limit > self.limit && running > self.limit) {
-            self.backoffs[trial.step].not_before_us = now_us + PAUSE_FIRST_US;
+            self.delay_step(trial.step, now_us);
             return;
         }
         // It began before the limit was lowered for others.
@@ -260,7 +281,7 @@
             && let Some(raised) = self.recovery.raised(self.limit, now_us)
         {
             self.replace_limit(raised);
-            self.not_before_us = self.not_before_us.max(spread_start_us(now_us));
+            self.not_before_us = self.not_before_us.max(now_us + spread_us(TRIAL_SPREAD_US, now_us));
         }
     }
 
@@ -271,7 +292,7 @@
         if now_us.saturating_sub(baseline.last_us) > BASELINE_AGE_MAX_US {
             baseline.calls = 0;
             if self.has_fast_recovery && has_earlier_calls {
-                self.not_before_us = self.not_before_us.max(spread_start_us(now_us));
+                self.not_before_us = self.not_before_us.max(now_us + spread_us(TRIAL_SPREAD_US, now_us));
             }
         }
         baseline.calls = baseline.calls.saturating_add(1);
@@ -296,6 +317,10 @@
         if self.trial.is_some() || !is_known || has_to_wait {
             return;
         }
+        if let Some(limit) = self.unconfirmed.take() {
+            self.start_trial(None, limit, now_us);
+            return;
+        }
         for offset in 0..STEPS.len() {
             let step = (self.next_step + offset) % STEPS.len();
             let limit = STEPS[step].apply_to(self.limit).clamp(self.floor, self.slots);
@@ -303,21 +328,31 @@
                 continue;
             }
             self.next_step = step + 1;
-            self.trials += 1;
-            self.trial = Some(Trial {
-                step,
-                limit,
-                number: self.trials,
-                started: 0,
-                ended: 0,
-                counted: 0,
-                slowdown_sum: 0.0,
-                until_us: now_us + TRIAL_MAX_US,
-            });
+            self.start_trial(Some(step), limit, now_us);
             return;
         }
     }
 
+    fn start_trial(&mut self, step: Option<usize>, limit: u32, now_us: u64) {
+        self.trials += 1;
+        self.trial = Some(Trial {
+            step,
+            limit,
+            number: self.trials,
+            started: 0,
+            ended: 0,
+            counted: 0,
+            slowdown_sum: 0.0,
+            until_us: now_us + TRIAL_MAX_US,
+        });
+    }
+
+    fn delay_step(&mut self, step: Option<usize>, now_us: u64) {
+        if let Some(step) = step {
+            self.backoffs[step].not_before_us = now_us + PAUSE_FIRST_US;
+        }
+    }
+
     fn end_trial_if_due(&mut self, now_us: u64) {
         let baseline_utility = utility(self.limit, self.baseline.mean_slowdown);
         let is_due = |trial: &mut Trial| {
@@ -327,18 +362,39 @@
         };
         let Some(trial) = self.trial.take_if(is_due) else { return };
         self.not_before_us = now_us + PAUSE_BETWEEN_US;
-        if trial.counted < ABORT_CALLS {
+        if self.has_fast_recovery {
+            self.not_before_us += spread_us(PAUSE_SPREAD_US, now_us);
+        }
+        let slowdown_ratio = trial.mean_slowdown() / self.baseline.mean_slowdown.max(0.01);
+        let is_implausible = self.has_fast_recovery
+            && trial.step.is_some()
+            && trial.limit > self.limit
+            && slowdown_ratio < PLAUSIBLE_SLOWDOWN_MIN;
+        if trial.counted < ABORT_CALLS || is_implausible {
             // Too few calls were measured for a result; the step is tried again later.
-            self.backoffs[trial.step].not_before_us = now_us + PAUSE_FIRST_US;
+            self.delay_step(trial.step, now_us);
             return;
         }
-        if trial.utility() > GAIN_MIN * baseline_utility {
-            self.note_gain(trial.step, now_us);
+        let is_better = match trial.step {
+            Some(_) => trial.utility() > GAIN_MIN * baseline_utility,
+            None => slowdown_ratio < RETURN_SLOWDOWN_MAX,
+        };
+        if is_better {
+            if let Some(step) = trial.step {
+                self.note_gain(step, now_us);
+            }
             self.recovery.forget();
+            if self.has_fast_recovery && trial.limit < self.limit {
+                self.unconfirmed = Some(self.limit);
+                self.note_lowered_by_trial(now_us);
+                // Else the shorter runs at the lower limit would look like the end of a slow time.
+                self.times.scale(slowdown_ratio);
+            }
             self.replace_limit(trial.limit);
             return;
         }
-        let backoff = &mut self.backoffs[trial.step];
+        let Some(step) = trial.step else { return };
+        let backoff = &mut self.backoffs[step];
         let pause_us = (PAUSE_FIRST_US << backoff.failures.min(10)).min(PAUSE_MAX_US);
         backoff.failures += 1;
         backoff.not_before_us = now_us + pause_us;
@@ -346,15 +402,28 @@
 
     /// After a gain, steps in the same direction may follow at once, and steps back only after a pause.
     fn note_gain(&mut self, gained: usize, now_us: u64) {
-        let is_return_soon = self.has_fast_recovery && !STEPS[gained].is_up();
-        let return_pause_us = if is_return_soon { RETURN_PAUSE_US } else { PAUSE_FIRST_US };
         for (step, backoff) in STEPS.iter().zip(&mut self.backoffs) {
             let is_same_direction = step.is_up() == STEPS[gained].is_up();
-            let not_before_us = if is_same_direction { now_us } else { now_us + return_pause_us };
+            let not_before_us = if is_same_direction { now_us } else { now_us + PAUSE_FIRST_US };
             *backoff = Backoff { failures: 0, not_before_us };
         }
     }
 
+    /// Remembers the limit that trials lower, in case they do so only because of a fault.
+    fn note_lowered_by_trial(&mut self, now_us: u64) {
+        let is_recent = |(_, since_us): &(u32, u64)| now_us < since_us + FAULT_MAX_US;
+        self.before_trials = self.before_trials.filter(is_recent).or(Some((self.limit, now_us)));
+    }
+
+    /// Returns to the limit from before a time in which the target was slow, and discards the results of its trials.
+    fn forget_trials(&mut self, now_us: u64) {
+        self.backoffs = Default::default();
+        let before = self.before_trials.take();
+        if let Some((limit, _)) = before.filter(|(_, since_us)| now_us < since_us + FAULT_MAX_US) {
+            self.replace_limit(limit.max(self.limit));
+        }
+    }
+
     fn replace_limit(&mut self, limit: u32) {
         if limit == self.limit {
             return;
@@ -371,12 +440,12 @@
     f64::from(limit).powf(CONCURRENCY_EXPONENT) / mean_slowdown.max(0.01)
 }
 
-/// Returns when trials may start after a fault that ended about `now_us`. Guards differ in the µs, which are mixed here.
-fn spread_start_us(now_us: u64) -> u64 {
+/// Returns a time below `range_us`, evenly distributed over the µs of `now_us`, in which guards differ.
+fn spread_us(range_us: u64, now_us: u64) -> u64 {
     let mixed = now_us.wrapping_add(0x9e37_79b9_7f4a_7c15);
     let mixed = (mixed ^ (mixed >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
     let mixed = (mixed ^ (mixed >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
-    now_us + (mixed ^ (mixed >> 31)) % TRIAL_SPREAD_US
+    (mixed ^ (mixed >> 31)) % range_us
 }
 
 fn percent_of(slots: u32, percent: u32) -> u32 {
--- a/crates/laurelstall_guard/src/guard.rs
+++ b/crates/laurelstall_guard/src/guard.rs
@@ -178,11 +178,11 @@
         }
     }
 
-    /// Records that the target refused a request that began with `running` calls.
-    pub fn note_shed(&self, kind: RefusalKind, running: u32) {
+    /// Records that the target refused a request that began with `running` calls; returns whether this lowered the limit.
+    pub fn note_shed(&self, kind: RefusalKind, running: u32) -> bool {
         let now_us = self.clock.now_us();
         let is_draining = self.is_draining();
-        self.lock().note_shed(kind, running, is_draining, now_us);
+        self.lock().note_shed(kind, running, is_draining, now_us)
     }
 
     /// Records how long work takes at the target now, in percent of normal.
@@ -477,7 +477,7 @@
         let run_us = now_us.saturating_sub(run.start_us) as f64;
         let normal_run_us = run_us * f64::from(NORMAL_PERCENT) / f64::from(slowness_percent);
         if run.is_counted {
-            state.note_run(normal_run_us);
+            state.note_run(normal_run_us, now_us);
         }
         let is_measured = run.is_counted && run.slowness_percent == slowness_percent;
         let measured_us = is_measured.then_some(normal_run_us);
--- a/crates/laurelstall_guard/src/guard/state.rs
+++ b/crates/laurelstall_guard/src/guard/state.rs
@@ -12,7 +12,7 @@
     target_speed::TargetSpeed,
     wait_queue::{QueueKey, WaitQueue, Wake},
 };
-use laurelstall_balance::hint::NORMAL_PERCENT;
+use laurelstall_balance::{fading::faded_weight, hint::NORMAL_PERCENT};
 use std::collections::BTreeMap;
 
 /// Assumed run time before the first request, in µs.
@@ -82,6 +82,8 @@
     pub(super) causes: RefusalCauses,
     /// Moving average of run times at the target's normal speed, in µs.
     pub(super) mean_run_us: f64,
+    /// Time of its last sample, in µs.
+    mean_run_at_us: u64,
     /// Whether any run was measured.
     pub(super) has_measured: bool,
     pub(super) speed: TargetSpeed,
@@ -106,12 +108,15 @@
         let mut limit =
             AdaptiveLimit::new(limits.slots, limits.slots_start_percent, limits.slots_floor_percent);
         limit.set_fast_recovery(limits.has_refusal_causes);
+        let mut speed = TargetSpeed::default();
+        speed.set_fast_recovery(limits.has_refusal_causes);
         Self {
             limit,
             causes: RefusalCauses::default(),
             mean_run_us: INITIAL_RUN_US,
+            mean_run_at_us: 0,
             has_measured: false,
-            speed: TargetSpeed::default(),
+            speed,
             query_state: QueryState::Unsupported,
             cold,
             stated: StatedRateLimiter::default(),
@@ -128,6 +133,7 @@
         self.cold.set_limits(limits.cold_calls_per_s, limits.cold_start_ms);
         self.limit.set_slots(limits.slots, limits.slots_start_percent, limits.slots_floor_percent);
         self.limit.set_fast_recovery(limits.has_refusal_causes);
+        self.speed.set_fast_recovery(limits.has_refusal_causes);
     }
 
     pub(super) fn has_slot(&self) -> bool {
@@ -444,8 +450,14 @@
     }
 
     /// Adds a run time, converted to the target's normal speed, in µs, to the moving average.
-    pub(super) fn note_run(&mut self, normal_run_us: f64) {
-        let weight = if self.has_measured { RUN_WEIGHT } else { 1.0 };
+    pub(super) fn note_run(&mut self, normal_run_us: f64, now_us: u64) {
+        let passed_us = now_us.saturating_sub(self.mean_run_at_us);
+        let weight = match self.has_measured {
+            false => 1.0,
+            true if self.limits.has_refusal_causes => faded_weight(RUN_WEIGHT, passed_us),
+            true => RUN_WEIGHT,
+        };
+        self.mean_run_at_us = now_us;
         self.mean_run_us += weight * (normal_run_us - self.mean_run_us);
         self.has_measured = true;
     }
--- a/crates/laurelstall_guard/src/phase_times.rs
+++ b/crates/laurelstall_guard/src/phase_times.rs
@@ -13,6 +13,10 @@
 /// the host.
 const HALVED_FROM_PHASES: f64 = 64.0;
 
+/// Multiple of the mean that a slow phase counts for at most, where faults are forgotten soon: a target that was slow for
+/// seconds has short slow phases again afterwards.
+const COUNTED_MAX_FACTOR: f64 = 3.0;
+
 /// Time observed in phases of one kind, and how many of them ended.
 #[derive(Debug, Clone, Copy)]
 struct Observed {
@@ -51,11 +55,19 @@
 pub struct PhaseTimes {
     slow: Observed,
     quick: Observed,
+    has_fast_recovery: bool,
+    /// Time of the current slow phase that was counted, in µs.
+    counted_us: f64,
 }
 
 impl Default for PhaseTimes {
     fn default() -> Self {
-        Self { slow: Observed::initial(INITIAL_SLOW_US), quick: Observed::initial(INITIAL_QUICK_US) }
+        Self {
+            slow: Observed::initial(INITIAL_SLOW_US),
+            quick: Observed::initial(INITIAL_QUICK_US),
+            has_fast_recovery: false,
+            counted_us: 0.0,
+        }
     }
 }
 
@@ -65,8 +77,32 @@
         if gap_us > GAP_MAX_US {
             return;
         }
-        let observed = if was_slow { &mut self.slow } else { &mut self.quick };
-        observed.note(gap_us as f64, was_slow != is_slow);
+        let has_ended = was_slow != is_slow;
+        if was_slow {
+            let time_us = self.counted_slow_us(gap_us as f64, has_ended);
+            self.slow.note(time_us, has_ended);
+        } else {
+            self.counted_us = 0.0;
+            self.quick.note(gap_us as f64, has_ended);
+        }
+    }
+
+    /// Sets whether a slow phase as long as a fault counts little.
+    pub fn set_fast_recovery(&mut self, has_fast_recovery: bool) {
+        self.has_fast_recovery = has_fast_recovery;
+    }
+
+    /// Returns how much of `time_us` in a slow phase counts for the mean.
+    fn counted_slow_us(&mut self, time_us: f64, has_ended: bool) -> f64 {
+        if !self.has_fast_recovery {
+            return time_us;
+        }
+        // The mean of the ended phases, which the current one does not raise.
+        let ended_mean_us = (self.slow.time_us - self.counted_us) / self.slow.ends;
+        let left_us = (COUNTED_MAX_FACTOR * ended_mean_us - self.counted_us).max(0.0);
+        let counted_us = time_us.min(left_us);
+        self.counted_us = if has_ended { 0.0 } else { self.counted_us + counted_us };
+        counted_us
     }
 
     /// Returns the mean duration of a slow phase, in µs.
--- a/crates/laurelstall_guard/src/shed_recovery.rs
+++ b/crates/laurelstall_guard/src/shed_recovery.rs
@@ -11,7 +11,7 @@
 const RISE_MAX_US: u64 = 32_000_000;
 /// Time after the first refusal from which the target rather than a fault is taken to be the reason, in µs; faults
 /// last up to 8 s.
-const FAULT_MAX_US: u64 = 10_000_000;
+pub const FAULT_MAX_US: u64 = 10_000_000;
 /// Time after the return of the limit within which new refusals count as a recurrence, in µs.
 const RECURRENCE_US: u64 = 2_000_000;
 
--- a/crates/laurelstall_guard/src/target_speed.rs
+++ b/crates/laurelstall_guard/src/target_speed.rs
@@ -79,6 +79,11 @@
 }
 
 impl TargetSpeed {
+    /// Sets whether a slow phase as long as a fault counts little for the usual length of slow phases.
+    pub fn set_fast_recovery(&mut self, has_fast_recovery: bool) {
+        self.phases.set_fast_recovery(has_fast_recovery);
+    }
+
     /// Records the target's report of how long work takes, in percent of normal.
     pub fn note(&mut self, slowness_percent: u32, now_us: u64) {
         let accepted = slowness_percent.clamp(*ACCEPTED_PERCENT.start(), *ACCEPTED_PERCENT.end());
--- a/crates/laurelstall_guard/tests/refusal_causes.rs
+++ b/crates/laurelstall_guard/tests/refusal_causes.rs
@@ -185,6 +185,25 @@
     }
 }
 
+/// Guards against refusals that have a stated reason and are taken for those of a full target.
+#[tokio::test(start_paused = true)]
+async fn refusals_of_cold_limited_and_draining_targets_leave_the_limit() {
+    let states: [fn(&Guard); 3] = [
+        |guard| guard.note_cold(60_000, 1_000_000),
+        |guard| guard.note_stated_rate(100.0),
+        |guard| guard.set_draining(true),
+    ];
+    for set_state in states {
+        let scene = Scene::new(GuardLimits { cold_calls_per_s: 30, cold_start_ms: 60_000, ..LIMITS }, 1);
+        set_state(&scene.guard);
+        for _ in 0..20 {
+            assert!(!scene.guard.note_shed(RefusalKind::Answered, LIMIT));
+        }
+    }
+    let scene = Scene::new(LIMITS, 1);
+    assert!((0..20).any(|_| scene.guard.note_shed(RefusalKind::Answered, LIMIT)));
+}
+
 /// Guards against a change of behaviour with the switch off: refusals at random lower the limit to its floor, where it
 /// stays while no calls wait.
 #[tokio::test(start_paused = true)]
--- a/crates/laurelstall_guard/tests/shed_recovery.rs
+++ b/crates/laurelstall_guard/tests/shed_recovery.rs
@@ -3,7 +3,9 @@
 use laurelstall_guard::{
     adaptive_limit::AdaptiveLimit,
     refusal_causes::{RefusalCause, RefusalCauses},
+    target_speed::TargetSpeed,
 };
+use std::collections::BTreeMap;
 
 const SECOND_US: u64 = 1_000_000;
 
@@ -180,3 +182,65 @@
     assert!(starts_us.iter().all(|start_us| *start_us <= 19 * SECOND_US), "{starts_us:?}");
     assert!((0..40).all(|number| first_trial_us(false, number * 137) < 11 * SECOND_US));
 }
+
+/// Keeps a target saturated from `from_us` until `until_us`, whose runs take `run_us` µs with that many running calls.
+fn saturate(limit: &mut AdaptiveLimit, from_us: u64, until_us: u64, run_us: impl Fn(u32) -> u64) {
+    let mut running = BTreeMap::new();
+    let mut number = 0;
+    let mut now_us = from_us;
+    while now_us < until_us {
+        while running.len() < limit.limit() as usize {
+            let sample = limit.note_start(running.len() as u32 + 1);
+            number += 1;
+            let run_us = run_us(limit.limit()) * (80 + number * 7 % 41) / 100;
+            running.insert((now_us + run_us, number), (sample, run_us));
+        }
+        let ((end_us, _), (sample, run_us)) = running.pop_first().expect("something runs");
+        now_us = end_us;
+        limit.note_end(1, sample, Some(run_us as f64), now_us);
+    }
+}
+
+/// Guards against a limit that trials lowered while the target was slow, and that stays low afterwards.
+#[test]
+fn a_limit_lowered_by_trials_in_a_slow_time_is_back_within_two_seconds() {
+    for (has_fast_recovery, is_back) in [(true, true), (false, false)] {
+        let mut limit = AdaptiveLimit::new(12, 75, 25);
+        limit.set_fast_recovery(has_fast_recovery);
+        let usual = |_| 100_000;
+        let slow = |running: u32| if running > 9 { 700_000 } else { 250_000 };
+        saturate(&mut limit, SECOND_US, 20 * SECOND_US, usual);
+        let before = limit.settled();
+        let mut now_us = 20 * SECOND_US;
+        while limit.settled() >= before && now_us < 80 * SECOND_US {
+            saturate(&mut limit, now_us, now_us + 4 * SECOND_US, slow);
+            now_us += 4 * SECOND_US;
+        }
+        assert!(limit.settled() < before, "{} of {before}", limit.settled());
+        saturate(&mut limit, now_us, now_us + 2 * SECOND_US, usual);
+        assert_eq!(limit.settled() >= before, is_back, "{} of {before}", limit.settled());
+    }
+}
+
+/// Reports a slow phase of 150 ms in each 600 ms for `seconds`, and returns the usual length of a slow phase in µs.
+fn report_phases(speed: &mut TargetSpeed, from_us: u64, seconds: u64) -> f64 {
+    for at_us in (0..seconds * SECOND_US).step_by(20_000) {
+        let is_slow = at_us % 600_000 < 150_000;
+        speed.note(if is_slow { 500 } else { 100 }, from_us + at_us);
+    }
+    speed.forecast(from_us + seconds * SECOND_US).slow_left_us
+}
+
+/// Guards against calls that are not held, or are refused as slow, because slow phases were long during a fault.
+#[test]
+fn a_long_slow_phase_does_not_change_the_usual_length() {
+    for (has_fast_recovery, is_forgotten) in [(true, true), (false, false)] {
+        let mut speed = TargetSpeed::default();
+        speed.set_fast_recovery(has_fast_recovery);
+        let before_us = report_phases(&mut speed, SECOND_US, 6);
+        let fault_us = 7 * SECOND_US;
+        (0..400).for_each(|number| speed.note(500, fault_us + number * 20_000));
+        let after_us = report_phases(&mut speed, fault_us + 8 * SECOND_US, 2);
+        assert_eq!(after_us < 1.25 * before_us, is_forgotten, "{before_us} {after_us}");
+    }
+}
--- a/crates/laurelstall_node/src/counters.rs
+++ b/crates/laurelstall_node/src/counters.rs
@@ -65,6 +65,8 @@
     late_starts,
     /// Answers with which the local target shed a request because of overload.
     target_sheds,
+    /// Refusals by the local target that lowered its concurrency limit.
+    limit_reductions,
     /// Answers with which the local target refused a request that names another target.
     target_denials,
     /// Changes of the rate limit that the local target states in its answers.
--- a/crates/laurelstall_node/src/target_guard/forwarding.rs
+++ b/crates/laurelstall_node/src/target_guard/forwarding.rs
@@ -183,7 +183,7 @@
                 permit.release_uncounted();
                 watched_run.forget();
                 self.note_no_connection(&target).await;
-                self.guard.note_shed(RefusalKind::NoConnection, running);
+                self.note_shed(RefusalKind::NoConnection, running);
                 // The next instance to accept connections has just started.
                 self.guard.discard_cold_report();
                 refused(RefusalReason::NoConnection, None)
@@ -197,6 +197,15 @@
     }
 }
 
+impl Inner {
+    /// Records that the target refused a request that began with `running` calls.
+    pub(super) fn note_shed(&self, kind: RefusalKind, running: u32) {
+        if self.guard.note_shed(kind, running) {
+            count(&self.counters.limit_reductions);
+        }
+    }
+}
+
 /// Receives the body that the entry sends after admission; `None` when the entry or the connection to it is gone.
 async fn receive_body(body: BoxedBody) -> Option<Bytes> {
     match collect(body, ADMITTED_BODY_BYTES_MAX, ADMITTED_BODY_TIMEOUT).await {
--- a/crates/laurelstall_node/src/target_guard/responses.rs
+++ b/crates/laurelstall_node/src/target_guard/responses.rs
@@ -72,7 +72,7 @@
             watched_run.forget();
             if reason == RefusalReason::Shed {
                 count(&self.counters.target_sheds);
-                self.guard.note_shed(RefusalKind::Answered, running);
+                self.note_shed(RefusalKind::Answered, running);
             }
             if reason == RefusalReason::Replaced {
                 self.note_denied(&target);
