Calls: borrow retry tokens from other nodes

Cause: an entry whose own part of the retry budget is used up made no retry although other entries had no use for theirs.

Change: with limits.load.shared_retries a call that may want a retry and finds no whole token asks four nodes in turn for the rest, with the messages of quotas under a key name that no workspace has, and waits at most 8 ms. Nodes that did not answer are left out for 1 s, empty ones for 0.2 s. Counters retry_loans_asked and retry_loans.

--- a/crates/laurelstall_balance/src/lib.rs
+++ b/crates/laurelstall_balance/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod importance_tracker;
 pub mod least_cost;
 pub mod leaving_targets;
+pub mod lender_rotation;
 pub mod observe_budget;
 pub mod recent_count;
 pub mod service_balancer;
--- a/crates/laurelstall_node/src/call.rs
+++ b/crates/laurelstall_node/src/call.rs
@@ -31,6 +31,7 @@
 mod quarantine;
 mod retries;
 mod returns;
+mod shared_retries;
 mod target_choice;
 mod target_probes;
 
@@ -168,6 +169,9 @@
             };
             self.attempts += 1;
             let (destination, answer) = self.attempt(destination, body).await;
+            if self.may_want_retry(&answer) {
+                self.borrow_retry_token().await;
+            }
             match self.handle_answer(&destination, answer) {
                 NextAction::Retry => {}
                 NextAction::Finish(outcome) => return outcome,
--- a/crates/laurelstall_node/src/counters.rs
+++ b/crates/laurelstall_node/src/counters.rs
@@ -93,6 +93,10 @@
     returns_claimed,
     /// Calls that claimed a reserved place and were refused again.
     returns_refused_again,
+    /// Requests for retry tokens sent to other nodes.
+    retry_loans_asked,
+    /// Loans of retry tokens from other nodes.
+    retry_loans,
     /// Calls refused because they have no key and need one.
     keys_missing,
     /// Calls refused because no workspace has their key.
--- a/crates/laurelstall_node/src/lib.rs
+++ b/crates/laurelstall_node/src/lib.rs
@@ -25,6 +25,7 @@
 pub mod process;
 pub mod quotas;
 pub mod request_head;
+pub mod retry_loans;
 pub mod running_requests;
 pub mod services;
 pub mod target_guard;
--- a/crates/laurelstall_node/src/node.rs
+++ b/crates/laurelstall_node/src/node.rs
@@ -17,6 +17,7 @@
     observer::Observer,
     platform_http::HttpPlatform,
     quotas::{QuotaOptions, Quotas},
+    retry_loans::RetryLender,
     running_requests::RunningRequests,
     services::{ChooserFactory, NodeLocation, Services},
     target_guard::{TargetGuard, TargetGuardOptions, drained},
@@ -177,6 +178,7 @@
     active: Arc<ActiveConfig>,
     observer: Arc<Observer>,
     quotas: Arc<Quotas>,
+    retry_lender: RetryLender,
     seeds: Vec<SocketAddr>,
     takes_unlisted_peers: bool,
 }
@@ -211,7 +213,10 @@
                     self.replicator.crashes().merge_reports(&reports);
                     PeerAnswer::Noted
                 }
-                PeerRequest::TakeTokens(key, wanted) => self.quotas.answer_take_tokens(&key, wanted),
+                PeerRequest::TakeTokens(key, wanted) => {
+                    let lent = self.retry_lender.answer(&key, wanted);
+                    lent.unwrap_or_else(|| self.quotas.answer_take_tokens(&key, wanted))
+                }
                 PeerRequest::ReturnTokens(key, tokens) => self.quotas.answer_return_tokens(&key, tokens),
                 PeerRequest::CompareCrashes(reports) => self.replicator.answer_crashes(&reports),
                 PeerRequest::CompareCorrections(corrections) => {
@@ -332,6 +337,7 @@
             active: active.clone(),
             observer: observer.clone(),
             quotas: quotas.clone(),
+            retry_lender: RetryLender { clock, active: active.clone(), services: services.clone() },
             seeds: settings.seeds.clone(),
             takes_unlisted_peers: settings.node.takes_unlisted_peers,
         };
--- a/crates/laurelstall_node/src/services.rs
+++ b/crates/laurelstall_node/src/services.rs
@@ -2,8 +2,8 @@
 
 use crate::active_config::ConfigSnapshot;
 use laurelstall_balance::{
-    chooser::Chooser, leaving_targets::LeavingTargets, service_balancer::ServiceBalancer,
-    target_view::TargetView,
+    chooser::Chooser, leaving_targets::LeavingTargets, lender_rotation::LenderRotation,
+    service_balancer::ServiceBalancer, target_view::TargetView,
 };
 use laurelstall_config::{configuration::Configuration, team::Service};
 use laurelstall_guard::clock::Clock;
@@ -27,6 +27,8 @@
     /// Full name, `team/service`.
     pub name: String,
     balancer: Mutex<ServiceBalancer>,
+    /// Nodes to borrow retry tokens from.
+    lenders: Mutex<LenderRotation>,
     /// Places for the callers of refused calls.
     returns: Mutex<ReturnReservations>,
     /// Targets of all services that have stated that they are leaving; locked after `balancer`.
@@ -45,6 +47,11 @@
         self.balancer.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Locks the rotation of lenders; the lock must not be held across an `.await`.
+    pub fn lenders(&self) -> MutexGuard<'_, LenderRotation> {
+        self.lenders.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Locks the reservations for returns; the lock must not be held across an `.await`.
     pub fn returns(&self) -> MutexGuard<'_, ReturnReservations> {
         self.returns.lock().unwrap_or_else(PoisonError::into_inner)
@@ -182,6 +189,15 @@
         Some(state)
     }
 
+    /// Returns the service as [`Services::get`], without counting this as a call.
+    pub fn get_uncalled(&self, snapshot: &ConfigSnapshot, full_name: &str) -> Option<Arc<ServiceState>> {
+        let known = self.lock().get(full_name).cloned();
+        let used_at_us = known.map_or(0, |state| state.used_at_us.load(Ordering::Relaxed));
+        let state = self.get(snapshot, full_name)?;
+        state.used_at_us.store(used_at_us, Ordering::Relaxed);
+        Some(state)
+    }
+
     /// Returns the services called since `since_us`.
     pub fn used_since(&self, since_us: u64) -> Vec<Arc<ServiceState>> {
         let is_used = |state: &&Arc<ServiceState>| state.used_at_us.load(Ordering::Relaxed) >= since_us;
@@ -198,6 +214,7 @@
         Arc::new(ServiceState {
             name: full_name.to_owned(),
             balancer: Mutex::new(ServiceBalancer::new(service.limits, (self.chooser)(), seed)),
+            lenders: Mutex::new(LenderRotation::new(seed)),
             returns: Mutex::default(),
             leaving: self.leaving.clone(),
             addresses: Mutex::default(),
