--- a/crates/laurelstall_balance/tests/shared_retries.rs
+++ b/crates/laurelstall_balance/tests/shared_retries.rs
@@ -1,11 +1,18 @@
 //! Entry nodes that lend each other retry tokens use most of the bound on retries, and stay below it.
 
 use laurelstall_balance::{
+    attempt_budget::BudgetClass,
     least_cost::LeastCost,
+    lender_rotation::LenderRotation,
     service_balancer::{AttemptResult, ServiceBalancer},
+    shared_retry_budget::{LIFETIME_US, SharedRetryBudget, TokenLoan},
     target_view::TargetView,
 };
-use laurelstall_config::{load_control::LoadControl, team::ServiceLimits};
+use laurelstall_config::{
+    fleet::{Fleet as HostList, Host, HostState},
+    load_control::LoadControl,
+    team::ServiceLimits,
+};
 use rand::{RngExt, SeedableRng, rngs::SmallRng};
 
 const IMPORTANCE: u8 = 5;
@@ -170,3 +177,95 @@
         }
     }
 }
+
+const S_US: u64 = 1_000_000;
+
+/// A budget with a reserve of ten tokens that has saved what it can.
+fn saved_budget(now_us: u64) -> SharedRetryBudget {
+    let mut budget = SharedRetryBudget::new(10, 10.0);
+    budget.note_call(now_us - 10 * S_US);
+    budget.deposit(now_us - 10 * S_US);
+    budget
+}
+
+fn grants(budget: &mut SharedRetryBudget, now_us: u64) -> usize {
+    (0..20).filter(|_| budget.try_withdraw(BudgetClass::MostImportant, 0.0, now_us)).count()
+}
+
+/// Guards against tokens that were used before a restart and are there again after it.
+#[test]
+fn a_node_starts_without_tokens() {
+    let mut budget = SharedRetryBudget::new(10, 1_000.0);
+    assert_eq!(grants(&mut budget, 50 * S_US), 0);
+    assert!(grants(&mut budget, 51 * S_US) > 0, "the reserve is refilled from the first use on");
+}
+
+#[test]
+fn a_lender_loses_what_it_lends() {
+    let now_us = 20 * S_US;
+    let mut lender = saved_budget(now_us);
+    let kept = grants(&mut lender.clone(), now_us);
+    let loan = lender.lend(1.0, now_us);
+    assert_eq!(loan.tokens, 1.0);
+    assert_eq!(grants(&mut lender, now_us), kept - 1);
+}
+
+#[test]
+fn a_node_that_makes_retries_lends_only_what_it_cannot_use_itself() {
+    let now_us = 20 * S_US;
+    let mut lender = saved_budget(now_us);
+    assert!(lender.try_withdraw(BudgetClass::MostImportant, 0.0, now_us));
+    let loan = lender.lend(1.0, now_us);
+    assert!(loan.tokens < 1.0, "{loan:?}");
+    assert_eq!(grants(&mut lender, now_us), 1, "a whole token is left");
+}
+
+/// Guards against tokens that are saved by lending them on.
+#[test]
+fn lent_tokens_expire_wherever_they_are() {
+    let now_us = 20 * S_US;
+    let loan = saved_budget(now_us).lend(1.0, now_us);
+    let borrower = |loan: TokenLoan, asked_us: u64, at_us: u64| {
+        let mut budget = SharedRetryBudget::new(10, 0.0);
+        budget.add_loan(loan, asked_us, at_us);
+        budget
+    };
+    assert_eq!(grants(&mut borrower(loan, now_us, now_us), now_us + S_US / 2), 1);
+    assert_eq!(grants(&mut borrower(loan, now_us, now_us), now_us + LIFETIME_US), 0);
+    assert_eq!(
+        grants(&mut borrower(loan, now_us, now_us + LIFETIME_US), now_us + LIFETIME_US),
+        0,
+        "a late answer"
+    );
+    let later_us = now_us + S_US / 2;
+    let lent_on = borrower(loan, now_us, now_us).lend(1.0, later_us);
+    assert!(lent_on.tokens == 1.0 && lent_on.lifetime_us <= LIFETIME_US / 2, "{lent_on:?}");
+    assert_eq!(grants(&mut borrower(lent_on, later_us, later_us), now_us + LIFETIME_US), 0, "lent on");
+    let endless = TokenLoan { tokens: 1e9, lifetime_us: u64::MAX };
+    assert!(grants(&mut borrower(endless, now_us, now_us), now_us) <= 1, "one token was asked for");
+}
+
+#[test]
+fn lenders_are_asked_in_turn_and_left_out_for_a_while() {
+    let host = |number: u8, state: HostState| Host {
+        name: format!("h{number}"),
+        node_address: ([127, 0, 0, number], 7).into(),
+        data_centre: String::new(),
+        state,
+    };
+    let mut hosts = (0..5).map(|number| host(number, HostState::Live)).collect::<Vec<_>>();
+    hosts[4].state = HostState::Leaving;
+    let fleet = HostList { hosts, ..HostList::default() };
+    let mut rotation = LenderRotation::new(1);
+    let choose = |rotation: &mut LenderRotation, count: usize, now_us: u64| {
+        let chosen = rotation.choose(&fleet, "h0", count, now_us);
+        chosen.iter().map(|host| host.name.clone()).collect::<Vec<_>>()
+    };
+    assert_eq!(choose(&mut rotation, 2, S_US), ["h1", "h2"]);
+    assert_eq!(choose(&mut rotation, 2, S_US), ["h3", "h1"]);
+    rotation.note_empty("h2", S_US);
+    rotation.note_unreachable("h3", S_US);
+    assert_eq!(choose(&mut rotation, 9, S_US), ["h1"]);
+    assert_eq!(choose(&mut rotation, 9, S_US + S_US / 2).len(), 2, "the empty one has tokens again");
+    assert_eq!(choose(&mut rotation, 9, 3 * S_US).len(), 3);
+}
