--- a/crates/laurelstall_node/src/call.rs
+++ b/crates/laurelstall_node/src/call.rs
@@ -33,6 +33,7 @@
 mod quarantine;
 mod retries;
 mod returns;
+mod shared_retries;
 mod target_choice;
 mod target_probes;
 mod uploads;
@@ -182,6 +183,9 @@
             };
             self.attempts += 1;
             let (destination, answer) = self.attempt(destination, body).await;
+            if self.may_want_retry(&answer) {
+                self.borrow_retry_token().await;
+            }
             match self.handle_answer(&destination, answer) {
                 NextAction::Retry => {}
                 NextAction::Finish(outcome) => return outcome,
--- a/crates/laurelstall_node/src/counters.rs
+++ b/crates/laurelstall_node/src/counters.rs
@@ -103,6 +103,10 @@
     chain_refusals,
     /// Calls admitted although a service that their runs call fails, to notice its recovery.
     chain_trials,
+    /// Requests for retry tokens sent to other nodes.
+    retry_loans_asked,
+    /// Loans of retry tokens from other nodes.
+    retry_loans,
     /// Calls refused because they have no key and need one.
     keys_missing,
     /// Calls refused because no workspace has their key.
