--- a/crates/laurelstall_standin/src/harness_plan.rs
+++ b/crates/laurelstall_standin/src/harness_plan.rs
@@ -33,6 +33,9 @@
     pub data_centres: Vec<String>,
     /// Configured one-way network delay between data centres in µs.
     pub one_way_us: u64,
+    /// Bandwidth of each host's link in Mbit/s, as in the node's settings; 0 if unknown. The links of the harness are not
+    /// slower because of it.
+    pub link_mbps: f64,
     /// Delay in ms before a target serves an accepted connection.
     pub accept_delay_ms: u64,
     /// Routing program of the team.
@@ -88,6 +91,7 @@
             services: names.iter().take(services).map(service).collect(),
             data_centres: (1..=3).map(|number| format!("{prefix}-{number}")).collect(),
             one_way_us,
+            link_mbps: 0.0,
             accept_delay_ms: 1,
             program: PROGRAM.to_owned(),
             observe: ObserveLimits::default(),
