Stalled bodies and idle links close no link for other calls

A reader that stops left its body's remaining bytes in the count of what goes ahead, so that large calls were refused on an idle link; a call whose objective had passed was refused although nothing waited. Bodies that request no piece for 100 ms no longer count, and a call is admitted while nothing is ahead. The pacer locks its state once for each piece.

Measured: tests of laurelstall_link (16) and laurelstall_node (16) passed.

--- a/crates/laurelstall_link/src/link_admission.rs
+++ b/crates/laurelstall_link/src/link_admission.rs
@@ -125,9 +125,11 @@
             return Err(LinkRefusal { retry_after_us: HELD_RETRY_US });
         }
         let expected = self.expected.range(call.importance..).map(|(_, bytes)| bytes).sum::<u64>();
+        let ahead = link.bytes_ahead(call.importance, now_us) + expected;
         let own_us = link.send_us(bytes);
-        let sent_us = link.send_us(link.bytes_ahead(call.importance) + expected) + own_us;
-        if sent_us <= call.useful_us {
+        let sent_us = link.send_us(ahead) + own_us;
+        // On an idle link, a late answer delays nobody.
+        if ahead == 0 || sent_us <= call.useful_us {
             return Ok(());
         }
         let wait_us = (sent_us - call.useful_us).min(RETRY_MAX_US);
--- a/crates/laurelstall_link/src/link_scheduler.rs
+++ b/crates/laurelstall_link/src/link_scheduler.rs
@@ -28,6 +28,9 @@
 /// Longest time in µs for which bodies wait for bytes that are counted but did not wait themselves. It bounds the effect
 /// of a setting that is below the real bandwidth.
 const UNPACED_BACKLOG_US: f64 = 100_000.0;
+/// Time in µs without a request after which a body is taken to be stalled by its reader or its source. Bodies that are read
+/// request their next piece within a few ms of the last one.
+const STALLED_US: u64 = 100_000;
 /// Size in bytes of the remainder of a body in the lowest size class; each further class is twice as large.
 const SIZE_CLASS_BYTES: u64 = 16 * 1024;
 
@@ -53,6 +56,8 @@
     remaining_bytes: u64,
     sent_bytes: u64,
     is_size_known: bool,
+    /// When the body was opened or last handed a piece over.
+    active_us: u64,
     /// Start tag of the flow's next piece.
     next_tag: u64,
     /// The piece that waits: its rank and its size in bytes.
@@ -108,7 +113,7 @@
 
     /// Adds a body of this size, which has yet to be sent. Of a body of unknown size as much is expected to remain as
     /// was sent.
-    pub fn open(&mut self, importance: u8, size_bytes: Option<u64>) -> FlowId {
+    pub fn open(&mut self, importance: u8, size_bytes: Option<u64>, now_us: u64) -> FlowId {
         self.opened += 1;
         let id = FlowId(self.opened);
         let flow = Flow {
@@ -116,6 +121,7 @@
             remaining_bytes: size_bytes.unwrap_or(0),
             sent_bytes: 0,
             is_size_known: size_bytes.is_some(),
+            active_us: now_us,
             next_tag: self.virtual_bytes,
             waiting: None,
         };
@@ -148,6 +154,7 @@
         let (_, piece_bytes) = flow.waiting.take()?;
         flow.remaining_bytes = flow.remaining_bytes.saturating_sub(piece_bytes);
         flow.sent_bytes += piece_bytes;
+        flow.active_us = now_us;
         flow.next_tag = rank.start_tag + piece_bytes;
         self.virtual_bytes = self.virtual_bytes.max(rank.start_tag);
         let starts_us = self.busy_until_us.max(now_us as f64 - CATCH_UP_US);
@@ -191,9 +198,11 @@
         self.flows.values().map(|flow| flow.remaining_bytes).sum()
     }
 
-    /// Number of bytes that are sent before a new body of this importance, if all bodies continue.
-    pub fn bytes_ahead(&self, importance: u8) -> u64 {
-        let ahead = self.flows.values().filter(|flow| flow.importance >= importance);
+    /// Number of bytes that are sent before a new body of this importance. Stalled bodies do not count.
+    pub fn bytes_ahead(&self, importance: u8, now_us: u64) -> u64 {
+        let is_active =
+            |flow: &Flow| flow.waiting.is_some() || now_us.saturating_sub(flow.active_us) < STALLED_US;
+        let ahead = self.flows.values().filter(|flow| flow.importance >= importance && is_active(flow));
         ahead.map(|flow| flow.remaining_bytes).sum()
     }
 }
--- a/crates/laurelstall_link/tests/link_admission.rs
+++ b/crates/laurelstall_link/tests/link_admission.rs
@@ -88,17 +88,39 @@
     admission.end(admitted);
     let again = admission.admit_answer(&call(LARGE), &link, false, 0).expect("the room of the ended call");
     admission.end(again);
-    let body = link.open(3, Some(LARGE_BYTES));
+    let body = link.open(3, Some(LARGE_BYTES), 0);
     assert!(admission.admit_answer(&call(LARGE), &link, false, 0).is_err());
     link.close(body);
     assert!(admission.admit_answer(&call(LARGE), &link, false, 0).is_ok());
 }
 
+/// Guards against readers that stop and keep the link closed for others.
+#[test]
+fn stalled_bodies_do_not_count() {
+    let (mut admission, mut link) = (admission(), link());
+    let body = link.open(3, Some(2_000_000), 0);
+    assert!(admission.admit_answer(&call(LARGE), &link, false, 0).is_err());
+    assert!(admission.admit_answer(&call(LARGE), &link, false, 1_000_000).is_ok());
+    link.request(body, 4_096, 1_000_000);
+    assert!(admission.admit_answer(&call(LARGE), &link, false, 1_000_000).is_err());
+}
+
+/// Guards against refusals on an idle link, where a late answer delays nobody.
+#[test]
+fn an_idle_link_takes_calls_whose_answers_are_late() {
+    let (mut admission, link) = (admission(), link());
+    let late = LinkCall { useful_us: 0, ..call(LARGE) };
+    let admitted = admission.admit_answer(&late, &link, false, 0).expect("an idle link");
+    assert!(admission.admit_answer(&late, &link, false, 0).is_err());
+    admission.end(admitted);
+    assert!(admission.admit_answer(&late, &link, false, 0).is_ok());
+}
+
 /// Guards against uploads that are sent although they cannot arrive in time.
 #[test]
 fn uploads_are_admitted_by_their_size() {
     let (mut admission, mut link) = (LinkAdmission::default(), link());
-    link.open(3, Some(2_000_000));
+    link.open(3, Some(2_000_000), 0);
     assert!(admission.admit_upload(&call(UNKNOWN), 60_000, &link, false, 0).is_err());
     assert!(admission.admit_upload(&call(UNKNOWN), 4_000, &link, false, 0).is_ok());
 }
--- a/crates/laurelstall_link/tests/link_scheduler.rs
+++ b/crates/laurelstall_link/tests/link_scheduler.rs
@@ -37,9 +37,9 @@
 #[test]
 fn important_bodies_go_first_and_then_small_ones() {
     let mut link = LinkScheduler::new(MBPS);
-    let large = link.open(3, Some(90_000));
-    let small = link.open(3, Some(20_000));
-    let important = link.open(9, Some(200_000));
+    let large = link.open(3, Some(90_000), 0);
+    let small = link.open(3, Some(20_000), 0);
+    let important = link.open(9, Some(200_000), 0);
     assert_eq!(order(&mut link, &[large, small, important]), [important, small, large]);
 }
 
@@ -47,9 +47,9 @@
 #[test]
 fn a_body_of_unknown_size_counts_as_large_as_what_was_sent_of_it() {
     let mut link = LinkScheduler::new(MBPS);
-    let unknown = link.open(3, None);
+    let unknown = link.open(3, None, 0);
     run(&mut link, &[unknown], 1_000_000, 1_000);
-    let nearly_sent = link.open(3, Some(30_000));
+    let nearly_sent = link.open(3, Some(30_000), 0);
     assert_eq!(order(&mut link, &[unknown, nearly_sent]), [nearly_sent, unknown]);
 }
 
@@ -57,7 +57,7 @@
 #[test]
 fn bodies_of_the_same_size_share_the_link() {
     let mut link = LinkScheduler::new(MBPS);
-    let flows = [(); 4].map(|()| link.open(3, Some(10_000_000)));
+    let flows = [(); 4].map(|()| link.open(3, Some(10_000_000), 0));
     let sent = run(&mut link, &flows, 1_000_000, 1_000);
     let (least, most) = (sent.iter().min().copied(), sent.iter().max().copied());
     assert!(most.unwrap_or(0) - least.unwrap_or(0) <= PIECE_BYTES, "{sent:?}");
@@ -68,7 +68,7 @@
 fn the_rate_is_slightly_below_that_of_the_link() {
     for tick_us in [100, 1_000, 10_000, 20_000] {
         let mut link = LinkScheduler::new(MBPS);
-        let flow = link.open(3, Some(u64::MAX / 2));
+        let flow = link.open(3, Some(u64::MAX / 2), 0);
         let bytes = run(&mut link, &[flow], 10_000_000, tick_us)[0];
         let share = bytes as f64 * 8.0 / 10.0 / (MBPS * 1e6);
         assert!((0.93..=0.96).contains(&share), "{share} of the bandwidth with a wake-up every {tick_us} us");
@@ -79,7 +79,7 @@
 #[test]
 fn an_idle_link_sends_no_burst() {
     let mut link = LinkScheduler::new(MBPS);
-    let flow = link.open(3, Some(1_000_000));
+    let flow = link.open(3, Some(1_000_000), 0);
     let mut pieces = 0;
     link.request(flow, PIECE_BYTES, 10_000_000);
     while link.grant_next(10_000_000).is_some() {
@@ -93,7 +93,7 @@
 #[test]
 fn bodies_leave_the_link_to_small_answers() {
     let mut link = LinkScheduler::new(MBPS);
-    let flow = link.open(3, Some(u64::MAX / 2));
+    let flow = link.open(3, Some(u64::MAX / 2), 0);
     let mut paced = 0;
     link.request(flow, PIECE_BYTES, 0);
     for now_us in (0..10_000_000).step_by(1_000) {
@@ -113,7 +113,7 @@
 fn a_flood_of_small_answers_delays_bodies_for_a_bounded_time() {
     let mut link = LinkScheduler::new(MBPS);
     link.count_unpaced(100_000_000, 0);
-    let flow = link.open(3, Some(100_000));
+    let flow = link.open(3, Some(100_000), 0);
     link.request(flow, PIECE_BYTES, 0);
     assert!(link.next_grant_us().is_some_and(|at_us| at_us <= 100_000));
 }
@@ -126,7 +126,11 @@
     let mut open = Vec::new();
     for now_us in (0..2_000_000).step_by(500) {
         match random.random_range(0..4) {
-            0 => open.push(link.open(random.random_range(0..10), Some(random.random_range(0..200_000)))),
+            0 => open.push(link.open(
+                random.random_range(0..10),
+                Some(random.random_range(0..200_000)),
+                now_us,
+            )),
             1 if !open.is_empty() => link.close(open.swap_remove(random.random_range(0..open.len()))),
             _ if !open.is_empty() => {
                 link.request(open[random.random_range(0..open.len())], PIECE_BYTES, now_us);
--- a/crates/laurelstall_node/src/link_pacer.rs
+++ b/crates/laurelstall_node/src/link_pacer.rs
@@ -47,6 +47,37 @@
     }
 }
 
+impl State {
+    /// Requests a piece, unless the body has already requested one.
+    fn request(&mut self, flow: FlowId, bytes: u64, waker: &Waker, now_us: u64) {
+        match self.turns.get_mut(&flow) {
+            Some(Turn::Granted) => {}
+            Some(Turn::Waiting(known)) => known.clone_from(waker),
+            None => {
+                self.scheduler.request(flow, bytes, now_us);
+                self.turns.insert(flow, Turn::Waiting(waker.clone()));
+            }
+        }
+    }
+
+    /// Hands the link to waiting pieces as long as it is free, and returns their bodies with their wakers.
+    fn grant(&mut self, now_us: u64) -> Vec<(FlowId, Waker)> {
+        let mut granted = Vec::new();
+        while let Some(flow) = self.scheduler.grant_next(now_us) {
+            if let Some(Turn::Waiting(waker)) = self.turns.insert(flow, Turn::Granted) {
+                granted.push((flow, waker));
+            }
+        }
+        granted
+    }
+}
+
+/// Wakes bodies, except the one that is being polled.
+fn wake(granted: Vec<(FlowId, Waker)>, polled: Option<FlowId>) {
+    let others = granted.into_iter().filter(|(flow, _)| Some(*flow) != polled);
+    others.for_each(|(_, waker)| waker.wake());
+}
+
 /// The state of a requested piece.
 enum Turn {
     /// The piece waits; its body is woken by the waker.
@@ -79,8 +110,11 @@
     /// Hands the link to waiting pieces when it becomes free. Runs until dropped.
     pub async fn run(&self) {
         loop {
-            self.grant_waiting();
-            let next_us = self.lock().scheduler.next_grant_us();
+            let (granted, next_us) = {
+                let mut state = self.lock();
+                (state.grant(self.clock.now_us()), state.scheduler.next_grant_us())
+            };
+            wake(granted, None);
             match next_us {
                 Some(at_us) => sleep_until(self.clock.instant_of(at_us)).await,
                 None => self.piece_waits.notified().await,
@@ -116,7 +150,7 @@
 
     /// Adds a body, whose size may be unknown.
     pub(crate) fn open(&self, importance: u8, size_bytes: Option<u64>) -> FlowId {
-        self.lock().scheduler.open(importance, size_bytes)
+        self.lock().scheduler.open(importance, size_bytes, self.clock.now_us())
     }
 
     /// Removes a body.
@@ -128,25 +162,20 @@
 
     /// Waits until a piece of this size of a body may be sent.
     pub(crate) fn poll_piece(&self, flow: FlowId, bytes: u64, cx: &Context<'_>) -> Poll<()> {
-        {
-            let mut state = self.lock();
-            match state.turns.get_mut(&flow) {
-                Some(Turn::Granted) => {}
-                Some(Turn::Waiting(waker)) => waker.clone_from(cx.waker()),
-                None => {
-                    state.scheduler.request(flow, bytes, self.clock.now_us());
-                    state.turns.insert(flow, Turn::Waiting(cx.waker().clone()));
-                }
-            }
-        }
-        self.grant_waiting();
         let mut state = self.lock();
-        if !matches!(state.turns.get(&flow), Some(Turn::Granted)) {
-            drop(state);
+        let now_us = self.clock.now_us();
+        state.request(flow, bytes, cx.waker(), now_us);
+        let granted = state.grant(now_us);
+        let is_granted = matches!(state.turns.get(&flow), Some(Turn::Granted));
+        if is_granted {
+            state.turns.remove(&flow);
+        }
+        drop(state);
+        wake(granted, Some(flow));
+        if !is_granted {
             self.piece_waits.notify_one();
             return Poll::Pending;
         }
-        state.turns.remove(&flow);
         self.counters.link_bytes.fetch_add(bytes, Ordering::Relaxed);
         Poll::Ready(())
     }
@@ -203,21 +232,6 @@
         Refusal::new(RefusalReason::Busy).with_retry_after_ms(retry_after_ms)
     }
 
-    /// Hands the link to waiting pieces as long as it is free, and wakes their bodies.
-    fn grant_waiting(&self) {
-        let mut wakers = Vec::new();
-        {
-            let mut state = self.lock();
-            let now_us = self.clock.now_us();
-            while let Some(flow) = state.scheduler.grant_next(now_us) {
-                if let Some(Turn::Waiting(waker)) = state.turns.insert(flow, Turn::Granted) {
-                    wakers.push(waker);
-                }
-            }
-        }
-        wakers.into_iter().for_each(Waker::wake);
-    }
-
     fn lock(&self) -> MutexGuard<'_, State> {
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
