--- a/crates/laurelstall_link/src/link_scheduler.rs
+++ b/crates/laurelstall_link/src/link_scheduler.rs
@@ -198,10 +198,13 @@
         self.flows.values().map(|flow| flow.remaining_bytes).sum()
     }
 
-    /// Number of bytes that are sent before a new body of this importance. Stalled bodies do not count.
+    /// Number of bytes that are sent before a new body of this importance. Stalled bodies do not count; those that have
+    /// not begun do, because uploads wait for their slot first.
     pub fn bytes_ahead(&self, importance: u8, now_us: u64) -> u64 {
-        let is_active =
-            |flow: &Flow| flow.waiting.is_some() || now_us.saturating_sub(flow.active_us) < STALLED_US;
+        let is_active = |flow: &Flow| {
+            let is_recent = now_us.saturating_sub(flow.active_us) < STALLED_US;
+            flow.waiting.is_some() || flow.sent_bytes == 0 || is_recent
+        };
         let ahead = self.flows.values().filter(|flow| flow.importance >= importance && is_active(flow));
         ahead.map(|flow| flow.remaining_bytes).sum()
     }
--- a/crates/laurelstall_link/tests/link_admission.rs
+++ b/crates/laurelstall_link/tests/link_admission.rs
@@ -99,10 +99,13 @@
 fn stalled_bodies_do_not_count() {
     let (mut admission, mut link) = (admission(), link());
     let body = link.open(3, Some(2_000_000), 0);
-    assert!(admission.admit_answer(&call(LARGE), &link, false, 0).is_err());
-    assert!(admission.admit_answer(&call(LARGE), &link, false, 1_000_000).is_ok());
+    assert!(admission.admit_answer(&call(LARGE), &link, false, 1_000_000).is_err(), "not yet begun");
     link.request(body, 4_096, 1_000_000);
-    assert!(admission.admit_answer(&call(LARGE), &link, false, 1_000_000).is_err());
+    link.grant_next(1_000_000).expect("an idle link");
+    assert!(admission.admit_answer(&call(LARGE), &link, false, 1_000_000).is_err(), "sending");
+    assert!(admission.admit_answer(&call(LARGE), &link, false, 2_000_000).is_ok(), "stalled");
+    link.request(body, 4_096, 2_000_000);
+    assert!(admission.admit_answer(&call(LARGE), &link, false, 2_000_000).is_err(), "sending again");
 }
 
 /// Guards against refusals on an idle link, where a late answer delays nobody.
--- a/crates/laurelstall_node/tests/paced_bodies.rs
+++ b/crates/laurelstall_node/tests/paced_bodies.rs
@@ -5,6 +5,7 @@
 use http_body::{Body, Frame};
 use http_body_util::{BodyExt, StreamBody};
 use laurelstall_guard::clock::Clock;
+use laurelstall_link::held_bytes::HELD_BYTES_MAX;
 use laurelstall_node::{
     body::full_body,
     counters::Counters,
@@ -163,3 +164,32 @@
     body.frame().await.expect("a piece").expect("no error");
     assert_eq!(read.load(Ordering::Relaxed), 9);
 }
+
+/// Guards against memory that grows with the number of readers that stop.
+#[tokio::test(start_paused = true)]
+async fn readers_that_stop_hold_bounded_memory() {
+    const BODIES: u64 = 300;
+    const FRAME_BYTES: u64 = 10_000;
+    let link = TestLink::start();
+    let data = content(FRAME_BYTES as usize);
+    let endless = || {
+        futures_util::stream::repeat_with({
+            let data = data.clone();
+            move || Ok::<_, BodyError>(Frame::data(data.clone()))
+        })
+    };
+    let mut bodies = Vec::new();
+    for _ in 0..BODIES {
+        let mut body = link.pace(StreamBody::new(endless()).boxed_unsync());
+        body.frame().await.expect("an endless body").expect("no error");
+        bodies.push(body);
+    }
+    let held = link.pacer.held_bytes();
+    assert!((HELD_BYTES_MAX..=HELD_BYTES_MAX + BODIES * FRAME_BYTES).contains(&held), "{held} bytes");
+    // All continue when their readers do.
+    for body in &mut bodies {
+        body.frame().await.expect("an endless body").expect("no error");
+    }
+    drop(bodies);
+    link.assert_is_idle();
+}
--- a/crates/laurelstall_standin/tests/links.rs
+++ b/crates/laurelstall_standin/tests/links.rs
@@ -83,6 +83,32 @@
     assert!(harness.counter_total("link_refusals") >= refused.len() as u64);
 }
 
+/// Guards against uploads that wait for the link until their slot or their deadline is lost. Calls that must not be repeated
+/// send their body after a slot is reserved for them.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn uploads_beyond_the_link_are_refused_early() {
+    let harness = start_with_link(LINK_MBPS, true).await;
+    let body = (0..60_000).map(pattern_byte).collect::<Bytes>();
+    let call = || async {
+        let started = Instant::now();
+        let headers = [("laurelstall-budget-ms", "1000")];
+        let sent =
+            send_request(entry(&harness, 0), Method::POST, "/market-board/x", &headers, body.clone()).await;
+        (sent.expect("a complete answer"), started.elapsed())
+    };
+    assert_eq!(call().await.0.status, StatusCode::OK);
+    // 60 uploads need 2.2 s of the link.
+    let answers = join_all((0..60).map(|_| call())).await;
+    let (answered, refused) =
+        answers.iter().partition::<Vec<_>, _>(|(answer, _)| answer.status == StatusCode::OK);
+    assert!(answered.len() >= 10, "{} answered", answered.len());
+    assert!(answered.iter().all(|(answer, _)| answer.body == body));
+    for (answer, took) in &refused {
+        assert_eq!(answer.header("laurelstall-reason"), "busy");
+        assert!(*took < Duration::from_millis(250), "{took:?}");
+    }
+}
+
 /// Guards against effects of the bandwidth while the service does not use it, and of the service without a bandwidth.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn without_bandwidth_or_switch_nothing_is_paced_or_counted() {
