Returns without a place have the lowest level of their importance

Cause: returns were recognised by their time budget, which fails where callers' budgets differ: of the returns in an overload nearly none was recognised. They drew a new bucket, so in an overload about half of the admitted calls were returns, whose answers are late for their callers, while first attempts were refused.

A return without a place ranks behind first attempts and has the lowest level of its importance.

Tests of laurelstall_overload pass; the effect is not measured yet.

--- a/crates/laurelstall_node/src/call/returns.rs
+++ b/crates/laurelstall_node/src/call/returns.rs
@@ -13,16 +13,28 @@
 
 impl Call<'_> {
     /// Claims the place that was reserved for this call when an earlier one with the same digest was refused.
+    ///
+    /// A return without a place gets the lowest level of its importance: during an overload the answer to a first
+    /// attempt can still meet the latency objective, and that to a return cannot.
     pub(super) fn claim_reservation(&mut self) {
         if !self.uses_reservations() {
             return;
         }
         let now_us = self.context.clock.now_us();
-        self.is_reserved = self.service.returns().claim(self.request.digest.whole, now_us);
+        let digest = self.request.digest.whole;
+        let is_return = {
+            let mut returns = self.service.returns();
+            self.is_reserved = returns.claim(digest, now_us);
+            returns.is_return(digest, now_us)
+        };
         if self.is_reserved {
             // A bucket drawn anew could be below the threshold that the place was reserved for.
-            self.request.level = self.request.level.first_of_importance();
+            self.request.level = self.request.level.highest_of_importance();
             count(&self.context.counters.returns_claimed);
+        } else if is_return {
+            self.request.is_caller_retry = true;
+            self.request.level = self.request.level.lowest_of_importance();
+            count(&self.context.counters.returns_unplaced);
         }
     }
 
@@ -53,7 +65,12 @@
         }
         let now_us = self.context.clock.now_us();
         let call = self.refused_call(refusal, now_us);
-        let Some(time) = self.service.returns().reserve(&call, now_us) else { return refusal };
+        let time = {
+            let mut returns = self.service.returns();
+            returns.note_refused(call.digest, now_us);
+            returns.reserve(&call, now_us)
+        };
+        let Some(time) = time else { return refusal };
         let ReturnTime { at_us, is_reserved } = time;
         let counters = &self.context.counters;
         count(if is_reserved { &counters.returns_reserved } else { &counters.returns_without_place });
--- a/crates/laurelstall_node/src/counters.rs
+++ b/crates/laurelstall_node/src/counters.rs
@@ -97,6 +97,8 @@
     returns_without_place,
     /// Calls that claimed a reserved place.
     returns_claimed,
+    /// Calls that were refused shortly before and returned without a place.
+    returns_unplaced,
     /// Calls that claimed a reserved place and were refused again.
     returns_refused_again,
     /// Calls refused by this node's guard because a service that their runs call fails.
--- a/crates/laurelstall_overload/src/call_level.rs
+++ b/crates/laurelstall_overload/src/call_level.rs
@@ -37,10 +37,15 @@
     }
 
     /// Returns the highest level of the same importance.
-    pub fn first_of_importance(self) -> Self {
+    pub fn highest_of_importance(self) -> Self {
         Self { bucket: BUCKETS - 1, ..self }
     }
 
+    /// Returns the lowest level of the same importance.
+    pub fn lowest_of_importance(self) -> Self {
+        Self { bucket: 0, ..self }
+    }
+
     /// Returns the position among all levels, for metrics: the importance times [`BUCKETS`], plus the bucket.
     pub fn ordinal(self) -> u64 {
         u64::from(self.importance) * u64::from(BUCKETS) + u64::from(self.bucket)
--- a/crates/laurelstall_overload/src/lib.rs
+++ b/crates/laurelstall_overload/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod call_level;
 pub mod overload_control;
 pub mod overload_detector;
+pub mod refused_requests;
 pub mod retry_schedule;
 pub mod return_reservations;
 pub mod run_times;
--- a/crates/laurelstall_overload/src/return_reservations.rs
+++ b/crates/laurelstall_overload/src/return_reservations.rs
@@ -1,5 +1,6 @@
 //! Reservations for the returns of refused callers.
 
+use crate::refused_requests::RefusedRequests;
 use std::collections::{BTreeMap, HashMap};
 
 /// Share of the recent answers that returns may claim. The rest is for first attempts, which have their whole latency
@@ -66,6 +67,7 @@
     places: BTreeMap<u64, u64>,
     /// Times of the places that are not claimed yet, by digest.
     unclaimed: HashMap<u64, u64>,
+    refused: RefusedRequests,
 }
 
 impl ReturnReservations {
@@ -75,6 +77,16 @@
         self.answers.entry(importance).or_default().note(now_us);
     }
 
+    /// Records that a request was refused.
+    pub fn note_refused(&mut self, digest: u64, now_us: u64) {
+        self.refused.note(digest, now_us);
+    }
+
+    /// Returns whether a request was refused recently, so that it is now a return.
+    pub fn is_return(&self, digest: u64, now_us: u64) -> bool {
+        self.refused.contains(digest, now_us)
+    }
+
     /// Returns when the caller of a refused call should return, and reserves this place for it if the caller waits
     /// until then. `None` while it is unknown how much the service answers.
     pub fn reserve(&mut self, call: &RefusedCall, now_us: u64) -> Option<ReturnTime> {
