Guard: the previous limit outlasts a time without answers

Cause: a refusal that came long after the last one, with no answer between, took the lowered limit for the usual one. A trial that confirms a lower limit could start although the limit had been raised or lowered again since.

Change: the previous limit is kept until the limit has returned to it, and such a trial starts only for a higher limit.

--- a/crates/laurelstall_guard/src/adaptive_limit.rs
+++ b/crates/laurelstall_guard/src/adaptive_limit.rs
@@ -262,6 +262,7 @@
         if running > self.limit {
             return;
         }
+        self.unconfirmed = None;
         let before = self.limit;
         self.note_shed();
         self.recovery.note_lowered(before, self.limit, now_us);
@@ -317,7 +318,7 @@
         if self.trial.is_some() || !is_known || has_to_wait {
             return;
         }
-        if let Some(limit) = self.unconfirmed.take() {
+        if let Some(limit) = self.unconfirmed.take().filter(|limit| *limit > self.limit) {
             self.start_trial(None, limit, now_us);
             return;
         }
@@ -418,6 +419,7 @@
     /// Returns to the limit from before a time in which the target was slow, and discards the results of its trials.
     fn forget_trials(&mut self, now_us: u64) {
         self.backoffs = Default::default();
+        self.unconfirmed = None;
         let before = self.before_trials.take();
         if let Some((limit, _)) = before.filter(|(_, since_us)| now_us < since_us + FAULT_MAX_US) {
             self.replace_limit(limit.max(self.limit));
--- a/crates/laurelstall_guard/src/shed_recovery.rs
+++ b/crates/laurelstall_guard/src/shed_recovery.rs
@@ -39,7 +39,9 @@
     pub fn note_lowered(&mut self, before: u32, lowered: u32, now_us: u64) {
         let forgotten_us = self.last_us + self.rise_us + self.rise_us.max(RECURRENCE_US);
         if self.previous == 0 || now_us > forgotten_us {
-            *self = Self { previous: before, first_us: now_us, rise_us: RISE_FIRST_US, ..Self::default() };
+            // A target that gave no answer since has not returned to the previous limit.
+            let previous = if self.is_pending(before) { self.previous } else { before };
+            *self = Self { previous, first_us: now_us, rise_us: RISE_FIRST_US, ..Self::default() };
         } else if self.has_risen {
             let is_fault = now_us < self.first_us + FAULT_MAX_US;
             let rise_max_us = if is_fault { RISE_FAULT_MAX_US } else { RISE_MAX_US };
--- a/crates/laurelstall_guard/tests/shed_recovery.rs
+++ b/crates/laurelstall_guard/tests/shed_recovery.rs
@@ -139,6 +139,15 @@
     assert_eq!(limit.limit(), 9);
 }
 
+/// Guards against a low limit that is taken for the usual one after a long time without answers.
+#[test]
+fn the_previous_limit_outlasts_a_time_without_answers() {
+    let mut limit = limit_lowered_at(&[SECOND_US, SECOND_US + 1, SECOND_US + 2]);
+    limit.note_shed_for_now(limit.limit(), 60 * SECOND_US);
+    limit.recover(true, 62 * SECOND_US);
+    assert_eq!(limit.limit(), 9);
+}
+
 /// Guards against refusals of calls from before a step that lower the limit again.
 #[test]
 fn refusals_of_calls_that_began_above_the_limit_do_not_count_twice() {
