Guard: resets by a full target lower the concurrency limit

Cause: some targets reset the connection of a request for which they have no room. Such resets were no refusals, so the limit stayed above what these targets take.

Change: with limits.load.refusal_causes a connection that breaks before the answer counts as a refusal, but lowers the limit only if resets depend on the number of running calls; a target that ends with all its connections doesn't lower it. With the switch off nothing changes.

--- a/crates/laurelstall_guard/src/guard.rs
+++ b/crates/laurelstall_guard/src/guard.rs
@@ -178,7 +178,8 @@
         }
     }
 
-    /// Records that the target refused a request that began with `running` calls; returns whether this lowered the limit.
+    /// Records that the target refused or reset a request that began with `running` calls; returns whether this lowered
+    /// the limit.
     pub fn note_shed(&self, kind: RefusalKind, running: u32) -> bool {
         let now_us = self.clock.now_us();
         let is_draining = self.is_draining();
--- a/crates/laurelstall_guard/src/guard/sheds.rs
+++ b/crates/laurelstall_guard/src/guard/sheds.rs
@@ -15,7 +15,9 @@
     ) -> bool {
         let before = self.limit.settled();
         if !self.limits.has_refusal_causes {
-            self.limit.note_shed();
+            if kind != RefusalKind::Reset {
+                self.limit.note_shed();
+            }
         } else if !is_draining && self.is_for_concurrency(kind, running, now_us) {
             self.limit.note_shed_for_now(running, now_us);
         }
@@ -30,7 +32,7 @@
         match self.causes.note_refusal(running, now_us) {
             RefusalCause::Concurrency => true,
             RefusalCause::Other => false,
-            RefusalCause::Unknown { .. } if kind == RefusalKind::NoConnection => false,
+            RefusalCause::Unknown { .. } if kind != RefusalKind::Answered => false,
             // One step below the previous limit shows whether fewer running calls are refused less often.
             RefusalCause::Unknown { is_nearly_all } => {
                 running >= self.limit.limit() && (is_nearly_all || !self.limit.is_recovering())
--- a/crates/laurelstall_guard/src/refusal_causes.rs
+++ b/crates/laurelstall_guard/src/refusal_causes.rs
@@ -20,6 +20,9 @@
     Answered,
     /// It accepted no connection. It may be down, so this counts only if it depends on the running calls.
     NoConnection,
+    /// It broke the connection before its answer, as some targets do when they are full. The request may have run, so
+    /// this also counts only if it depends on the running calls.
+    Reset,
 }
 
 /// What a refusal says about the concurrency limit.
--- a/crates/laurelstall_guard/tests/metastable_overload.rs
+++ b/crates/laurelstall_guard/tests/metastable_overload.rs
@@ -275,7 +275,9 @@
         }
         let fault = self.fault();
         if matches!(fault, Some(Fault::Resetting)) && self.draw() < 0.55 {
+            let running = permit.running_at_start();
             permit.release_uncounted();
+            target.guard.note_shed(RefusalKind::Reset, running);
             return false;
         }
         let busy = target.busy.fetch_add(1, Relaxed) + 1;
--- a/crates/laurelstall_guard/tests/refusal_causes.rs
+++ b/crates/laurelstall_guard/tests/refusal_causes.rs
@@ -139,7 +139,7 @@
 /// Guards against a limit that falls to its floor for refusals that fewer running calls do not avoid.
 #[tokio::test(start_paused = true)]
 async fn refusals_at_random_leave_the_limit() {
-    for kind in [RefusalKind::Answered, RefusalKind::NoConnection] {
+    for kind in [RefusalKind::Answered, RefusalKind::NoConnection, RefusalKind::Reset] {
         for (load, seed) in [(0.3, 1), (0.6, 2), (0.6, 3), (0.8, 4), (0.8, 5), (SATURATED, 6), (SATURATED, 7)]
         {
             let during = run_fault(Fault { kind, ..AT_RANDOM }, load, 8_500, seed).await;
@@ -153,7 +153,7 @@
 #[tokio::test(start_paused = true)]
 async fn refusals_of_a_full_target_lower_the_limit_until_they_end() {
     for (fault_ms, seed) in [(1_000, 1), (4_000, 2), (8_000, 3)] {
-        for kind in [RefusalKind::Answered, RefusalKind::NoConnection] {
+        for kind in [RefusalKind::Answered, RefusalKind::NoConnection, RefusalKind::Reset] {
             for load in [0.8, SATURATED] {
                 let during = run_fault(Fault { kind, ..FULL }, load, fault_ms, seed).await;
                 let settled = &during[during.len() / 2..];
@@ -212,4 +212,6 @@
     scene.run(AT_RANDOM, 0.6, 4_000).await;
     let after = scene.run(CALM, 0.1, 4_000).await;
     assert!(after.iter().all(|limit| *limit == 2), "{after:?}");
+    let scene = Scene::new(GuardLimits { has_refusal_causes: false, ..LIMITS }, 1);
+    assert!((0..20).all(|_| !scene.guard.note_shed(RefusalKind::Reset, LIMIT)), "resets did not count");
 }
--- a/crates/laurelstall_guard/tests/shed_recovery.rs
+++ b/crates/laurelstall_guard/tests/shed_recovery.rs
@@ -66,6 +66,19 @@
     }
 }
 
+/// Guards against a target that ends with all its connections and is taken for a full one.
+#[test]
+fn the_loss_of_all_running_calls_does_not_depend_on_their_number() {
+    for crashes in 1..=5 {
+        let mut causes = RefusalCauses::default();
+        for now_us in (0..crashes).map(|number| SECOND_US + number * 300_000) {
+            (1..=9).for_each(|running| causes.note_attempt(running, now_us));
+            let mut found = (1..=9).rev().map(|running| causes.note_refusal(running, now_us + 50_000));
+            assert!(found.all(|cause| cause != RefusalCause::Concurrency));
+        }
+    }
+}
+
 /// Guards against counts that outlast a fault.
 #[test]
 fn a_fault_that_ended_two_seconds_ago_says_nothing() {
--- a/crates/laurelstall_node/src/target_guard/forwarding.rs
+++ b/crates/laurelstall_node/src/target_guard/forwarding.rs
@@ -189,7 +189,9 @@
                 refused(RefusalReason::NoConnection, None)
             }
             Ok(Err(TargetError::Broken)) => {
+                let running = permit.running_at_start();
                 permit.release_uncounted();
+                self.note_shed(RefusalKind::Reset, running);
                 self.guard.discard_cold_report();
                 connection_lost("connection to the target broke", watched_run.note_broken(&target).await)
             }
