--- a/crates/laurelstall_overload/src/admission_threshold.rs
+++ b/crates/laurelstall_overload/src/admission_threshold.rs
@@ -8,10 +8,10 @@
 const WEIGHT: f64 = 0.25;
 /// Admitted work while overloaded, relative to the completed work; the rest of the capacity drains the queue.
 const OVERLOADED_SHARE: f64 = 0.9;
-/// Growth of the admitted work in each interval after the end of an overload. Twice the load is admitted after 0.8 s,
+/// Growth of the admitted work in each interval in which no call waited for a moment at least. Twice the load is admitted after 0.8 s,
 /// which is slow enough to detect a new overload before its queue is long.
 const GROWTH: f64 = 1.1;
-/// Number of intervals after the end of an overload in which the threshold opens completely: 2 s.
+/// Number of such intervals after which all calls are admitted: 2 s.
 const OPENING_INTERVALS: u32 = 20;
 /// Admitted work relative to that of all slots, at least; admission must not stop when a target completes nothing.
 const ALLOWED_SHARE_MIN: f64 = 0.1;
@@ -41,7 +41,7 @@
     capacity_us: Option<f64>,
     /// Work admitted per interval while the threshold is in force.
     allowed_us: f64,
-    /// Intervals since the last one with an overload; `None` while all calls are admitted.
+    /// Intervals in which the queue emptied since the last overload; `None` while all calls are admitted.
     calm_intervals: Option<u32>,
     threshold: CallLevel,
 }
@@ -81,7 +81,8 @@
             let capacity_us = self.capacity_us.unwrap_or(all_slots_us);
             self.allowed_us = (capacity_us * OVERLOADED_SHARE).max(all_slots_us * ALLOWED_SHARE_MIN);
             self.calm_intervals = Some(0);
-        } else {
+        } else if !interval.is_saturated {
+            // While calls wait all the time, more work would only lengthen the queue.
             self.open_further();
         }
         self.threshold = match self.calm_intervals {
--- a/crates/laurelstall_overload/tests/decisions.rs
+++ b/crates/laurelstall_overload/tests/decisions.rs
@@ -79,6 +79,19 @@
     assert!(opened_after > 2, "it opened at once, which admits the next burst");
 }
 
+/// More work for a target that is busy all the time would be the next overload.
+#[test]
+fn the_threshold_does_not_open_while_calls_wait_all_the_time() {
+    let mut threshold = AdmissionThreshold::default();
+    overload(&mut threshold, 20);
+    for _ in 0..50 {
+        (2..4).for_each(|bucket| threshold.note_arrival(level(5, bucket), 100_000.0));
+        threshold.note_completed(200_000.0);
+        threshold.end_interval(Interval { is_overloaded: false, is_saturated: true }, 200_000.0);
+    }
+    assert_eq!(threshold.threshold(), level(5, 2));
+}
+
 #[test]
 fn the_highest_level_is_admitted_at_a_target_that_completes_nothing() {
     let mut threshold = AdmissionThreshold::default();
