Guard: forecasts free slots by the start of running calls where returns are reserved

Cause: a queued call was taken to get the first slot at once, so calls that could not be in time waited until that showed.

Change: with limits.load.reserved_returns the wait for a slot is no shorter than the running calls' mean time leaves.

--- a/crates/laurelstall_guard/src/guard/state.rs
+++ b/crates/laurelstall_guard/src/guard/state.rs
@@ -6,6 +6,7 @@
     cold_start_limiter::ColdStartLimiter,
     guard_limits::GuardLimits,
     refusal::RefusalReason,
+    slot_forecast::slot_wait_us,
     start_decision::{SlotDemand, StartCandidate, StartDecision, StartForecast},
     stated_rate_limiter::StatedRateLimiter,
     target_speed::TargetSpeed,
@@ -248,7 +249,7 @@
                 return None;
             }
             let ahead = (position as u64).saturating_sub(free);
-            let slot_us = now_us + ahead * service_us / limit;
+            let slot_us = now_us + (ahead * service_us / limit).max(self.slot_wait_us(position, now_us));
             let run_us = (self.class_run_us(request) * self.quick_factor(now_us)) as u64;
             let reason = match request.may_hand_back {
                 _ if is_rate_delayed && next_send_us + run_us > request.useful_until_us => {
@@ -451,7 +452,17 @@
         let before = self.queue.ahead_of(request.rank, request.deadline_us);
         let ahead = (before as u64).saturating_sub(free);
         let slot_wait_us = ahead * self.service_us(now_us) / limit;
-        slot_wait_us.max(self.rate_wait_us(request, now_us))
+        slot_wait_us.max(self.slot_wait_us(before, now_us)).max(self.rate_wait_us(request, now_us))
+    }
+
+    /// Returns the time until the call at `position` of the queue gets a slot, judged by when the running calls began; 0
+    /// unless calls are refused promptly.
+    fn slot_wait_us(&self, position: usize, now_us: u64) -> u64 {
+        if !self.refuses_promptly {
+            return 0;
+        }
+        let limit = self.limit.limit() as usize;
+        slot_wait_us(self.running.values().copied(), position, limit, self.service_us(now_us), now_us)
     }
 
     /// Adds a run time, converted to the target's normal speed, in µs, to the moving average.
--- a/crates/laurelstall_guard/src/lib.rs
+++ b/crates/laurelstall_guard/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod ledger;
 pub mod phase_times;
 pub mod refusal;
+pub mod slot_forecast;
 pub mod start_decision;
 pub mod stated_rate_limiter;
 pub mod suspension;
