--- a/crates/laurelstall_guard/src/lib.rs
+++ b/crates/laurelstall_guard/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod refusal_causes;
 pub mod running_counts;
 pub mod shed_recovery;
+pub mod slot_forecast;
 pub mod start_decision;
 pub mod stated_rate_limiter;
 pub mod suspension;
