Bodies take turns of 128 KB on the link, and calls may use 90 % of their useful time

Turns of one piece let all downloads of a burst end at about the same time, and most of them late. Bodies up to a turn now end in the order in which they began, and admission leaves a tenth of the useful time for answers that begin late or are larger than the mean. Uploads that were read in part lost their size hint, and passed admission as small; a partly read body now keeps it.

--- a/crates/laurelstall_link/src/link_admission.rs
+++ b/crates/laurelstall_link/src/link_admission.rs
@@ -8,6 +8,9 @@
 
 /// Longest retry time in µs. Callers wait up to a third of their remaining time, and bursts last seconds.
 const RETRY_MAX_US: u64 = 5_000_000;
+/// Share of a call's useful time that may pass until its body is sent, in percent. Answers differ in size and in the
+/// time until they begin, and callers need them within their objective.
+const USEFUL_PERCENT: u64 = 90;
 /// Retry time in µs while the memory for slow readers is used up, which the link cannot predict.
 const HELD_RETRY_US: u64 = 1_000_000;
 
@@ -129,10 +132,11 @@
         let own_us = link.send_us(bytes);
         let sent_us = link.send_us(ahead) + own_us;
         // On an idle link, a late answer delays nobody.
-        if ahead == 0 || sent_us <= call.useful_us {
+        let limit_us = call.useful_us.saturating_mul(USEFUL_PERCENT) / 100;
+        if ahead == 0 || sent_us <= limit_us {
             return Ok(());
         }
-        let wait_us = (sent_us - call.useful_us).min(RETRY_MAX_US);
+        let wait_us = (sent_us - limit_us).min(RETRY_MAX_US);
         Err(LinkRefusal { retry_after_us: self.next_room_us(now_us, wait_us, own_us) - now_us })
     }
 
--- a/crates/laurelstall_link/src/link_scheduler.rs
+++ b/crates/laurelstall_link/src/link_scheduler.rs
@@ -28,6 +28,9 @@
 /// Longest time in µs for which bodies wait for bytes that are counted but did not wait themselves. It bounds the effect
 /// of a setting that is below the real bandwidth.
 const UNPACED_BACKLOG_US: f64 = 100_000.0;
+/// Bytes that a body sends before it is the turn of others of its importance and size class. Bodies up to this size are
+/// sent in the order in which they began: if they took turns by pieces, all of a burst would end late.
+const QUANTUM_BYTES: u64 = 128 * 1024;
 /// Time in µs without a request after which a body is taken to be stalled by its reader or its source. Bodies that are read
 /// request their next piece within a few ms of the last one.
 const STALLED_US: u64 = 100_000;
@@ -58,8 +61,10 @@
     is_size_known: bool,
     /// When the body was opened or last handed a piece over.
     active_us: u64,
-    /// Start tag of the flow's next piece.
-    next_tag: u64,
+    /// Start tag of the flow's current turn.
+    turn_tag: u64,
+    /// Bytes sent in the current turn.
+    turn_bytes: u64,
     /// The piece that waits: its rank and its size in bytes.
     waiting: Option<(PieceRank, u64)>,
 }
@@ -67,7 +72,8 @@
 /// Decides which body sends its next piece over a link of known bandwidth.
 ///
 /// *Load pattern*: a burst of large answers or uploads, up to 2.6 times the bandwidth, beside small calls. Pieces go by
-/// importance, then by the size of what remains of their body, then by start-time fair queueing of bytes. Bodies that
+/// importance, then by the size of what remains of their body, then by start-time fair queueing of bytes, in turns of
+/// [`QUANTUM_BYTES`]. Bodies that
 /// are nearly sent go before others of the same importance, so that in a burst some answers are in time instead of all
 /// being late. The scheduler tracks when the link will have sent what was handed over, and hands over the next piece
 /// just before.
@@ -122,7 +128,8 @@
             sent_bytes: 0,
             is_size_known: size_bytes.is_some(),
             active_us: now_us,
-            next_tag: self.virtual_bytes,
+            turn_tag: self.virtual_bytes,
+            turn_bytes: 0,
             waiting: None,
         };
         self.flows.insert(id, flow);
@@ -137,7 +144,7 @@
         let rank = PieceRank {
             importance: Reverse(flow.importance),
             size_class: size_class(remaining_bytes.max(piece_bytes)),
-            start_tag: flow.next_tag.max(self.virtual_bytes),
+            start_tag: flow.turn_tag,
             flow: id,
         };
         flow.waiting = Some((rank, piece_bytes));
@@ -155,7 +162,11 @@
         flow.remaining_bytes = flow.remaining_bytes.saturating_sub(piece_bytes);
         flow.sent_bytes += piece_bytes;
         flow.active_us = now_us;
-        flow.next_tag = rank.start_tag + piece_bytes;
+        flow.turn_bytes += piece_bytes;
+        if flow.turn_bytes >= QUANTUM_BYTES {
+            flow.turn_tag = flow.turn_tag.max(self.virtual_bytes) + flow.turn_bytes;
+            flow.turn_bytes = 0;
+        }
         self.virtual_bytes = self.virtual_bytes.max(rank.start_tag);
         let starts_us = self.busy_until_us.max(now_us as f64 - CATCH_UP_US);
         self.busy_until_us = starts_us + piece_bytes as f64 / self.bytes_per_us;
--- a/crates/laurelstall_node/src/body.rs
+++ b/crates/laurelstall_node/src/body.rs
@@ -99,6 +99,21 @@
     fn is_end_stream(&self) -> bool {
         self.prefix.is_empty() && self.rest.is_end_stream()
     }
+
+    fn size_hint(&self) -> SizeHint {
+        let prefix_bytes = self.prefix.iter().filter_map(Frame::data_ref).map(Bytes::len).sum::<usize>();
+        grown_hint(&self.rest.size_hint(), prefix_bytes as u64)
+    }
+}
+
+/// Returns the size hint of a body that yields this number of bytes before the rest, to which `rest` applies.
+pub(crate) fn grown_hint(rest: &SizeHint, bytes: u64) -> SizeHint {
+    let mut hint = SizeHint::new();
+    hint.set_lower(rest.lower().saturating_add(bytes));
+    if let Some(upper) = rest.upper().and_then(|upper| upper.checked_add(bytes)) {
+        hint.set_upper(upper);
+    }
+    hint
 }
 
 /// A body that calls a closure when it ends, with whether it was complete. What the closure owns lives until then.
--- a/crates/laurelstall_node/src/call/uploads.rs
+++ b/crates/laurelstall_node/src/call/uploads.rs
@@ -15,9 +15,8 @@
 use laurelstall_peer::attempt::AttemptBody;
 use std::sync::Arc;
 
-/// Time in µs in which a body must be sent after the guard has reserved a slot for it. The guard waits for it a little
-/// longer.
-const RESERVED_SEND_US: u64 = 400_000;
+/// Longest time in µs for which a guard waits for the body of a call after it has reserved a slot for it.
+const RESERVED_SEND_US: u64 = 500_000;
 
 impl Call<'_> {
     /// Returns the pacer if the call's service uses it and the destination is on another host.
--- a/crates/laurelstall_node/src/paced_body.rs
+++ b/crates/laurelstall_node/src/paced_body.rs
@@ -1,6 +1,6 @@
 //! A body that is sent over the node's link in pieces.
 
-use crate::link_pacer::LinkPacer;
+use crate::{body::grown_hint, link_pacer::LinkPacer};
 use bytes::Bytes;
 use http::{HeaderMap, header::CONTENT_LENGTH};
 use http_body::{Body, Frame, SizeHint};
@@ -226,13 +226,7 @@
     }
 
     fn size_hint(&self) -> SizeHint {
-        let inner = self.inner.size_hint();
-        let mut hint = SizeHint::new();
-        hint.set_lower(inner.lower().saturating_add(self.held_bytes));
-        if let Some(upper) = inner.upper().and_then(|upper| upper.checked_add(self.held_bytes)) {
-            hint.set_upper(upper);
-        }
-        hint
+        grown_hint(&self.inner.size_hint(), self.held_bytes)
     }
 }
 
