Tests of long streams on a fast link and of callers on other hosts

Streams of 20 MB at 1,000 Mbit/s guard against lost bytes and against bodies that are held as a whole; answers to callers behind the link must be paced, and those to callers on the same host not counted.

--- a/crates/laurelstall_standin/tests/links.rs
+++ b/crates/laurelstall_standin/tests/links.rs
@@ -4,11 +4,18 @@
 
 use bytes::Bytes;
 use futures_util::future::join_all;
-use http::{Method, StatusCode};
-use laurelstall_standin::{harness::Harness, target::pattern_byte};
+use http::{Method, Request, StatusCode};
+use http_body_util::BodyExt;
+use laurelstall_node::{body::empty_body, caller_link::responder_of, listener::Responder};
+use laurelstall_standin::{call_uri::CALLER_HOST, harness::Harness, target::pattern_byte};
 use serde_json::Value;
-use std::time::{Duration, Instant};
+use std::{
+    pin::pin,
+    sync::Arc,
+    time::{Duration, Instant},
+};
 use support::{Answer, entry, plan, send_request, start};
+use tokio::time::timeout;
 
 /// Bandwidth of the links in Mbit/s.
 const LINK_MBPS: f64 = 14.0;
@@ -26,6 +33,12 @@
     harness
 }
 
+/// Returns the bytes that all nodes have read but not yet sent.
+fn held_bytes(harness: &Harness) -> u64 {
+    let nodes = harness.nodes();
+    nodes.iter().map(|(_, node)| node.guard.link().map_or(0, |link| link.held_bytes())).sum()
+}
+
 async fn download(harness: &Harness, headers: &[(&str, &str)]) -> Answer {
     let bytes = DOWNLOAD_BYTES.to_string();
     let mut headers = headers.to_vec();
@@ -53,6 +66,27 @@
     assert!(harness.counter_total("link_bytes") >= 4 * 200_000 + DOWNLOAD_BYTES);
 }
 
+/// Guards against streams that stop, lose bytes or are held in memory as a whole. On a fast link, pieces are larger.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn long_streams_pass_a_fast_link_unchanged() {
+    const STREAM_BYTES: u64 = 20_000_000;
+    let harness = start_with_link(1_000.0, true).await;
+    let body = (0..STREAM_BYTES).map(pattern_byte).collect::<Bytes>();
+    let headers = [("laurelstall-budget-ms", "60000")];
+    let sending = send_request(entry(&harness, 0), Method::POST, "/market-board/x", &headers, body.clone());
+    let mut sending = pin!(sending);
+    let mut most_held_bytes = 0;
+    let answer = loop {
+        match timeout(Duration::from_millis(5), &mut sending).await {
+            Ok(answer) => break answer.expect("a complete answer"),
+            Err(_) => most_held_bytes = most_held_bytes.max(held_bytes(&harness)),
+        }
+    };
+    assert_eq!(answer.status, StatusCode::OK);
+    assert!(most_held_bytes < 2_000_000, "{most_held_bytes} bytes held");
+    assert!(answer.body == body, "changed bytes");
+}
+
 /// Guards against downloads that take slots although the link cannot send them in time, and against late refusals.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn downloads_beyond_the_link_are_refused_early_with_a_retry_time() {
@@ -130,3 +164,25 @@
         assert_eq!(status["link_mbps"], shown);
     }
 }
+
+/// Guards against answers to callers behind the link that are sent without regard to it, and against counted answers to
+/// callers on the same host.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn only_answers_to_callers_on_other_hosts_are_paced() {
+    let harness = start_with_link(LINK_MBPS, true).await;
+    let entry: Arc<dyn Responder> = harness.nodes()[1].1.entry.clone();
+    let own = "10.0.0.1:80".parse().expect("an address");
+    for (caller, is_remote) in [("10.0.0.1:9000", false), ("10.0.0.2:9000", true)] {
+        let responder = responder_of(&entry, caller.parse().expect("an address"), Some(own));
+        let request = Request::get("/market-board/x")
+            .header("host", CALLER_HOST)
+            .header("standin-answer-bytes", DOWNLOAD_BYTES)
+            .body(empty_body())
+            .expect("the request is valid");
+        let response = responder.respond(request).await;
+        assert_eq!(response.status(), StatusCode::OK);
+        let body = response.into_body().collect().await.expect("a complete body").to_bytes();
+        assert_eq!(body, (0..DOWNLOAD_BYTES).map(pattern_byte).collect::<Bytes>());
+        assert_eq!(harness.counter_total("link_bytes") >= DOWNLOAD_BYTES, is_remote, "caller {caller}");
+    }
+}
