Node: what a target states about itself has a module of its own

Cause: headers.rs and dialect.rs imported each other, because the types of a target's statements were declared beside the trait that reads them. Change: target_notice.rs holds them; both modules use it.

--- a/crates/laurelstall_node/src/call/attempts.rs
+++ b/crates/laurelstall_node/src/call/attempts.rs
@@ -3,8 +3,8 @@
 use super::{Call, Destination};
 use crate::{
     counters::count,
-    dialect::TargetNotice,
     headers::{push_call_level, push_known_rate_limit, push_reserved},
+    target_notice::TargetNotice,
 };
 use futures_util::future::{BoxFuture, Either, FutureExt, select};
 use laurelstall_balance::service_balancer::AttemptResult;
--- a/crates/laurelstall_node/src/call/outcomes.rs
+++ b/crates/laurelstall_node/src/call/outcomes.rs
@@ -3,8 +3,8 @@
 use super::{Call, Destination};
 use crate::{
     decision_log::Decision,
-    dialect::{RateLimitNotice, TargetNotice},
     metrics::record_us,
+    target_notice::{RateLimitNotice, TargetNotice},
 };
 use http::StatusCode;
 use laurelstall_balance::service_balancer::AttemptResult;
--- a/crates/laurelstall_node/src/dialect.rs
+++ b/crates/laurelstall_node/src/dialect.rs
@@ -3,9 +3,12 @@
 //! Environments differ in the fields that callers and targets use for the same information; each node uses the dialect
 //! of its environment.
 
-use crate::headers::{
-    BUDGET, CALL, CALLER, DEPTH, LEAVING, OUTCOME, RATE_LIMIT, REASON, RETRY_AFTER_MS, TICKET, WORKSPACE,
-    number_value, read_number, read_rate_limit, text_value, write_workspace,
+use crate::{
+    headers::{
+        BUDGET, CALL, CALLER, DEPTH, LEAVING, OUTCOME, RATE_LIMIT, REASON, RETRY_AFTER_MS, TICKET, WORKSPACE,
+        number_value, read_number, read_rate_limit, text_value, write_workspace,
+    },
+    target_notice::TargetNotice,
 };
 use http::{HeaderMap, HeaderName, HeaderValue, StatusCode, header::RETRY_AFTER};
 use laurelstall_config::team::SHED_HEADER;
@@ -57,27 +60,6 @@
     pub slowness_percent: u32,
 }
 
-/// The rate limit that a target states for itself in an answer, summed over all callers.
-#[derive(Debug, Clone, Copy, PartialEq, Default)]
-pub enum RateLimitNotice {
-    /// The answer states no limit.
-    #[default]
-    Absent,
-    /// The answer states a limit that is not a single decimal number of at least 0.
-    Invalid,
-    /// The target takes this many requests per second.
-    PerSecond(f64),
-}
-
-/// What a target states about itself in an answer.
-#[derive(Debug, Clone, Copy, PartialEq, Default)]
-pub struct TargetNotice {
-    /// Its rate limit.
-    pub rate_limit: RateLimitNotice,
-    /// Whether it is leaving and takes no new requests.
-    pub is_leaving: bool,
-}
-
 /// How a call without an answer is reported to its caller.
 #[derive(Debug, Clone, Copy)]
 pub struct FailureInfo<'a> {
--- a/crates/laurelstall_node/src/headers.rs
+++ b/crates/laurelstall_node/src/headers.rs
@@ -1,6 +1,6 @@
 //! The system's own header fields, and the removal of hop-by-hop fields.
 
-use crate::dialect::RateLimitNotice;
+use crate::target_notice::RateLimitNotice;
 use http::{
     HeaderMap, HeaderName, HeaderValue,
     header::{
--- a/crates/laurelstall_node/src/lib.rs
+++ b/crates/laurelstall_node/src/lib.rs
@@ -34,6 +34,7 @@
 pub mod services;
 pub mod target_guard;
 pub mod target_http;
+pub mod target_notice;
 pub mod target_pool;
 mod ticket_runs;
 pub mod wall_clock;
--- a/crates/laurelstall_node/src/load_query.rs
+++ b/crates/laurelstall_node/src/load_query.rs
@@ -5,8 +5,9 @@
 
 use crate::{
     body::{Collected, collect},
-    dialect::{HeaderDialect, TargetLoad, TargetNotice},
+    dialect::{HeaderDialect, TargetLoad},
     target_http::{TargetClient, TargetError, target_request},
+    target_notice::TargetNotice,
 };
 use bytes::Bytes;
 use http::{HeaderMap, Method, Request, header::HOST};
--- a/crates/laurelstall_node/src/target_guard/notices.rs
+++ b/crates/laurelstall_node/src/target_guard/notices.rs
@@ -3,7 +3,7 @@
 use super::Inner;
 use crate::{
     counters::count,
-    dialect::{RateLimitNotice, TargetNotice},
+    target_notice::{RateLimitNotice, TargetNotice},
 };
 use std::sync::{MutexGuard, PoisonError, atomic::Ordering};
 
