Link: one very large body does not make the node refuse all others

Cause: a call was admitted as if all that remains of an equally important body went before its own, although smaller bodies go first. A body of 2 GB would have refused all others for as long as it is sent. Stated sizes near the largest number overflowed the sum. Change: of an equally important body at most four times the call's own size counts; sums saturate.

--- a/crates/laurelstall_link/src/link_admission.rs
+++ b/crates/laurelstall_link/src/link_admission.rs
@@ -128,9 +128,9 @@
             return Err(LinkRefusal { retry_after_us: HELD_RETRY_US });
         }
         let expected = self.expected.range(call.importance..).map(|(_, bytes)| bytes).sum::<u64>();
-        let ahead = link.bytes_ahead(call.importance, now_us) + expected;
+        let ahead = link.bytes_ahead(call.importance, bytes, now_us).saturating_add(expected);
         let own_us = link.send_us(bytes);
-        let sent_us = link.send_us(ahead) + own_us;
+        let sent_us = link.send_us(ahead).saturating_add(own_us);
         // On an idle link, a late answer delays nobody.
         let limit_us = call.useful_us.saturating_mul(USEFUL_PERCENT) / 100;
         if ahead == 0 || sent_us <= limit_us {
@@ -143,7 +143,7 @@
     /// Returns when the link has room for a refused call. Successive calls get successive times, so that they do not
     /// all return at once.
     fn next_room_us(&mut self, now_us: u64, wait_us: u64, own_us: u64) -> u64 {
-        let room_us = (now_us + wait_us).max(self.room_us + own_us);
+        let room_us = (now_us + wait_us).max(self.room_us.saturating_add(own_us));
         self.room_us = room_us.min(now_us + RETRY_MAX_US);
         self.room_us
     }
--- a/crates/laurelstall_link/src/link_scheduler.rs
+++ b/crates/laurelstall_link/src/link_scheduler.rs
@@ -1,7 +1,7 @@
 //! Decides which body sends its next piece over the link.
 
 use std::{
-    cmp::Reverse,
+    cmp::{Ordering, Reverse},
     collections::{BTreeSet, HashMap},
 };
 
@@ -37,6 +37,10 @@
 /// Size in bytes of the remainder of a body in the lowest size class; each further class is twice as large.
 const SIZE_CLASS_BYTES: u64 = 16 * 1024;
 
+/// Multiple of its own size that a body waits at most for one of the same importance, which goes after it once it is
+/// larger. Without a bound, one very large body would make the node refuse all others while it is sent.
+const LARGER_BODY_FACTOR: u64 = 4;
+
 /// Identifies a body that sends over the link.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct FlowId(u64);
@@ -69,6 +73,14 @@
     waiting: Option<(PieceRank, u64)>,
 }
 
+impl Flow {
+    /// Whether the body has not begun, or has not stalled.
+    fn is_active(&self, now_us: u64) -> bool {
+        let is_recent = now_us.saturating_sub(self.active_us) < STALLED_US;
+        self.waiting.is_some() || self.sent_bytes == 0 || is_recent
+    }
+}
+
 /// Decides which body sends its next piece over a link of known bandwidth.
 ///
 /// *Load pattern*: a burst of large answers or uploads, up to 2.6 times the bandwidth, beside small calls. Pieces go by
@@ -206,18 +218,22 @@
 
     /// Number of bytes that the open bodies have yet to send.
     pub fn remaining_bytes(&self) -> u64 {
-        self.flows.values().map(|flow| flow.remaining_bytes).sum()
+        self.flows.values().fold(0, |sum, flow| sum.saturating_add(flow.remaining_bytes))
     }
 
-    /// Number of bytes that are sent before a new body of this importance. Stalled bodies do not count; those that have
-    /// not begun do, because uploads wait for their slot first.
-    pub fn bytes_ahead(&self, importance: u8, now_us: u64) -> u64 {
-        let is_active = |flow: &Flow| {
-            let is_recent = now_us.saturating_sub(flow.active_us) < STALLED_US;
-            flow.waiting.is_some() || flow.sent_bytes == 0 || is_recent
+    /// Number of bytes that are sent before a new body of this importance and size: what remains of bodies that are
+    /// at least as important. Of an equally important one, at most [`LARGER_BODY_FACTOR`] times this size counts.
+    ///
+    /// Stalled bodies do not count. Those that have not begun do, because uploads wait for their slot first.
+    pub fn bytes_ahead(&self, importance: u8, bytes: u64, now_us: u64) -> u64 {
+        let equal_max_bytes = bytes.saturating_mul(LARGER_BODY_FACTOR);
+        let bytes_of = |flow: &Flow| match flow.importance.cmp(&importance) {
+            Ordering::Greater => flow.remaining_bytes,
+            Ordering::Equal => flow.remaining_bytes.min(equal_max_bytes),
+            Ordering::Less => 0,
         };
-        let ahead = self.flows.values().filter(|flow| flow.importance >= importance && is_active(flow));
-        ahead.map(|flow| flow.remaining_bytes).sum()
+        let active = self.flows.values().filter(|flow| flow.is_active(now_us));
+        active.fold(0, |sum, flow| sum.saturating_add(bytes_of(flow)))
     }
 }
 
