Chains: refusals say busy, so that entries do not take them for a threshold of all classes

Cause: a refusal for a failing service behind had the reason overloaded, which entries record as an admission threshold of the target; calls of other classes that never call that service would have been refused by entries. Change: the reason is busy. The level above and the levels of an importance come from CallLevel instead of copies.

--- a/crates/laurelstall_chains/src/call_pattern.rs
+++ b/crates/laurelstall_chains/src/call_pattern.rs
@@ -1,7 +1,7 @@
 //! What is learned about the calls that the runs of one class make to one service.
 
 use crate::{call_end::NestedOutcome, recent_outcomes::RecentOutcomes, run_share::RunShare};
-use laurelstall_overload::call_level::{BUCKETS, CallLevel};
+use laurelstall_overload::call_level::CallLevel;
 
 /// Number of runs that the share of calling runs is averaged over.
 const CALLING_RUNS_MAX: u32 = 50;
@@ -68,14 +68,6 @@
     /// Returns the lowest level that the service does not refuse; `None` when it refuses none by level.
     pub fn required_level(&self, now_us: u64) -> Option<CallLevel> {
         let refused = self.recent.refused_levels(now_us).filter(|level| self.would_fail(*level, now_us));
-        refused.max().map(next_level)
+        refused.max().map(CallLevel::next_above)
     }
 }
-
-/// Returns the level above `level`.
-fn next_level(level: CallLevel) -> CallLevel {
-    if level.bucket + 1 < BUCKETS {
-        return CallLevel { bucket: level.bucket + 1, ..level };
-    }
-    CallLevel { importance: level.importance.saturating_add(1), bucket: 0 }
-}
--- a/crates/laurelstall_chains/src/recent_outcomes.rs
+++ b/crates/laurelstall_chains/src/recent_outcomes.rs
@@ -1,7 +1,7 @@
 //! The outcomes of the latest calls to one service, by level.
 
 use crate::call_end::NestedOutcome;
-use laurelstall_overload::call_level::{BUCKETS, CallLevel};
+use laurelstall_overload::call_level::CallLevel;
 use std::{collections::VecDeque, ops::RangeInclusive};
 
 /// Age from which refusals by level are forgotten, and all outcomes unless there are later ones, in µs: a service that has
@@ -67,8 +67,8 @@
     /// Returns the share of recent calls that were answered, among those that show how a call of this level would fare;
     /// `None` when there are too few.
     ///
-    /// Failures that depend on the level are told by it exactly. Others count for all calls of the same importance,
-    /// whatever their bucket: a service that fails at random would else be found to fail at low buckets.
+    /// Refusals by level count only for their own level and those below. Other failures count for all buckets of their
+    /// importance; otherwise a service that fails at random would appear to fail only at low buckets.
     pub fn answered_share(&self, level: CallLevel, now_us: u64) -> Option<f64> {
         let is_known = self.samples.back().is_some_and(|sample| sample.at_us + FORGOTTEN_US > now_us);
         if !is_known {
@@ -77,8 +77,8 @@
         let after_us = now_us.saturating_sub(FORGOTTEN_US);
         let by_level = self.evidence(NestedOutcome::RefusedByLevel, &(level..=level), after_us);
         let after_us = now_us.saturating_sub(COUNTED_US);
-        let by_importance =
-            self.evidence(NestedOutcome::Failed, &with_importance(level.importance), after_us);
+        let same_importance = level.lowest_of_importance()..=level.highest_of_importance();
+        let by_importance = self.evidence(NestedOutcome::Failed, &same_importance, after_us);
         let shares = [
             (by_level.failed >= LEVEL_REFUSALS_MIN).then(|| by_level.answered_share()),
             (by_importance.outcomes() >= DECIDING_MIN).then(|| by_importance.answered_share()),
@@ -111,8 +111,3 @@
         })
     }
 }
-
-/// Returns all levels of an importance.
-fn with_importance(importance: u8) -> RangeInclusive<CallLevel> {
-    CallLevel { importance, bucket: 0 }..=CallLevel { importance, bucket: BUCKETS - 1 }
-}
--- a/crates/laurelstall_node/src/target_guard/chains.rs
+++ b/crates/laurelstall_node/src/target_guard/chains.rs
@@ -42,12 +42,8 @@
             }
             Verdict::Refuse { retry_after_ms } => {
                 count(&self.counters.chain_refusals);
-                // Nodes of earlier versions, which state no level, do not know the reason.
-                let reason = match pending.level {
-                    Some(_) => RefusalReason::Overloaded,
-                    None => RefusalReason::Busy,
-                };
-                Some(Refusal::new(reason).with_retry_after_ms(retry_after_ms))
+                // Not `Overloaded`: entries take that for a threshold of the target for the calls of all classes.
+                Some(Refusal::new(RefusalReason::Busy).with_retry_after_ms(retry_after_ms))
             }
         }
     }
