Thresholds of entries expire, loans keep their lifetime, tickets pass the admission by link time

Found by reading. A refused call of a low level renewed a higher threshold that nothing confirmed; a rounding error could shorten the lifetime of a loan to that of the oldest tokens; an attempt with a ticket could be refused for the link, which makes its ticket void.

--- a/crates/laurelstall_balance/src/shared_retry_budget.rs
+++ b/crates/laurelstall_balance/src/shared_retry_budget.rs
@@ -21,6 +21,8 @@
 const SLOTS: usize = 20;
 /// Time in µs after its last retry for which a node keeps its whole tokens for itself.
 const OWN_DEMAND_US: u64 = 1_000_000;
+/// Rounding error in sums of tokens. A rest below it must not shorten the lifetime of a loan.
+const ROUNDING_MAX: f64 = 1e-9;
 /// Part of the budget that is kept for the most important calls.
 const KEPT_SHARE: f64 = 0.5;
 
@@ -193,7 +195,7 @@
         let mut left = tokens - take_from(&mut self.reserved, tokens);
         let mut lifetime_us = LIFETIME_US;
         for age in 0..SLOTS as u64 {
-            if left <= 0.0 {
+            if left <= ROUNDING_MAX {
                 break;
             }
             let index = self.index_of_age(age);
--- a/crates/laurelstall_guard/src/admission_request.rs
+++ b/crates/laurelstall_guard/src/admission_request.rs
@@ -59,7 +59,8 @@
     pub slow_from_percent: Option<u32>,
 }
 
-/// Priority of a call: importance, then that of the first caller, then the other fields in order.
+/// Priority of a call. [`QueueKey`](crate::wait_queue::QueueKey) compares importance, importance of the first caller,
+/// `is_over_share`, `is_reserved` and `is_caller_retry` in this order.
 ///
 /// Among calls of the same importance, those of workspaces within their share go first. Among these, returns with a
 /// reserved place go before first attempts, because their callers have waited as told; first attempts go before other
--- a/crates/laurelstall_node/src/target_guard/link_admission.rs
+++ b/crates/laurelstall_node/src/target_guard/link_admission.rs
@@ -72,12 +72,14 @@
     ///
     /// # Errors
     ///
-    /// Returns the refusal of an attempt whose answer could not be sent in time. A drain takes precedence.
+    /// Returns the refusal of an attempt whose answer could not be sent in time. A drain takes precedence, and a call
+    /// with a ticket is admitted: refusing it would make the ticket void.
     pub(super) fn reserve_link(
         &self,
         pending: &PendingAttempt,
     ) -> Result<Option<AnswerReservation>, Refusal> {
-        let is_used = pending.passes_link && pending.limits.load.link && !self.guard.is_draining();
+        let is_exempt = pending.head.ticket.is_some() || self.guard.is_draining();
+        let is_used = pending.passes_link && pending.limits.load.link && !is_exempt;
         let Some(pacer) = self.link.as_ref().filter(|_| is_used) else { return Ok(None) };
         let call = LinkCall {
             class: pending.head.class,
--- a/crates/laurelstall_overload/src/service_pressure.rs
+++ b/crates/laurelstall_overload/src/service_pressure.rs
@@ -56,9 +56,12 @@
 
     /// Records that a guard refused a call of this level for its threshold.
     pub fn note_refused(&mut self, target: &str, level: CallLevel, now_us: u64) {
+        let threshold = level.next_above();
         let known = self.targets.get(target).filter(|known| known.is_fresh(now_us));
-        let threshold = known.map_or(CallLevel::LOWEST, |known| known.threshold);
-        self.insert(target, threshold.max(level.next_above()), now_us);
+        // The refusal of a lower level does not confirm a higher threshold, which expires as usual.
+        if known.is_none_or(|known| known.threshold <= threshold) {
+            self.insert(target, threshold, now_us);
+        }
     }
 
     /// Returns whether the entry refuses a call of this level, of a service with `targets` targets. The call is
