--- a/crates/laurelstall_balance/src/half_open.rs
+++ b/crates/laurelstall_balance/src/half_open.rs
@@ -48,7 +48,7 @@
         self.has_call = true;
     }
 
-    /// Records a success; returns whether the target has recovered. Calls from before the ejection do not count.
+    /// Records a success; returns whether the target has recovered. Successes count once a single call was sent.
     pub fn note_success(&mut self) -> bool {
         self.successes += u32::from(self.has_call);
         self.successes >= SUCCESSES
--- a/crates/laurelstall_balance/src/shared_retry_budget.rs
+++ b/crates/laurelstall_balance/src/shared_retry_budget.rs
@@ -15,10 +15,10 @@
 /// Length in µs of the window to which the reserve applies.
 const WINDOW_US: f64 = 10_000_000.0;
 /// Time in µs after which deposits expire, and tokens of the reserve once they are lent.
-pub const LIFETIME_US: u64 = SLOT_US * SLOTS as u64;
+pub const LIFETIME_US: u64 = EXPIRY_STEP_US * EXPIRY_STEPS as u64;
 /// Resolution in µs of the times at which tokens expire.
-const SLOT_US: u64 = 50_000;
-const SLOTS: usize = 20;
+const EXPIRY_STEP_US: u64 = 50_000;
+const EXPIRY_STEPS: usize = 20;
 /// Time in µs after its last retry for which a node keeps its whole tokens for itself.
 const OWN_DEMAND_US: u64 = 1_000_000;
 /// Rounding error in sums of tokens. A rest below it must not shorten the lifetime of a loan.
@@ -54,7 +54,7 @@
     /// Time of the last refill; `None` before the first use.
     refilled_at_us: Option<u64>,
     /// Deposits and loans by slot of time; a slot expires [`LIFETIME_US`] after its begin.
-    timed: [f64; SLOTS],
+    timed: [f64; EXPIRY_STEPS],
     /// Number of the current slot.
     slot: u64,
     calls: RecentCount,
@@ -65,14 +65,15 @@
 }
 
 impl SharedRetryBudget {
-    /// Creates a budget without tokens for `percent` of the calls, doubled, plus `reserve` retries in ten seconds.
+    /// Creates an empty budget. `percent` is half of the share that retries may have of the calls, and `reserve` the number
+    /// of further retries in ten seconds.
     pub fn new(percent: u32, reserve: f64) -> Self {
         Self {
             deposit: DEPOSIT_FACTOR * f64::from(percent) / 100.0,
             reserve,
             reserved: 0.0,
             refilled_at_us: None,
-            timed: [0.0; SLOTS],
+            timed: [0.0; EXPIRY_STEPS],
             slot: 0,
             calls: RecentCount::default(),
             asked_at_us: None,
@@ -95,7 +96,7 @@
     /// Deposits for one call.
     pub fn deposit(&mut self, now_us: u64) {
         self.refresh(now_us);
-        self.timed[self.slot as usize % SLOTS] += self.deposit;
+        self.timed[self.slot as usize % EXPIRY_STEPS] += self.deposit;
     }
 
     /// Returns the part of a token that one of the most important calls has to borrow for a retry; `None` if the budget
@@ -110,10 +111,10 @@
     pub fn add_loan(&mut self, loan: TokenLoan, asked_us: u64, now_us: u64) {
         self.refresh(now_us);
         let expires_us = asked_us + loan.lifetime_us.min(LIFETIME_US);
-        let slot = (expires_us / SLOT_US).saturating_sub(SLOTS as u64).min(self.slot);
-        let is_valid = slot + SLOTS as u64 > self.slot && loan.tokens > 0.0;
+        let slot = (expires_us / EXPIRY_STEP_US).saturating_sub(EXPIRY_STEPS as u64).min(self.slot);
+        let is_valid = slot + EXPIRY_STEPS as u64 > self.slot && loan.tokens > 0.0;
         if is_valid {
-            self.timed[slot as usize % SLOTS] += loan.tokens.min(1.0);
+            self.timed[slot as usize % EXPIRY_STEPS] += loan.tokens.min(1.0);
         }
     }
 
@@ -182,7 +183,7 @@
     /// Takes tokens for a retry of this node, those that expire first before others.
     fn take(&mut self, tokens: f64) {
         let mut left = tokens;
-        for age in (0..SLOTS as u64).rev() {
+        for age in (0..EXPIRY_STEPS as u64).rev() {
             let index = self.index_of_age(age);
             left -= take_from(&mut self.timed[index], left);
         }
@@ -194,20 +195,20 @@
     fn take_newest(&mut self, tokens: f64, now_us: u64) -> u64 {
         let mut left = tokens - take_from(&mut self.reserved, tokens);
         let mut lifetime_us = LIFETIME_US;
-        for age in 0..SLOTS as u64 {
+        for age in 0..EXPIRY_STEPS as u64 {
             if left <= ROUNDING_MAX {
                 break;
             }
             let index = self.index_of_age(age);
             left -= take_from(&mut self.timed[index], left);
-            let expires_us = (self.slot + SLOTS as u64 - age) * SLOT_US;
+            let expires_us = (self.slot + EXPIRY_STEPS as u64 - age) * EXPIRY_STEP_US;
             lifetime_us = expires_us.saturating_sub(now_us);
         }
         lifetime_us
     }
 
     fn index_of_age(&self, age: u64) -> usize {
-        (self.slot + SLOTS as u64 - age) as usize % SLOTS
+        (self.slot + EXPIRY_STEPS as u64 - age) as usize % EXPIRY_STEPS
     }
 
     /// The tokens that the budget usually holds without retries.
@@ -223,10 +224,10 @@
         self.refilled_at_us = Some(since_us.max(now_us));
         let refilled = REFILLED_RESERVE * self.reserve * (passed_us / WINDOW_US).min(1.0);
         self.reserved = (self.reserved + refilled).min(SAVED_RESERVE * self.reserve);
-        let slot = (now_us / SLOT_US).max(self.slot);
-        let passed_slots = (slot - self.slot).min(SLOTS as u64);
+        let slot = (now_us / EXPIRY_STEP_US).max(self.slot);
+        let passed_slots = (slot - self.slot).min(EXPIRY_STEPS as u64);
         for age in 0..passed_slots {
-            self.timed[(slot - age) as usize % SLOTS] = 0.0;
+            self.timed[(slot - age) as usize % EXPIRY_STEPS] = 0.0;
         }
         self.slot = slot;
     }
--- a/crates/laurelstall_guard/src/adaptive_limit.rs
+++ b/crates/laurelstall_guard/src/adaptive_limit.rs
@@ -35,9 +35,9 @@
 const PAUSE_MAX_US: u64 = 64_000_000;
 /// Pause after any trial, in µs.
 const PAUSE_BETWEEN_US: u64 = 500_000;
-/// Run time in a trial of the limit before a lower one, relative to the baseline, below which the lower one brought
-/// nothing.
-const RETURN_SLOWDOWN_MAX: f64 = 1.1;
+/// Largest run time in a trial of the limit before a lower one, relative to the baseline, at which that limit is
+/// restored: the lower one has made runs no shorter.
+const RECHECK_SLOWDOWN_MAX: f64 = 1.1;
 /// Run time in a trial of a higher limit, relative to the baseline, below which its result is discarded where what is
 /// learned during a fault expires: runs get shorter because the fault has ended, not because more calls run.
 const PLAUSIBLE_SLOWDOWN_MIN: f64 = 0.8;
@@ -127,6 +127,14 @@
     last_us: u64,
 }
 
+/// The limit before trials lowered it.
+#[derive(Debug, Clone, Copy)]
+struct LimitBeforeTrials {
+    limit: u32,
+    /// When the first of them did, in µs.
+    lowered_us: u64,
+}
+
 /// A concurrency limit that adapts between a floor and the target's slots.
 #[derive(Debug)]
 pub struct AdaptiveLimit {
@@ -142,10 +150,10 @@
     not_before_us: u64,
     recovery: ShedRecovery,
     has_fast_recovery: bool,
-    /// The limit before trials lowered it, and when they first did, in µs.
-    before_trials: Option<(u32, u64)>,
-    /// The limit before a trial lowered it, which is tried again to tell whether only a fault ended meanwhile.
-    unconfirmed: Option<u32>,
+    before_trials: Option<LimitBeforeTrials>,
+    /// Limit before the last trial that lowered it. It is tried once more, because runs may have become shorter only
+    /// because a fault ended.
+    limit_to_recheck: Option<u32>,
     times: ClassTimes,
 }
 
@@ -169,7 +177,7 @@
             recovery: ShedRecovery::default(),
             has_fast_recovery: false,
             before_trials: None,
-            unconfirmed: None,
+            limit_to_recheck: None,
             times: ClassTimes::default(),
         }
     }
@@ -253,7 +261,7 @@
 
     /// Lowers the limit for a refusal that depends on concurrency, until [`AdaptiveLimit::recover`] raises it again. The
     /// refused call began with `running` calls.
-    pub fn note_shed_for_now(&mut self, running: u32, now_us: u64) {
+    pub fn lower_temporarily(&mut self, running: u32, now_us: u64) {
         if let Some(trial) = self.trial.take_if(|trial| trial.limit > self.limit && running > self.limit) {
             self.delay_step(trial.step, now_us);
             return;
@@ -262,7 +270,7 @@
         if running > self.limit {
             return;
         }
-        self.unconfirmed = None;
+        self.limit_to_recheck = None;
         let before = self.limit;
         self.note_shed();
         self.recovery.note_lowered(before, self.limit, now_us);
@@ -318,7 +326,7 @@
         if self.trial.is_some() || !is_known || has_to_wait {
             return;
         }
-        if let Some(limit) = self.unconfirmed.take().filter(|limit| *limit > self.limit) {
+        if let Some(limit) = self.limit_to_recheck.take().filter(|limit| *limit > self.limit) {
             self.start_trial(None, limit, now_us);
             return;
         }
@@ -378,7 +386,7 @@
         }
         let is_better = match trial.step {
             Some(_) => trial.utility() > GAIN_MIN * baseline_utility,
-            None => slowdown_ratio < RETURN_SLOWDOWN_MAX,
+            None => slowdown_ratio < RECHECK_SLOWDOWN_MAX,
         };
         if is_better {
             if let Some(step) = trial.step {
@@ -386,7 +394,7 @@
             }
             self.recovery.forget();
             if self.has_fast_recovery && trial.limit < self.limit {
-                self.unconfirmed = Some(self.limit);
+                self.limit_to_recheck = Some(self.limit);
                 self.note_lowered_by_trial(now_us);
                 // Else the shorter runs at the lower limit would look like the end of a slow time.
                 self.times.scale(slowdown_ratio);
@@ -412,17 +420,18 @@
 
     /// Remembers the limit that trials lower, in case they do so only because of a fault.
     fn note_lowered_by_trial(&mut self, now_us: u64) {
-        let is_recent = |(_, since_us): &(u32, u64)| now_us < since_us + FAULT_MAX_US;
-        self.before_trials = self.before_trials.filter(is_recent).or(Some((self.limit, now_us)));
+        let is_recent = |before: &LimitBeforeTrials| now_us < before.lowered_us + FAULT_MAX_US;
+        let now = LimitBeforeTrials { limit: self.limit, lowered_us: now_us };
+        self.before_trials = self.before_trials.filter(is_recent).or(Some(now));
     }
 
     /// Returns to the limit from before a time in which the target was slow, and discards the results of its trials.
     fn forget_trials(&mut self, now_us: u64) {
         self.backoffs = Default::default();
-        self.unconfirmed = None;
+        self.limit_to_recheck = None;
         let before = self.before_trials.take();
-        if let Some((limit, _)) = before.filter(|(_, since_us)| now_us < since_us + FAULT_MAX_US) {
-            self.replace_limit(limit.max(self.limit));
+        if let Some(before) = before.filter(|before| now_us < before.lowered_us + FAULT_MAX_US) {
+            self.replace_limit(before.limit.max(self.limit));
         }
     }
 
--- a/crates/laurelstall_guard/src/admission_request.rs
+++ b/crates/laurelstall_guard/src/admission_request.rs
@@ -78,7 +78,7 @@
     /// Level of the request that the call is made for, by which calls are admitted during overload.
     pub level: CallLevel,
     /// Whether nested calls go by the importance of the first request of their chain.
-    pub goes_by_first_caller: bool,
+    pub is_ordered_by_first_caller: bool,
 }
 
 impl Rank {
@@ -91,7 +91,7 @@
             is_reserved: false,
             is_caller_retry,
             level,
-            goes_by_first_caller: false,
+            is_ordered_by_first_caller: false,
         }
     }
 
@@ -107,12 +107,12 @@
 
     /// Returns the rank with nested calls ordered by the importance of the first request of their chain, if `is_on`.
     pub fn by_first_caller(self, is_on: bool) -> Self {
-        Self { goes_by_first_caller: is_on, ..self }
+        Self { is_ordered_by_first_caller: is_on, ..self }
     }
 
     /// Returns the importance of the first request of the chain, by which nested calls go; 0 if they do not.
     pub fn first_caller_importance(&self) -> u8 {
-        if self.goes_by_first_caller && self.is_nested() { self.level.importance } else { 0 }
+        if self.is_ordered_by_first_caller && self.is_nested() { self.level.importance } else { 0 }
     }
 
     /// Whether this is a nested call, which a running call waits for.
--- a/crates/laurelstall_guard/src/guard.rs
+++ b/crates/laurelstall_guard/src/guard.rs
@@ -23,7 +23,7 @@
 mod overload;
 mod permit;
 mod queued_call;
-mod rate_notices;
+mod rate_limits;
 mod sheds;
 mod state;
 
@@ -83,8 +83,8 @@
 
     /// Sets whether calls that cannot be in time any more are refused at once, and not only when a call begins to wait
     /// or ends; [`Guard::report_needed`] checks the queue for them.
-    pub fn set_refuses_promptly(&self, refuses_promptly: bool) {
-        self.lock().refuses_promptly = refuses_promptly;
+    pub fn set_prompt_refusal(&self, has_prompt_refusal: bool) {
+        self.lock().has_prompt_refusal = has_prompt_refusal;
     }
 
     /// Returns whether the target can be queried about its load.
@@ -230,7 +230,7 @@
             let due_us = {
                 let mut state = self.lock();
                 state.admit_waiting(now_us);
-                if state.refuses_promptly {
+                if state.has_prompt_refusal {
                     state.refuse_late(now_us);
                 }
                 if state.is_load_report_due(now_us) || state.is_cold_report_due(now_us) {
--- a/crates/laurelstall_guard/src/guard/rate_notices.rs
+++ b/crates/laurelstall_guard/src/guard/rate_limits.rs
@@ -1,4 +1,4 @@
-//! What a guard is told about the limits on its target's calls per second: its cold start, and the rate that it states.
+//! Limits on the target's calls per second: its cold start and the rate that it states.
 
 use super::Guard;
 
--- a/crates/laurelstall_guard/src/guard/sheds.rs
+++ b/crates/laurelstall_guard/src/guard/sheds.rs
@@ -19,7 +19,7 @@
                 self.limit.note_shed();
             }
         } else if !is_draining && self.is_for_concurrency(kind, running, now_us) {
-            self.limit.note_shed_for_now(running, now_us);
+            self.limit.lower_temporarily(running, now_us);
         }
         self.limit.settled() < before
     }
--- a/crates/laurelstall_guard/src/guard/state.rs
+++ b/crates/laurelstall_guard/src/guard/state.rs
@@ -97,7 +97,7 @@
     pub(super) speed: TargetSpeed,
     pub(super) query_state: QueryState,
     /// Whether calls that cannot be in time any more are refused at once.
-    pub(super) refuses_promptly: bool,
+    pub(super) has_prompt_refusal: bool,
     /// Limits calls during the target's cold start.
     pub(super) cold: ColdStartLimiter,
     /// Limits calls to the rate that the target states.
@@ -130,7 +130,7 @@
             has_measured: false,
             speed,
             query_state: QueryState::Unsupported,
-            refuses_promptly: false,
+            has_prompt_refusal: false,
             cold,
             stated: StatedRateLimiter::default(),
             overload: None,
@@ -391,7 +391,7 @@
             |request: &AdmissionRequest| self.next_send_us(request.rank.is_nested(), 0, now_us);
         let held_us =
             is_due.then(|| self.queue.first().map_or(now_us, next_send_us).max(now_us + RECHECK_US));
-        let checks_queue = self.refuses_promptly && !self.queue.is_empty();
+        let checks_queue = self.has_prompt_refusal && !self.queue.is_empty();
         let check_us = checks_queue.then_some(now_us + QUEUE_CHECK_US);
         held_us.into_iter().chain(check_us).min()
     }
@@ -400,7 +400,7 @@
     pub(super) fn cannot_finish(&self, request: &AdmissionRequest, now_us: u64) -> bool {
         let Some(mean_us) = self.limit.times().mean_us(request.class) else { return false };
         let shortest_us = (SHORTEST_RUN_SHARE * mean_us) as u64;
-        self.refuses_promptly && now_us + shortest_us > request.deadline_us
+        self.has_prompt_refusal && now_us + shortest_us > request.deadline_us
     }
 
     /// Records that a query was sent to the target.
@@ -476,7 +476,7 @@
     /// Returns the time until the call at `position` of the queue gets a slot, judged by when the running calls began; 0
     /// unless calls are refused promptly.
     fn slot_wait_us(&self, position: usize, now_us: u64) -> u64 {
-        if !self.refuses_promptly {
+        if !self.has_prompt_refusal {
             return 0;
         }
         let limit = self.limit.limit() as usize;
--- a/crates/laurelstall_guard/tests/reserved_returns.rs
+++ b/crates/laurelstall_guard/tests/reserved_returns.rs
@@ -108,17 +108,17 @@
 /// Guards against queued calls that are certain to be late and are told so only when a run ends or their wait is over.
 #[tokio::test(start_paused = true)]
 async fn a_queued_call_is_refused_when_the_calls_ahead_make_it_late() {
-    for (refuses_promptly, waited_ms) in [(true, 150..=175), (false, 245..=255)] {
+    for (has_prompt_refusal, waited_ms) in [(true, 150..=175), (false, 245..=255)] {
         let clock = Clock::new();
         let guard = Guard::new(LIMITS, clock);
-        guard.set_refuses_promptly(refuses_promptly);
+        guard.set_prompt_refusal(has_prompt_refusal);
         let watched = guard.clone();
         let watch = tokio::spawn(async move { watched.report_needed().await });
         measure_runs(&guard, &clock).await;
         let _stuck = enqueue(&guard, &clock, FIRST_ATTEMPT, 9_000).await.await.expect("no panic");
         let ahead = enqueue(&guard, &clock, RESERVED, 9_000).await;
         let hopeless = enqueue(&guard, &clock, FIRST_ATTEMPT, 250).await;
-        assert_eq!(hopeless.is_finished(), refuses_promptly, "it is late behind two runs of 100 ms");
+        assert_eq!(hopeless.is_finished(), has_prompt_refusal, "it is late behind two runs of 100 ms");
         hopeless.abort();
         yield_now().await;
         let queued_us = clock.now_us();
@@ -128,7 +128,7 @@
             sleep(Duration::from_millis(1)).await;
         }
         let waited = (clock.now_us() - queued_us) / 1_000;
-        assert!(waited_ms.contains(&waited), "{waited} ms, promptly: {refuses_promptly}");
+        assert!(waited_ms.contains(&waited), "{waited} ms, promptly: {has_prompt_refusal}");
         assert!(late.await.expect("no panic").is_err());
         ahead.abort();
         watch.abort();
@@ -138,13 +138,13 @@
 /// Guards against runs that take a slot until the deadline of their call and leave its outcome unknown.
 #[tokio::test(start_paused = true)]
 async fn a_call_that_no_run_finishes_before_its_deadline_is_refused_at_once() {
-    for refuses_promptly in [true, false] {
+    for has_prompt_refusal in [true, false] {
         let clock = Clock::new();
         let guard = Guard::new(LIMITS, clock);
-        guard.set_refuses_promptly(refuses_promptly);
+        guard.set_prompt_refusal(has_prompt_refusal);
         measure_runs(&guard, &clock).await;
         let hopeless = enqueue(&guard, &clock, FIRST_ATTEMPT, 40).await.await.expect("no panic");
-        assert_eq!(hopeless.is_err(), refuses_promptly);
+        assert_eq!(hopeless.is_err(), has_prompt_refusal);
         drop(hopeless);
         let tight = enqueue(&guard, &clock, FIRST_ATTEMPT, 60).await.await.expect("no panic");
         assert!(tight.is_ok(), "some runs are shorter than the mean");
--- a/crates/laurelstall_guard/tests/shed_recovery.rs
+++ b/crates/laurelstall_guard/tests/shed_recovery.rs
@@ -102,7 +102,7 @@
     let mut limit = AdaptiveLimit::new(12, 75, 25);
     for at_us in times_us {
         limit.recover(true, *at_us);
-        limit.note_shed_for_now(limit.limit(), *at_us);
+        limit.lower_temporarily(limit.limit(), *at_us);
         limit.recover(true, *at_us);
     }
     limit
@@ -130,7 +130,7 @@
     for now_us in (SECOND_US..300 * SECOND_US).step_by(10_000) {
         limit.recover(true, now_us);
         if limit.limit() > 7 {
-            limit.note_shed_for_now(limit.limit(), now_us);
+            limit.lower_temporarily(limit.limit(), now_us);
             refused_us.push(now_us);
         }
     }
@@ -144,7 +144,7 @@
 #[test]
 fn without_an_answer_the_limit_stays() {
     let mut limit = limit_lowered_at(&[SECOND_US]);
-    limit.note_shed_for_now(limit.limit(), 2 * SECOND_US);
+    limit.lower_temporarily(limit.limit(), 2 * SECOND_US);
     let lowered = limit.limit();
     limit.recover(false, 20 * SECOND_US);
     assert_eq!(limit.limit(), lowered);
@@ -156,7 +156,7 @@
 #[test]
 fn the_previous_limit_outlasts_a_time_without_answers() {
     let mut limit = limit_lowered_at(&[SECOND_US, SECOND_US + 1, SECOND_US + 2]);
-    limit.note_shed_for_now(limit.limit(), 60 * SECOND_US);
+    limit.lower_temporarily(limit.limit(), 60 * SECOND_US);
     limit.recover(true, 62 * SECOND_US);
     assert_eq!(limit.limit(), 9);
 }
@@ -165,7 +165,7 @@
 #[test]
 fn refusals_of_calls_that_began_above_the_limit_do_not_count_twice() {
     let mut limit = AdaptiveLimit::new(12, 75, 25);
-    (0..5).for_each(|number| limit.note_shed_for_now(9, SECOND_US + number));
+    (0..5).for_each(|number| limit.lower_temporarily(9, SECOND_US + number));
     assert_eq!(limit.limit(), 8);
 }
 
--- a/crates/laurelstall_node/src/call/returns.rs
+++ b/crates/laurelstall_node/src/call/returns.rs
@@ -34,7 +34,7 @@
         } else if is_return {
             self.request.is_caller_retry = true;
             self.request.level = self.request.level.lowest_of_importance();
-            count(&self.context.counters.returns_unplaced);
+            count(&self.context.counters.returns_unreserved);
         }
     }
 
--- a/crates/laurelstall_node/src/call/uploads.rs
+++ b/crates/laurelstall_node/src/call/uploads.rs
@@ -6,6 +6,7 @@
     call_request::CallOutcome,
     link_pacer::LinkPacer,
     paced_body::{Sending, pace},
+    target_guard::ADMITTED_BODY_TIMEOUT,
 };
 use http::HeaderMap;
 use http_body::Body;
@@ -15,9 +16,6 @@
 use laurelstall_peer::attempt::AttemptBody;
 use std::sync::Arc;
 
-/// Longest time in µs for which a guard waits for the body of a call after it has reserved a slot for it.
-const RESERVED_SEND_US: u64 = 500_000;
-
 impl Call<'_> {
     /// Returns the pacer if the call's service uses it and the destination is on another host.
     fn upload_link(&self, destination: &Destination) -> Option<&Arc<LinkPacer>> {
@@ -36,12 +34,13 @@
         };
         let link = self.upload_link(destination).filter(|_| self.request.ticket.is_none())?;
         let useful_us = self.useful_us(self.context.clock.now_us());
-        let is_reserved = self.sends_body_after_admission(false);
+        let is_sent_after_admission = self.sends_body_after_admission(false);
+        let admitted_us = ADMITTED_BODY_TIMEOUT.as_micros() as u64;
         let call = LinkCall {
             class: self.request.class,
             importance: self.importance(),
             is_nested: self.request.is_nested,
-            useful_us: if is_reserved { useful_us.min(RESERVED_SEND_US) } else { useful_us },
+            useful_us: if is_sent_after_admission { useful_us.min(admitted_us) } else { useful_us },
         };
         let refusal = link.admit_upload(&call, bytes).err()?;
         self.record_result(destination, AttemptResult::NotRun);
--- a/crates/laurelstall_node/src/caller_link.rs
+++ b/crates/laurelstall_node/src/caller_link.rs
@@ -41,14 +41,16 @@
     own: Option<SocketAddr>,
 ) -> Arc<dyn Responder> {
     match own {
-        Some(own) if passes_link(caller.ip(), own.ip()) => Arc::new(RemoteCallerResponder(responder.clone())),
+        Some(own) if is_over_link(caller.ip(), own.ip()) => {
+            Arc::new(RemoteCallerResponder(responder.clone()))
+        }
         _ => responder.clone(),
     }
 }
 
 /// Whether a connection between these addresses passes over the link. Connections within a host have the same address at
 /// both ends, or loopback addresses.
-pub fn passes_link(caller: IpAddr, own: IpAddr) -> bool {
+pub fn is_over_link(caller: IpAddr, own: IpAddr) -> bool {
     let (caller, own) = (caller.to_canonical(), own.to_canonical());
     caller != own && !caller.is_loopback()
 }
--- a/crates/laurelstall_node/src/counters.rs
+++ b/crates/laurelstall_node/src/counters.rs
@@ -98,7 +98,7 @@
     /// Calls that claimed a reserved place.
     returns_claimed,
     /// Calls that were refused shortly before and returned without a place.
-    returns_unplaced,
+    returns_unreserved,
     /// Calls that claimed a reserved place and were refused again.
     returns_refused_again,
     /// Calls refused by this node's guard because a service that their runs call fails.
--- a/crates/laurelstall_node/src/target_guard.rs
+++ b/crates/laurelstall_node/src/target_guard.rs
@@ -60,6 +60,7 @@
 use answers::{connection_lost, not_run};
 pub(crate) use answers::{refused, unknown};
 use crash_detection::{CrashCheck, WatchedRun};
+pub(crate) use forwarding::ADMITTED_BODY_TIMEOUT;
 use listed_target::ListedTarget;
 use notices::InstanceNotices;
 
@@ -122,7 +123,7 @@
 pub struct TargetGuard {
     inner: Arc<Inner>,
     /// Whether its answers pass over the node's link, because the attempts come from other hosts.
-    passes_link: bool,
+    is_over_link: bool,
 }
 
 /// Parts and settings of a [`TargetGuard`].
@@ -202,7 +203,7 @@
             latencies: options.latencies,
             link: options.link,
         };
-        Self { inner: Arc::new(inner), passes_link: false }
+        Self { inner: Arc::new(inner), is_over_link: false }
     }
 
     /// Applies the current configuration: the state of the host, the listed target and its limits.
@@ -214,7 +215,7 @@
         let Some((service, target)) = local else { return };
         let limits = &service.limits;
         self.inner.guard.set_can_query(!service.load_path.is_empty() && !self.inner.is_baseline);
-        self.inner.guard.set_refuses_promptly(limits.load.reserved_returns && !self.inner.is_baseline);
+        self.inner.guard.set_prompt_refusal(limits.load.reserved_returns && !self.inner.is_baseline);
         self.inner.ledger().set_tickets_max(limits.tickets_max);
         self.inner.guard.set_overload_control(limits.load.overload && !self.inner.is_baseline);
         self.inner.guard.set_limits(if self.inner.is_baseline {
@@ -318,13 +319,13 @@
 impl AttemptHandler for TargetGuard {
     fn attempt(&self, attempt: Attempt, admission: Admission) -> BoxFuture<'_, AttemptAnswer> {
         let inner = self.inner.clone();
-        let passes_link = self.passes_link;
+        let is_over_link = self.is_over_link;
         async move {
             count(&inner.counters.guard_attempts);
             let wants_hint = attempt.head.wants_hint;
             let has_level = has_call_level(&attempt.head.headers);
-            let answer_link = inner.answer_link(&attempt.head, passes_link);
-            let answer = inner.handle_attempt(attempt, admission, passes_link).await;
+            let answer_link = inner.answer_link(&attempt.head, is_over_link);
+            let answer = inner.handle_attempt(attempt, admission, is_over_link).await;
             let mut answer = answer_link.pace(answer);
             inner.report_overload(&mut answer, has_level);
             match &answer.outcome {
--- a/crates/laurelstall_node/src/target_guard/admission.rs
+++ b/crates/laurelstall_node/src/target_guard/admission.rs
@@ -36,7 +36,7 @@
     pub(super) is_reserved: bool,
     pub(crate) limits: ServiceLimits,
     /// Whether the answer passes over the node's link.
-    pub(super) passes_link: bool,
+    pub(super) is_over_link: bool,
 }
 
 impl Inner {
@@ -45,7 +45,7 @@
         self: &Arc<Self>,
         attempt: Attempt,
         admission: Admission,
-        passes_link: bool,
+        is_over_link: bool,
     ) -> AttemptAnswer {
         let Attempt { mut head, body } = attempt;
         // A guard that has just started knows of the limit before it sends the first call.
@@ -84,7 +84,7 @@
             level,
             is_reserved,
             limits,
-            passes_link,
+            is_over_link,
         };
         match ticket {
             None => self.admit_and_run(pending).await,
--- a/crates/laurelstall_node/src/target_guard/forwarding.rs
+++ b/crates/laurelstall_node/src/target_guard/forwarding.rs
@@ -25,7 +25,7 @@
 /// Maximum size in bytes of a body sent after admission; matches the replay buffer of an entry.
 const ADMITTED_BODY_BYTES_MAX: usize = 1024 * 1024;
 /// Longest time that a reserved slot waits for the body.
-const ADMITTED_BODY_TIMEOUT: Duration = Duration::from_millis(500);
+pub(crate) const ADMITTED_BODY_TIMEOUT: Duration = Duration::from_millis(500);
 
 /// A request ready for the target, with the resources held for it.
 pub(super) struct PreparedRequest {
--- a/crates/laurelstall_node/src/target_guard/link_admission.rs
+++ b/crates/laurelstall_node/src/target_guard/link_admission.rs
@@ -42,7 +42,7 @@
 impl TargetGuard {
     /// Returns a guard for attempts of other hosts, whose answers pass over the node's link.
     pub fn for_other_hosts(&self) -> Self {
-        Self { inner: self.inner.clone(), passes_link: true }
+        Self { inner: self.inner.clone(), is_over_link: true }
     }
 
     /// Returns the pacer of the node's link; `None` if its bandwidth is unknown.
@@ -53,8 +53,8 @@
 
 impl Inner {
     /// Returns how the answer of an attempt leaves the node.
-    pub(super) fn answer_link(&self, head: &AttemptHead, passes_link: bool) -> AnswerLink {
-        let Some(pacer) = self.link.as_ref().filter(|_| passes_link) else {
+    pub(super) fn answer_link(&self, head: &AttemptHead, is_over_link: bool) -> AnswerLink {
+        let Some(pacer) = self.link.as_ref().filter(|_| is_over_link) else {
             return AnswerLink { paced: None };
         };
         let snapshot = self.active.load();
@@ -79,7 +79,7 @@
         pending: &PendingAttempt,
     ) -> Result<Option<AnswerReservation>, Refusal> {
         let is_exempt = pending.head.ticket.is_some() || self.guard.is_draining();
-        let is_used = pending.passes_link && pending.limits.load.link && !is_exempt;
+        let is_used = pending.is_over_link && pending.limits.load.link && !is_exempt;
         let Some(pacer) = self.link.as_ref().filter(|_| is_used) else { return Ok(None) };
         let call = LinkCall {
             class: pending.head.class,
--- a/crates/laurelstall_node/tests/caller_link.rs
+++ b/crates/laurelstall_node/tests/caller_link.rs
@@ -1,6 +1,6 @@
 //! Which connections of callers pass over the link.
 
-use laurelstall_node::caller_link::passes_link;
+use laurelstall_node::caller_link::is_over_link;
 use std::net::IpAddr;
 
 fn ip(text: &str) -> IpAddr {
@@ -19,6 +19,6 @@
         ("::ffff:10.0.0.1", "10.0.0.1", false),
         ("fd00::2", "fd00::1", true),
     ] {
-        assert_eq!(passes_link(ip(caller), ip(own)), expected, "{caller} to {own}");
+        assert_eq!(is_over_link(ip(caller), ip(own)), expected, "{caller} to {own}");
     }
 }
--- a/crates/laurelstall_overload/src/service_pressure.rs
+++ b/crates/laurelstall_overload/src/service_pressure.rs
@@ -4,7 +4,7 @@
 use std::collections::HashMap;
 
 /// Time in µs after which a threshold is forgotten; guards set it every 100 ms.
-const KNOWN_US: u64 = 400_000;
+const THRESHOLD_LIFETIME_US: u64 = 400_000;
 /// Share of the known targets that must refuse a level for the entry to refuse it.
 const REFUSING_SHARE_MIN: f64 = 0.75;
 /// Number of targets that must be known, unless the service has fewer.
@@ -27,7 +27,7 @@
 
 impl KnownThreshold {
     fn is_fresh(&self, now_us: u64) -> bool {
-        now_us.saturating_sub(self.at_us) < KNOWN_US
+        now_us.saturating_sub(self.at_us) < THRESHOLD_LIFETIME_US
     }
 }
 
