--- a/crates/laurelstall_balance/src/attempt_budget.rs
+++ b/crates/laurelstall_balance/src/attempt_budget.rs
@@ -33,6 +33,16 @@
     Other,
 }
 
+impl BudgetClass {
+    /// The tokens that a call of this class leaves to more important ones, of a budget that holds up to `tokens_max`.
+    pub(crate) fn kept_tokens(self, tokens_max: f64) -> f64 {
+        match self {
+            Self::MostImportant => 0.0,
+            Self::Other => KEPT_SHARE * tokens_max,
+        }
+    }
+}
+
 /// A token budget into which calls deposit a fraction of a token, and from which an extra attempt withdraws one.
 ///
 /// Extra attempts stay below that fraction of the calls at each level of a chain of calls, so they cannot multiply
@@ -91,10 +101,7 @@
         self.refill(now_us);
         let tokens_max = self.tokens_max(now_us);
         self.tokens = self.tokens.min(tokens_max);
-        let kept = match class {
-            BudgetClass::MostImportant => 0.0,
-            BudgetClass::Other => KEPT_SHARE * tokens_max,
-        };
+        let kept = class.kept_tokens(tokens_max);
         let fraction = (self.tokens - kept).min(1.0);
         if self.share <= 0.0 || fraction <= 0.0 || fraction < FRACTION_MIN.min(tokens_max - kept) {
             self.refused += 1;
--- a/crates/laurelstall_balance/src/shared_retry_budget.rs
+++ b/crates/laurelstall_balance/src/shared_retry_budget.rs
@@ -23,8 +23,6 @@
 const OWN_DEMAND_US: u64 = 1_000_000;
 /// Rounding error in sums of tokens. A rest below it must not shorten the lifetime of a loan.
 const ROUNDING_MAX: f64 = 1e-9;
-/// Part of the budget that is kept for the most important calls.
-const KEPT_SHARE: f64 = 0.5;
 
 /// Tokens that one node lends to another.
 #[derive(Debug, Clone, Copy, Default, PartialEq)]
@@ -138,10 +136,7 @@
         self.refresh(now_us);
         self.asked_at_us = Some(now_us);
         let tokens_max = self.tokens_max(now_us);
-        let kept = match class {
-            BudgetClass::MostImportant => 0.0,
-            BudgetClass::Other => KEPT_SHARE * tokens_max,
-        };
+        let kept = class.kept_tokens(tokens_max);
         let fraction = (self.available() - kept).min(1.0);
         let fraction_min = (tokens_max - kept).min(1.0);
         let is_enough = self.deposit > 0.0 && fraction > 0.0 && fraction >= fraction_min;
