Stop: log and metrics tell which answers are not sent yet

The line at the end of a stop said how many calls were still running at the target, and nothing of answers that had left the target and not the node. The hypotheses on answers cut off by planned stops could not be told apart from logs.

The lines at the beginning and the end of a stop now count unanswered requests of callers and of other nodes and the bytes that wait for the link, and the time that the stop took; gauges unanswered_callers and unanswered_nodes show the same while the node runs. No decision changes. What stops a node has a module of its own.

--- a/crates/laurelstall_node/src/admin.rs
+++ b/crates/laurelstall_node/src/admin.rs
@@ -248,8 +248,7 @@
     }
 
     fn metrics(&self) -> Answer {
-        let meter = self.entry.context.client.pool().meter();
-        let gauges = gauges(&self.guard, meter, &self.active);
+        let gauges = gauges(&self.guard, &self.entry);
         let text = metrics::encode_metrics(
             self.counters.clone(),
             &self.entry.context.latencies,
--- a/crates/laurelstall_node/src/background.rs
+++ b/crates/laurelstall_node/src/background.rs
@@ -4,6 +4,7 @@
     active_config::ActiveConfig,
     caller_limits::ActiveCallerLimits,
     counters::{Counters, MetricSender},
+    entry::Entry,
     metrics::Gauges,
     observer::Observer,
     quotas::Quotas,
@@ -12,7 +13,7 @@
 use laurelstall_config::document::DocumentName;
 use laurelstall_guard::clock::Clock;
 use laurelstall_overload::call_level::CallLevel;
-use laurelstall_peer::{client::PeerClient, meter::Meter, replicator::Replicator};
+use laurelstall_peer::{client::PeerClient, replicator::Replicator};
 use std::sync::{Arc, atomic::Ordering};
 use tokio::time::{Duration, sleep};
 
@@ -76,19 +77,19 @@
     interval: Duration,
     counters: Arc<Counters>,
     guard: TargetGuard,
-    meter: Arc<Meter>,
-    active: Arc<ActiveConfig>,
+    entry: Arc<Entry>,
 ) {
     loop {
         sleep(interval).await;
-        let gauges = gauges(&guard, &meter, &active);
+        let gauges = gauges(&guard, &entry);
         sender.send(&counters, &gauges);
     }
 }
 
 /// Returns the current values of the gauges.
-pub fn gauges(guard: &TargetGuard, meter: &Meter, active: &ActiveConfig) -> Gauges {
+pub fn gauges(guard: &TargetGuard, entry: &Entry) -> Gauges {
     let load = guard.guard().load();
+    let (meter, active) = (entry.context.client.pool().meter(), &entry.active);
     let fleet_version = active.load().configuration.version(&DocumentName::Fleet);
     let overload = guard.guard().overload_state();
     let threshold = overload.map_or(CallLevel::LOWEST, |overload| overload.threshold);
@@ -106,6 +107,8 @@
         ("admission_threshold", threshold.ordinal()),
         ("control_bytes", meter.control_bytes.load(Ordering::Relaxed)),
         ("peer_connections", meter.open.load(Ordering::Relaxed)),
+        ("unanswered_callers", entry.unanswered.value()),
+        ("unanswered_nodes", meter.unanswered.value()),
         ("link_waiting_bytes", guard.link().map_or(0, |link| link.waiting_bytes())),
         ("link_held_bytes", guard.link().map_or(0, |link| link.held_bytes())),
         ("platform_era", fleet_version.era),
--- a/crates/laurelstall_node/src/entry.rs
+++ b/crates/laurelstall_node/src/entry.rs
@@ -28,6 +28,7 @@
 };
 use laurelstall_peer::{
     body::BoxedBody,
+    gauge::Gauge,
     message::{PeerAnswer, PeerRequest, TicketsRequest},
 };
 use laurelstall_policy::{
@@ -78,6 +79,8 @@
     pub typical_budgets: Mutex<TypicalBudgets>,
     /// Whether the node is stopping; responses over HTTP/1 then carry `connection: close`.
     pub is_stopping: AtomicBool,
+    /// Callers' requests whose answers are not sent yet.
+    pub unanswered: Arc<Gauge>,
     /// Times of the first call and the first answer.
     pub milestones: Milestones,
     /// Quotas of workspaces.
--- a/crates/laurelstall_node/src/listener.rs
+++ b/crates/laurelstall_node/src/listener.rs
@@ -18,7 +18,7 @@
     server::conn::auto::Builder,
 };
 use laurelstall_config::settings::CallerLimits;
-use laurelstall_peer::body::BoxedBody;
+use laurelstall_peer::{body::BoxedBody, gauge::Gauge};
 use std::{convert::Infallible, fmt, sync::Arc};
 use tokio::{
     net::{TcpListener, TcpStream},
@@ -60,18 +60,21 @@
     responder: Arc<dyn Responder>,
     limits: Arc<ActiveCallerLimits>,
     counters: Arc<Counters>,
+    unanswered: Arc<Gauge>,
     stopping: watch::Receiver<bool>,
 }
 
 impl HttpListener {
-    /// Passes requests to `responder` until `stopping` becomes true.
+    /// Passes requests to `responder` until `stopping` becomes true. Those that are not answered yet are counted in
+    /// `unanswered`.
     pub fn new(
         responder: Arc<dyn Responder>,
         limits: Arc<ActiveCallerLimits>,
         counters: Arc<Counters>,
+        unanswered: Arc<Gauge>,
         stopping: watch::Receiver<bool>,
     ) -> Self {
-        Self { responder, limits, counters, stopping }
+        Self { responder, limits, counters, unanswered, stopping }
     }
 
     /// Accepts connections until the node stops. Returns when the last connection has ended.
@@ -108,6 +111,7 @@
             let options = ConnectionOptions {
                 responder: responder_of(&self.responder, caller, stream.local_addr().ok()),
                 limits: self.limits.clone(),
+                unanswered: self.unanswered.clone(),
                 stopping: self.stopping.clone(),
             };
             connections.spawn(async move {
--- a/crates/laurelstall_node/src/node.rs
+++ b/crates/laurelstall_node/src/node.rs
@@ -22,7 +22,7 @@
     retry_loans::RetryLender,
     running_requests::RunningRequests,
     services::{ChooserFactory, NodeLocation, Services},
-    target_guard::{TargetGuard, TargetGuardOptions, drained},
+    target_guard::{TargetGuard, TargetGuardOptions},
 };
 use arc_swap::ArcSwap;
 use futures_util::future::{BoxFuture, FutureExt};
@@ -47,15 +47,17 @@
 use std::{
     fmt, io,
     net::{IpAddr, SocketAddr, TcpListener as StdListener},
-    sync::{Arc, Mutex, atomic::Ordering},
+    sync::{Arc, Mutex},
 };
 use tokio::{
     net::TcpListener,
     sync::watch,
     task::{JoinHandle, JoinSet},
-    time::{Duration, sleep, timeout},
+    time::Duration,
 };
 
+mod stop;
+
 quick_error! {
     /// An error that keeps a node from starting.
     #[derive(Debug)]
@@ -325,6 +327,7 @@
             limits: caller_limits.clone(),
             typical_budgets: Mutex::default(),
             is_stopping: false.into(),
+            unanswered: Arc::default(),
             milestones: Milestones::default(),
             quotas: quotas.clone(),
             keys_age_max_ms: settings.platform.keys_age_max_ms,
@@ -367,14 +370,7 @@
         background.spawn(async move { watched.run_load_queries().await });
         let sender = MetricSender::new(log.statsd_address, &host);
         let interval = Duration::from_millis(log.metrics_interval_ms);
-        background.spawn(send_metrics(
-            sender,
-            interval,
-            counters.clone(),
-            guard.clone(),
-            meter,
-            active.clone(),
-        ));
+        background.spawn(send_metrics(sender, interval, counters.clone(), guard.clone(), entry.clone()));
 
         let (shutdown, shutdown_receiver) = watch::channel(false);
         let admin = Arc::new(Admin {
@@ -392,12 +388,14 @@
             entry.clone(),
             caller_limits.clone(),
             counters.clone(),
+            entry.unanswered.clone(),
             shutdown_receiver.clone(),
         );
         let operators = HttpListener::new(
             admin.clone(),
             ActiveCallerLimits::new(settings.callers),
             counters.clone(),
+            Arc::default(),
             shutdown_receiver,
         );
         let listener_tasks = vec![
@@ -451,40 +449,6 @@
         }
     }
 
-    /// Stops gracefully. Returns whether all requests ended within the time limit.
-    ///
-    /// For the linger time, the node still accepts calls, but reports that it is not ready and asks callers to close their
-    /// connections. Then the guard accepts no new calls, the entry accepts no connections, and running requests finish.
-    pub async fn stop(mut self) -> bool {
-        let load = self.guard.guard().load();
-        log::info!("stopping: {} calls running at the local target, {} queued", load.in_flight, load.queued);
-        self.entry.is_stopping.store(true, Ordering::Relaxed);
-        let limit = Duration::from_millis(self.settings.node.effective_stop_max_ms());
-        let linger = Duration::from_millis(self.settings.node.stop_linger_ms);
-        let stopped = timeout(limit, async {
-            sleep(linger).await;
-            self.guard.start_final_drain();
-            self.shutdown.send_replace(true);
-            for task in &mut self.listener_tasks {
-                // A task that panicked needs no waiting.
-                let _ = task.await;
-            }
-            drained(&self.guard, limit).await;
-            self.peer_server.stop();
-            // Gives answers that have left the guard time to be sent.
-            sleep(Duration::from_millis(200)).await;
-        });
-        let is_graceful = stopped.await.is_ok();
-        let load = self.guard.guard().load();
-        let remaining = load.in_flight + load.queued;
-        log::info!(
-            "stopped {}, {remaining} calls cut off",
-            if is_graceful { "gracefully" } else { "at the time limit" }
-        );
-        self.background.shutdown().await;
-        is_graceful
-    }
-
     /// Stops immediately, as a crash would.
     pub async fn kill(mut self) {
         for task in &self.listener_tasks {
--- /dev/null
+++ b/crates/laurelstall_node/src/node/stop.rs
@@ -0,0 +1,78 @@
+//! Stops a node.
+
+use super::Node;
+use crate::target_guard::drained;
+use std::{fmt, sync::atomic::Ordering};
+use tokio::time::{Duration, Instant, sleep, timeout};
+
+impl Node {
+    /// Stops gracefully. Returns whether all requests ended within the time limit.
+    ///
+    /// For the linger time, the node still accepts calls, but reports that it is not ready and asks callers to close their
+    /// connections. Then the guard accepts no new calls, the entry accepts no connections, and running requests finish.
+    pub async fn stop(mut self) -> bool {
+        let started = Instant::now();
+        log::info!("stopping: {}", self.unfinished_work());
+        self.entry.is_stopping.store(true, Ordering::Relaxed);
+        let limit = Duration::from_millis(self.settings.node.effective_stop_max_ms());
+        let linger = Duration::from_millis(self.settings.node.stop_linger_ms);
+        let stopped = timeout(limit, async {
+            sleep(linger).await;
+            self.guard.start_final_drain();
+            self.shutdown.send_replace(true);
+            for task in &mut self.listener_tasks {
+                // A task that panicked needs no waiting.
+                let _ = task.await;
+            }
+            drained(&self.guard, limit).await;
+            self.peer_server.stop();
+            // Gives answers that have left the guard time to be sent.
+            sleep(Duration::from_millis(200)).await;
+        });
+        let is_graceful = stopped.await.is_ok();
+        log::info!(
+            "stopped {} after {} ms; cut off: {}",
+            if is_graceful { "gracefully" } else { "at the time limit" },
+            started.elapsed().as_millis(),
+            self.unfinished_work()
+        );
+        self.background.shutdown().await;
+        is_graceful
+    }
+
+    fn unfinished_work(&self) -> UnfinishedWork {
+        let load = self.guard.guard().load();
+        UnfinishedWork {
+            running: load.in_flight,
+            queued: load.queued,
+            caller_answers: self.entry.unanswered.value(),
+            node_answers: self.entry.context.client.pool().meter().unanswered.value(),
+            unsent_bytes: self.guard.link().map_or(0, |link| link.waiting_bytes()),
+        }
+    }
+}
+
+/// Work that a stopping node has yet to finish.
+struct UnfinishedWork {
+    /// Calls running at the local target.
+    running: u32,
+    /// Calls that wait for the local target.
+    queued: u32,
+    /// Requests of callers whose answers are not sent yet.
+    caller_answers: u64,
+    /// Requests of other nodes whose answers are not sent yet.
+    node_answers: u64,
+    /// Bytes of answers that wait for the link.
+    unsent_bytes: u64,
+}
+
+impl fmt::Display for UnfinishedWork {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let Self { running, queued, caller_answers, node_answers, unsent_bytes } = self;
+        write!(
+            f,
+            "{running} calls running at the local target, {queued} queued, {caller_answers} answers to callers and \
+             {node_answers} to other nodes, {unsent_bytes} bytes waiting for the link"
+        )
+    }
+}
--- a/crates/laurelstall_node/src/pipelined_connection.rs
+++ b/crates/laurelstall_node/src/pipelined_connection.rs
@@ -6,6 +6,7 @@
 //! of the connection one request at a time after all earlier requests are answered.
 
 use crate::{
+    body::WatchedBody,
     caller_limits::ActiveCallerLimits,
     listener::{Responder, builder},
     request_head::{ReadHead, read_head},
@@ -16,7 +17,10 @@
 use http_body_util::BodyExt;
 use hyper::{body::Incoming, server::conn::http1, service::service_fn};
 use hyper_util::rt::{TokioIo, TokioTimer};
-use laurelstall_peer::body::BodyError;
+use laurelstall_peer::{
+    body::BodyError,
+    gauge::{Gauge, InProgress},
+};
 use std::{
     convert::Infallible,
     io::{self, Cursor},
@@ -48,6 +52,8 @@
     pub responder: Arc<dyn Responder>,
     /// Limits on callers.
     pub limits: Arc<ActiveCallerLimits>,
+    /// Counts the requests that are not answered yet.
+    pub unanswered: Arc<Gauge>,
     /// Becomes true when the node stops and no new requests are to be read.
     pub stopping: watch::Receiver<bool>,
 }
@@ -76,6 +82,7 @@
     state: Arc<AnswerState>,
     /// One of [`REQUESTS_MAX`] permits, held until the answer is written.
     _permit: OwnedSemaphorePermit,
+    _unanswered: InProgress,
 }
 
 #[derive(Debug, Default)]
@@ -209,7 +216,9 @@
         let state = Arc::<AnswerState>::default();
         let pipelined = PipelinedRequest { bytes, number, requests: requests.clone(), state: state.clone() };
         running.spawn(serve_one(pipelined, answer_output, options.responder.clone(), limits.head_bytes));
-        if answer_sender.send(PendingAnswer { output, state, _permit: permit }).await.is_err() {
+        let unanswered = options.unanswered.enter();
+        let pending = PendingAnswer { output, state, _permit: permit, _unanswered: unanswered };
+        if answer_sender.send(pending).await.is_err() {
             return Ok(ReadEnd::Closing);
         }
     }
@@ -293,12 +302,13 @@
     output: WriteHalf<WriteTimeoutStream>,
     options: ConnectionOptions,
 ) -> io::Result<()> {
-    let ConnectionOptions { responder, limits, mut stopping } = options;
+    let ConnectionOptions { responder, limits, unanswered, mut stopping } = options;
     let service = service_fn(move |request: Request<Incoming>| {
-        let responder = responder.clone();
+        let (responder, unanswered) = (responder.clone(), unanswered.enter());
         async move {
             let request = request.map(|body| body.map_err(BodyError::from).boxed_unsync());
-            Ok::<_, Infallible>(responder.respond(request).await)
+            let response = responder.respond(request).await;
+            Ok::<_, Infallible>(response.map(|body| WatchedBody::new(body, move |_| drop(unanswered))))
         }
     });
     let io = TokioIo::new(join(Cursor::new(bytes).chain(input), output));
--- a/crates/laurelstall_peer/src/lib.rs
+++ b/crates/laurelstall_peer/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod fleet_corrections;
 pub mod fleet_corrector;
 pub mod frame;
+pub mod gauge;
 pub mod link;
 pub mod message;
 pub mod meter;
--- a/crates/laurelstall_peer/src/meter.rs
+++ b/crates/laurelstall_peer/src/meter.rs
@@ -1,6 +1,6 @@
 //! Counts traffic on connections between nodes.
 
-use crate::link::Link;
+use crate::{gauge::Gauge, link::Link};
 use std::{
     future::Future,
     io,
@@ -35,6 +35,8 @@
     pub open: AtomicU64,
     /// Number of messages that were rejected as unreadable.
     pub unreadable: AtomicU64,
+    /// Requests of other nodes whose answers are not sent yet.
+    pub unanswered: Arc<Gauge>,
 }
 
 /// Overhead of a control message beyond its payload: two `h2` frames with indexed header fields, and a
--- a/crates/laurelstall_peer/src/server.rs
+++ b/crates/laurelstall_peer/src/server.rs
@@ -130,7 +130,9 @@
             let Some(accepted) = accepted else { return Ok(()) };
             let (request, respond) = accepted?;
             let this = self.clone();
+            let unanswered = self.meter.unanswered.enter();
             streams.spawn(async move {
+                let _unanswered = unanswered;
                 if let Err(error) = this.serve_stream(request, respond, from).await {
                     log::debug!("stream from {from} failed: {error}");
                 }
