A stopping node sends the answers that it still owes to other nodes

Cause: a stop ended when no call ran at the target or waited for it, plus a fixed 200 ms. An answer of up to 64 KB is buffered and a longer one is read ahead before it is sent, so its call is over while its bytes wait for the link or for the windows of the other node. Class: work counts as finished when its slot is free, not when its result has been delivered.

The node now stops the server for other nodes and waits until it has ended: each of its connections is told that no more streams are accepted, sends the answers of the open ones, and closes. A connection without open streams on which nothing passes for a second is closed, since a lost node never confirms the end. The fixed pause is gone, and all of it stays within the time limit of a stop.

--- a/crates/laurelstall_node/src/node.rs
+++ b/crates/laurelstall_node/src/node.rs
@@ -169,6 +169,7 @@
     platform: Arc<dyn PlatformSource>,
     settings: Settings,
     peer_server: Arc<PeerServer>,
+    peer_task: JoinHandle<()>,
     shutdown: watch::Sender<bool>,
     listener_tasks: Vec<JoinHandle<()>>,
     background: JoinSet<()>,
@@ -353,7 +354,7 @@
             takes_unlisted_peers: settings.node.takes_unlisted_peers,
         };
         let peer_server = PeerServer::new(Arc::new(peers), meter.clone());
-        background.spawn(peer_server.clone().serve(peer_listener.0));
+        let peer_task = tokio::spawn(peer_server.clone().serve(peer_listener.0));
 
         replicator.join().await;
         background.spawn(replicator.clone().run());
@@ -426,6 +427,7 @@
             platform,
             settings,
             peer_server,
+            peer_task,
             shutdown,
             listener_tasks,
             background,
@@ -454,6 +456,7 @@
         for task in &self.listener_tasks {
             task.abort();
         }
+        self.peer_task.abort();
         self.background.shutdown().await;
     }
 }
--- a/crates/laurelstall_node/src/node/stop.rs
+++ b/crates/laurelstall_node/src/node/stop.rs
@@ -9,7 +9,8 @@
     /// Stops gracefully. Returns whether all requests ended within the time limit.
     ///
     /// For the linger time, the node still accepts calls, but reports that it is not ready and asks callers to close their
-    /// connections. Then the guard accepts no new calls, the entry accepts no connections, and running requests finish.
+    /// connections. Then the guard accepts no new calls, the entry accepts no connections, running requests finish, and all
+    /// answers to callers and other nodes are sent.
     pub async fn stop(mut self) -> bool {
         let started = Instant::now();
         log::info!("stopping: {}", self.unfinished_work());
@@ -25,9 +26,9 @@
                 let _ = task.await;
             }
             drained(&self.guard, limit).await;
+            // The answers of calls that have ended may still wait for the link, or for the nodes that read them.
             self.peer_server.stop();
-            // Gives answers that have left the guard time to be sent.
-            sleep(Duration::from_millis(200)).await;
+            let _ = (&mut self.peer_task).await;
         });
         let is_graceful = stopped.await.is_ok();
         log::info!(
@@ -36,6 +37,7 @@
             started.elapsed().as_millis(),
             self.unfinished_work()
         );
+        self.peer_task.abort();
         self.background.shutdown().await;
         is_graceful
     }
--- a/crates/laurelstall_peer/src/server.rs
+++ b/crates/laurelstall_peer/src/server.rs
@@ -6,7 +6,7 @@
     client::headers_to_wire,
     frame::{FrameError, FrameReader, HEAD_BYTES_MAX, encode},
     message::{AttemptHead, BodyKind, PeerAnswer, PeerRequest, WireHint},
-    meter::{Meter, MeteredStream},
+    meter::{Activity, Meter, MeteredStream},
     pool::{CONNECTION_WINDOW_BYTES, STREAM_WINDOW_BYTES},
 };
 use bytes::Bytes;
@@ -37,6 +37,9 @@
 pub const STREAMS_MAX: u32 = 1_000;
 /// Time limit for a handshake, for the head of a stream, and for a body that is sent at once.
 pub const RECEIVE_TIMEOUT: Duration = Duration::from_secs(5);
+/// Time without a byte in either direction after which a stopping server closes a connection without open streams.
+/// The other node may be lost, and would never confirm the end of the connection.
+const CLOSE_SILENCE_MAX: Duration = Duration::from_secs(1);
 
 /// Processes the requests of other nodes.
 pub trait PeerHandler: Send + Sync + fmt::Debug {
@@ -99,7 +102,8 @@
         while serving.join_next().await.is_some() {}
     }
 
-    /// Stops accepting connections and streams; running streams continue.
+    /// Stops accepting connections and streams. Running streams continue, and [`serve`](Self::serve) returns once their
+    /// answers are sent.
     pub fn stop(&self) {
         self.stopping.send_replace(true);
     }
@@ -108,6 +112,7 @@
         // Without this option, small answers wait for acknowledgements.
         let _ = stream.set_nodelay(true);
         let stream = MeteredStream::new(stream, self.meter.clone());
+        let activity = stream.activity();
         let mut builder = server::Builder::new();
         builder.initial_window_size(STREAM_WINDOW_BYTES);
         builder.initial_connection_window_size(CONNECTION_WINDOW_BYTES);
@@ -121,6 +126,7 @@
             while streams.try_join_next().is_some() {}
             let accepted = tokio::select! {
                 accepted = connection.accept() => accepted,
+                () = wait_for_silence(&mut streams, &activity), if is_stopping => return Ok(()),
                 _ = stopping.wait_for(|is_stopping| *is_stopping), if !is_stopping => {
                     is_stopping = true;
                     connection.graceful_shutdown();
@@ -204,6 +210,12 @@
     }
 }
 
+/// Waits until all streams have ended and the connection has been silent for [`CLOSE_SILENCE_MAX`].
+async fn wait_for_silence(streams: &mut JoinSet<()>, activity: &Activity) {
+    while streams.join_next().await.is_some() {}
+    activity.silence(CLOSE_SILENCE_MAX).await;
+}
+
 async fn run_streamed(
     running: BoxFuture<'_, AttemptAnswer>,
     mut admitted: oneshot::Receiver<()>,
