Connections between nodes wait for the other side when they close

Where a stop closed a connection between nodes over a slow link, the other node lost the ends of answers that were written completely.

Cause: a server that had written its last bytes closed the socket at once. Window updates of the node that was still reading arrived at the closed socket, the operating system answered with a reset and dropped what it had not sent yet. Only what was sent before the ping of the graceful shutdown was safe. Class: bytes count as delivered when they are handed to the operating system.

A shutdown now completes when the other side has closed the connection too, or has sent nothing for 500 ms; what arrives is discarded.

answers_on_a_slow_connection_arrive_whole_when_the_server_stops failed before in three of three runs (none of 8 answers whole) and passes in three of three.

--- a/crates/laurelstall_peer/src/lib.rs
+++ b/crates/laurelstall_peer/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod fleet_corrector;
 pub mod frame;
 pub mod gauge;
+pub mod lingering_stream;
 pub mod link;
 pub mod message;
 pub mod meter;
--- /dev/null
+++ b/crates/laurelstall_peer/src/lingering_stream.rs
@@ -0,0 +1,106 @@
+//! A connection that waits for the other side when it closes.
+
+use std::{
+    future::Future,
+    io,
+    mem::MaybeUninit,
+    pin::Pin,
+    task::{Context, Poll, ready},
+};
+use tokio::{
+    io::{AsyncRead, AsyncWrite, ReadBuf},
+    time::{Duration, Sleep, sleep},
+};
+
+/// Time without a byte from the other side after which its end of the connection is no longer awaited.
+pub const LINGER_SILENCE_MAX: Duration = Duration::from_millis(500);
+/// Bytes that are discarded at a time.
+const DISCARDED_BYTES: usize = 4 * 1024;
+
+/// A connection whose shutdown completes when the other side has closed it too, or is silent.
+///
+/// If a socket is closed while data arrives, the operating system resets the connection and drops what it has not sent
+/// yet: the other side loses the end of an answer that was written completely. What arrives during the shutdown is
+/// discarded.
+#[derive(Debug)]
+pub struct LingeringStream<S> {
+    inner: S,
+    state: State,
+}
+
+#[derive(Debug)]
+enum State {
+    Open,
+    /// The end was sent. The timer limits the silence of the other side.
+    Lingering(Pin<Box<Sleep>>),
+    Closed,
+}
+
+impl<S> LingeringStream<S> {
+    /// Wraps a connection.
+    pub fn new(inner: S) -> Self {
+        Self { inner, state: State::Open }
+    }
+}
+
+impl<S: AsyncRead + Unpin> LingeringStream<S> {
+    /// Discards what arrives until the other side closes the connection or is silent.
+    fn poll_linger(&mut self, cx: &mut Context<'_>) -> Poll<()> {
+        let State::Lingering(silence) = &mut self.state else { return Poll::Ready(()) };
+        loop {
+            let mut discarded = [MaybeUninit::uninit(); DISCARDED_BYTES];
+            let mut buf = ReadBuf::uninit(&mut discarded);
+            match Pin::new(&mut self.inner).poll_read(cx, &mut buf) {
+                Poll::Ready(Ok(())) if !buf.filled().is_empty() => {
+                    *silence = Box::pin(sleep(LINGER_SILENCE_MAX));
+                }
+                // The other side has closed or reset the connection.
+                Poll::Ready(_) => return Poll::Ready(()),
+                Poll::Pending => return silence.as_mut().poll(cx),
+            }
+        }
+    }
+}
+
+impl<S: AsyncRead + Unpin> AsyncRead for LingeringStream<S> {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.inner).poll_read(cx, buf)
+    }
+}
+
+impl<S: AsyncRead + AsyncWrite + Unpin> AsyncWrite for LingeringStream<S> {
+    fn poll_write(mut self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.inner).poll_write(cx, buf)
+    }
+
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        bufs: &[io::IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.inner).poll_write_vectored(cx, bufs)
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.inner.is_write_vectored()
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.inner).poll_flush(cx)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        let this = &mut *self;
+        if matches!(this.state, State::Open) {
+            ready!(Pin::new(&mut this.inner).poll_shutdown(cx))?;
+            this.state = State::Lingering(Box::pin(sleep(LINGER_SILENCE_MAX)));
+        }
+        ready!(this.poll_linger(cx));
+        this.state = State::Closed;
+        Poll::Ready(Ok(()))
+    }
+}
--- a/crates/laurelstall_peer/src/server.rs
+++ b/crates/laurelstall_peer/src/server.rs
@@ -5,6 +5,7 @@
     body::{BodyError, StreamBody, send_body},
     client::headers_to_wire,
     frame::{FrameError, FrameReader, HEAD_BYTES_MAX, encode},
+    lingering_stream::LingeringStream,
     message::{AttemptHead, BodyKind, PeerAnswer, PeerRequest, WireHint},
     meter::{Activity, Meter, MeteredStream},
     pool::{CONNECTION_WINDOW_BYTES, STREAM_WINDOW_BYTES},
@@ -117,7 +118,10 @@
         builder.initial_window_size(STREAM_WINDOW_BYTES);
         builder.initial_connection_window_size(CONNECTION_WINDOW_BYTES);
         builder.max_concurrent_streams(STREAMS_MAX);
-        let Ok(connection) = timeout(RECEIVE_TIMEOUT, builder.handshake(stream)).await else { return Ok(()) };
+        let Ok(connection) = timeout(RECEIVE_TIMEOUT, builder.handshake(LingeringStream::new(stream))).await
+        else {
+            return Ok(());
+        };
         let mut connection = connection?;
         let mut stopping = self.stopping.subscribe();
         let mut is_stopping = false;
--- /dev/null
+++ b/crates/laurelstall_peer/tests/closing_connections.rs
@@ -0,0 +1,169 @@
+//! Connections that a stopping server closes while answers are on their way.
+
+use bytes::Bytes;
+use futures_util::future::{BoxFuture, FutureExt, join_all};
+use http::{HeaderMap, StatusCode};
+use http_body_util::{BodyExt, Full};
+use laurelstall_crash::request_digest::RequestDigest;
+use laurelstall_guard::clock::Clock;
+use laurelstall_peer::{
+    attempt::{Admission, Attempt, AttemptAnswer, AttemptBody, AttemptHandler, AttemptOutcome},
+    body::BoxedBody,
+    client::PeerClient,
+    link::OpenLink,
+    message::{AttemptHead, BodyKind, PeerAnswer, PeerRequest},
+    meter::Meter,
+    pool::Pool,
+    server::{PeerHandler, PeerServer},
+};
+use std::{
+    net::{IpAddr, SocketAddr},
+    sync::Arc,
+};
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt, copy},
+    net::{
+        TcpListener, TcpSocket,
+        tcp::{OwnedReadHalf, OwnedWriteHalf},
+    },
+    task::{JoinHandle, JoinSet},
+    time::{Duration, sleep, timeout},
+};
+
+const ANSWER_BYTES: usize = 300_000;
+const ANSWERS: usize = 8;
+/// Bandwidth of the relay from the server to the client, in Mbit/s.
+const MBPS: f64 = 14.0;
+/// Receive buffer of the relay in bytes, so that answers wait at the server.
+const RELAY_BUFFER_BYTES: u32 = 8 * 1024;
+/// Maximum time to wait for an event.
+const WAIT_MAX: Duration = Duration::from_secs(20);
+
+/// A guard that answers at once.
+#[derive(Debug)]
+struct AnsweringGuard;
+
+impl AttemptHandler for AnsweringGuard {
+    fn attempt(&self, _: Attempt, _: Admission) -> BoxFuture<'_, AttemptAnswer> {
+        let body = Full::new(Bytes::from(vec![7; ANSWER_BYTES])).map_err(|never| match never {});
+        let (status, headers) = (StatusCode::OK, HeaderMap::new());
+        let outcome = AttemptOutcome::Answered { status, headers, body: body.boxed_unsync() };
+        async { AttemptAnswer::new(outcome) }.boxed()
+    }
+}
+
+impl PeerHandler for AnsweringGuard {
+    fn attempts(&self) -> &dyn AttemptHandler {
+        self
+    }
+
+    fn is_member(&self, _: IpAddr) -> bool {
+        true
+    }
+
+    fn answer(&self, _: IpAddr, _: PeerRequest) -> BoxFuture<'_, PeerAnswer> {
+        async { PeerAnswer::Noted }.boxed()
+    }
+}
+
+/// A server, and a client that reaches it over a relay. The relay ends when this is dropped.
+struct Fixture {
+    server: Arc<PeerServer>,
+    serving: JoinHandle<()>,
+    client: PeerClient,
+    relay_address: SocketAddr,
+    _relay: JoinSet<()>,
+}
+
+impl Fixture {
+    async fn start() -> Self {
+        let (listener, server_address) = listen().await;
+        let (relay_listener, relay_address) = listen().await;
+        let server = PeerServer::new(Arc::new(AnsweringGuard), Arc::new(Meter::default()));
+        let serving = tokio::spawn(server.clone().serve(listener));
+        let mut relay = JoinSet::new();
+        relay.spawn(relay_connections(relay_listener, server_address));
+        let client = PeerClient::new(Arc::new(Pool::new(Clock::new(), Arc::default(), Arc::new(OpenLink))));
+        Self { server, serving, client, relay_address, _relay: relay }
+    }
+
+    /// Makes a call and returns the body of its answer, of which only the head has arrived.
+    async fn call(&self) -> BoxedBody {
+        let attempt = Attempt { head: head(), body: AttemptBody::Whole(Bytes::new()) };
+        match self.client.attempt(self.relay_address, attempt).await.outcome {
+            AttemptOutcome::Answered { body, .. } => body,
+            other => panic!("no answer: {other:?}"),
+        }
+    }
+}
+
+async fn listen() -> (TcpListener, SocketAddr) {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("loopback has a free port");
+    let address = listener.local_addr().expect("it listens");
+    (listener, address)
+}
+
+/// Passes connections on to `server`, slowly from the server to the client.
+async fn relay_connections(listener: TcpListener, server: SocketAddr) {
+    let mut directions = JoinSet::new();
+    while let Ok((client, _)) = listener.accept().await {
+        let socket = TcpSocket::new_v4().expect("a free file descriptor");
+        socket.set_recv_buffer_size(RELAY_BUFFER_BYTES).expect("the socket is open");
+        let server = socket.connect(server).await.expect("the server listens");
+        let (mut from_client, to_client) = client.into_split();
+        let (from_server, mut to_server) = server.into_split();
+        directions.spawn(relay_slowly(from_server, to_client));
+        directions.spawn(async move {
+            let _ = copy(&mut from_client, &mut to_server).await;
+        });
+    }
+}
+
+async fn relay_slowly(mut from: OwnedReadHalf, mut to: OwnedWriteHalf) {
+    let mut buffer = [0; 1_400];
+    while let Ok(bytes) = from.read(&mut buffer).await
+        && bytes > 0
+        && to.write_all(&buffer[..bytes]).await.is_ok()
+    {
+        sleep(Duration::from_secs_f64(bytes as f64 * 8.0 / (MBPS * 1e6))).await;
+    }
+}
+
+fn head() -> AttemptHead {
+    AttemptHead {
+        call_id: 1,
+        service: "t/s".to_owned(),
+        target: "a".to_owned(),
+        method: "GET".to_owned(),
+        uri: "/x".to_owned(),
+        digest: RequestDigest { whole: 1, head: 2 },
+        headers: Vec::new(),
+        budget_us: WAIT_MAX.as_micros() as u64,
+        useful_us: WAIT_MAX.as_micros() as u64,
+        class: 0,
+        importance: 5,
+        workspace: String::new(),
+        is_return: false,
+        is_repeat: false,
+        may_repeat: true,
+        may_hand_back: false,
+        hand_backs: 0,
+        slow_from_percent: None,
+        ticket: None,
+        body: BodyKind::Empty,
+        wants_hint: false,
+    }
+}
+
+/// Guards against answers that are lost because the socket is closed while bytes of the other node still arrive.
+#[tokio::test]
+async fn answers_on_a_slow_connection_arrive_whole_when_the_server_stops() {
+    let fixture = Fixture::start().await;
+    let bodies = join_all((0..ANSWERS).map(|_| fixture.call())).await;
+    fixture.server.stop();
+    let reading = join_all(bodies.into_iter().map(BodyExt::collect));
+    let read = timeout(WAIT_MAX, reading).await.expect("the connection ends");
+    let sizes = read.into_iter().map(|body| body.ok().map(|body| body.to_bytes().len())).collect::<Vec<_>>();
+    assert_eq!(sizes, vec![Some(ANSWER_BYTES); ANSWERS]);
+    timeout(WAIT_MAX, fixture.serving).await.expect("the server ends").expect("no panic");
+}
