--- a/crates/laurelstall_peer/tests/closing_connections.rs
+++ b/crates/laurelstall_peer/tests/closing_connections.rs
@@ -184,3 +184,17 @@
     drop(connection);
     sending.await.expect("no panic");
 }
+
+/// Guards against stops that wait for the confirmation of a node that is lost, whose connection stays open.
+#[tokio::test]
+async fn a_stopping_server_does_not_wait_for_a_silent_node() {
+    let (listener, address) = listen().await;
+    let server = PeerServer::new(Arc::new(AnsweringGuard), Arc::new(Meter::default()));
+    let serving = tokio::spawn(server.clone().serve(listener));
+    let stream = TcpStream::connect(address).await.expect("the server listens");
+    let (_sender, mut connection) = h2::client::handshake(stream).await.expect("a handshake");
+    // The node answers nothing after this.
+    assert!(timeout(Duration::from_millis(200), &mut connection).await.is_err(), "the connection stays open");
+    server.stop();
+    timeout(Duration::from_secs(3), serving).await.expect("the server ends").expect("no panic");
+}
--- a/crates/laurelstall_standin/src/harness.rs
+++ b/crates/laurelstall_standin/src/harness.rs
@@ -322,6 +322,7 @@
     fn node_options(&self, host: &HarnessHost, index: usize, sockets: Sockets) -> NodeOptions {
         let mut settings = node_settings(host, &sockets, self.plan.decisions);
         settings.node.link_mbps = self.plan.link_mbps;
+        settings.node.stop_max_ms = self.plan.stop_max_ms;
         settings.seeds = self.seed_addresses(index);
         settings.tokens = self.plan.tokens.clone();
         let listeners = Listeners { entry: sockets.entry.0, peer: sockets.peer.0, admin: sockets.admin.0 };
--- a/crates/laurelstall_standin/src/harness_plan.rs
+++ b/crates/laurelstall_standin/src/harness_plan.rs
@@ -36,6 +36,8 @@
     /// Bandwidth of each host's link in Mbit/s, as in the node's settings; 0 if unknown. The links of the harness are not
     /// slower because of it.
     pub link_mbps: f64,
+    /// Time limit of a planned stop of a node in ms.
+    pub stop_max_ms: u64,
     /// Delay in ms before a target serves an accepted connection.
     pub accept_delay_ms: u64,
     /// Routing program of the team.
@@ -92,6 +94,7 @@
             data_centres: (1..=3).map(|number| format!("{prefix}-{number}")).collect(),
             one_way_us,
             link_mbps: 0.0,
+            stop_max_ms: 30_000,
             accept_delay_ms: 1,
             program: PROGRAM.to_owned(),
             observe: ObserveLimits::default(),
--- a/crates/laurelstall_standin/tests/planned_stops.rs
+++ b/crates/laurelstall_standin/tests/planned_stops.rs
@@ -5,13 +5,15 @@
 use bytes::Bytes;
 use futures_util::future::join_all;
 use http::{Method, StatusCode};
-use laurelstall_standin::{harness::Harness, node_thread::NodeThread, target::pattern_byte};
+use laurelstall_standin::{
+    call_uri::CALLER_HOST, harness::Harness, node_thread::NodeThread, target::pattern_byte,
+};
 use std::{
     sync::{Arc, atomic::Ordering},
-    time::Duration,
+    time::{Duration, Instant},
 };
 use support::{Answer, entry, plan, send_request, start};
-use tokio::time::sleep;
+use tokio::{io::AsyncWriteExt, net::TcpStream, time::sleep};
 
 /// Bandwidth of the links in Mbit/s.
 const LINK_MBPS: f64 = 14.0;
@@ -30,6 +32,16 @@
     harness
 }
 
+/// Time for which a stopping node works on, as the harness sets it.
+const LINGER: Duration = Duration::from_secs(1);
+
+/// Stops the node of the second host. Returns whether the stop was graceful, and how long it took.
+async fn timed_stop(harness: &Harness) -> (bool, Duration) {
+    let node = harness.nodes()[1].1.clone();
+    let started = Instant::now();
+    (node.stop().await, started.elapsed())
+}
+
 async fn download(harness: &Harness) -> Option<Answer> {
     let bytes = DOWNLOAD_BYTES.to_string();
     let headers = [("standin-answer-bytes", bytes.as_str()), ("laurelstall-budget-ms", "10000")];
@@ -60,3 +72,51 @@
         answers.iter().map(|answer| answer.as_ref().map(|answer| answer.status)).collect::<Vec<_>>();
     assert_eq!(answers.iter().filter(is_whole).count(), DOWNLOADS, "whole answers: {statuses:?}");
 }
+
+/// Guards against stops that take a fixed time although no answer is owed.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_planned_stop_ends_at_once_when_no_answer_is_owed() {
+    let harness = start_hosts(LINK_MBPS).await;
+    assert!(download(&harness).await.is_some());
+    let (is_graceful, took) = timed_stop(&harness).await;
+    println!("a stop without owed answers: {took:?}");
+    assert!(is_graceful);
+    assert!(took < LINGER + Duration::from_secs(1), "{took:?}");
+}
+
+/// Guards against stops that wait until their time limit for nodes that cannot be reached any more.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_planned_stop_does_not_wait_for_lost_nodes() {
+    let harness = start_hosts(LINK_MBPS).await;
+    assert!(download(&harness).await.is_some());
+    let data_centre = harness.plan.data_centres[0].clone();
+    harness.partitions.set_partitioned(&data_centre, true);
+    let (is_graceful, took) = timed_stop(&harness).await;
+    println!("a stop beside a lost node: {took:?}");
+    assert!(is_graceful);
+    assert!(took < LINGER + Duration::from_secs(3), "{took:?}");
+}
+
+/// Guards against stops that never end because a caller does not read its answer.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_caller_that_reads_nothing_delays_a_stop_to_its_time_limit_at_most() {
+    const STOP_MAX: Duration = Duration::from_secs(3);
+    let mut plan = plan(1);
+    plan.stop_max_ms = STOP_MAX.as_millis() as u64;
+    let harness = start(plan).await;
+    let node = harness.nodes()[0].1.clone();
+    let mut caller = TcpStream::connect(entry(&harness, 0)).await.expect("the node listens");
+    let request = format!(
+        "GET /market-board/x HTTP/1.1\r\nhost: {CALLER_HOST}\r\nstandin-answer-bytes: 50000000\r\n\r\n"
+    );
+    caller.write_all(request.as_bytes()).await.expect("the node reads");
+    while node.counters.target_arrivals.load(Ordering::Relaxed) == 0 {
+        sleep(Duration::from_millis(1)).await;
+    }
+    let started = Instant::now();
+    let is_graceful = node.stop().await;
+    let took = started.elapsed();
+    println!("a stop beside a caller that reads nothing: {took:?}");
+    assert!(!is_graceful, "the answer was cut off");
+    assert!(took < STOP_MAX + Duration::from_secs(1), "{took:?}");
+}
