--- a/crates/laurelstall_node/src/pipelined_connection.rs
+++ b/crates/laurelstall_node/src/pipelined_connection.rs
@@ -6,6 +6,7 @@
 //! of the connection one request at a time after all earlier requests are answered.
 
 use crate::{
+    body::WatchedBody,
     caller_limits::ActiveCallerLimits,
     listener::{Responder, builder},
     request_head::{ReadHead, read_head},
@@ -16,7 +17,11 @@
 use http_body_util::BodyExt;
 use hyper::{body::Incoming, server::conn::http1, service::service_fn};
 use hyper_util::rt::{TokioIo, TokioTimer};
-use laurelstall_peer::body::BodyError;
+use laurelstall_peer::{
+    body::BodyError,
+    gauge::{Gauge, InProgress},
+    lingering_stream::LingeringStream,
+};
 use std::{
     convert::Infallible,
     io::{self, Cursor},
@@ -27,7 +32,7 @@
     },
 };
 use tokio::{
-    io::{AsyncReadExt, AsyncWriteExt, DuplexStream, ReadHalf, WriteHalf, copy, duplex, join, sink, split},
+    io::{AsyncReadExt, AsyncWriteExt, DuplexStream, ReadHalf, WriteHalf, copy, duplex, join, split},
     sync::{OwnedSemaphorePermit, Semaphore, mpsc, watch},
     task::JoinSet,
     time::{Duration, timeout},
@@ -37,9 +42,8 @@
 const REQUESTS_MAX: usize = 16;
 /// Buffer of an answer that waits for its turn, in bytes. With [`REQUESTS_MAX`], a connection buffers at most 512 KiB.
 const BUFFERED_BYTES_MAX: usize = 32 * 1024;
-/// Time after the last answer during which further input is read and discarded. Closing the connection immediately could
-/// reset it, and the caller could lose the last answer.
-const LINGER_TIME: Duration = Duration::from_millis(500);
+/// A connection of a caller.
+pub type CallerStream = LingeringStream<WriteTimeoutStream>;
 
 /// Options for serving a connection.
 #[derive(Debug, Clone)]
@@ -48,6 +52,8 @@
     pub responder: Arc<dyn Responder>,
     /// Limits on callers.
     pub limits: Arc<ActiveCallerLimits>,
+    /// Counts the requests that are not answered yet.
+    pub unanswered: Arc<Gauge>,
     /// Becomes true when the node stops and no new requests are to be read.
     pub stopping: watch::Receiver<bool>,
 }
@@ -76,6 +82,7 @@
     state: Arc<AnswerState>,
     /// One of [`REQUESTS_MAX`] permits, held until the answer is written.
     _permit: OwnedSemaphorePermit,
+    _unanswered: InProgress,
 }
 
 #[derive(Debug, Default)]
@@ -129,7 +136,7 @@
 /// # Errors
 ///
 /// Returns the I/O error that ended the connection.
-pub async fn serve_pipelined(stream: WriteTimeoutStream, options: ConnectionOptions) -> io::Result<()> {
+pub async fn serve_pipelined(stream: CallerStream, options: ConnectionOptions) -> io::Result<()> {
     let (mut input, mut output) = split(stream);
     let (answer_sender, answer_receiver) = mpsc::channel(REQUESTS_MAX);
     let mut running = JoinSet::new();
@@ -163,13 +170,13 @@
     running.abort_all();
     match remaining {
         Some(bytes) => serve_with_hyper(bytes, input, output, options).await,
-        None => close(input, output).await,
+        None => output.shutdown().await,
     }
 }
 
 /// Reads requests and starts them, after all earlier ones where they may not run concurrently.
 async fn read_requests(
-    input: &mut ReadHalf<WriteTimeoutStream>,
+    input: &mut ReadHalf<CallerStream>,
     answer_sender: mpsc::Sender<PendingAnswer>,
     running: &mut JoinSet<()>,
     requests: &Arc<RequestTracker>,
@@ -209,7 +216,9 @@
         let state = Arc::<AnswerState>::default();
         let pipelined = PipelinedRequest { bytes, number, requests: requests.clone(), state: state.clone() };
         running.spawn(serve_one(pipelined, answer_output, options.responder.clone(), limits.head_bytes));
-        if answer_sender.send(PendingAnswer { output, state, _permit: permit }).await.is_err() {
+        let unanswered = options.unanswered.enter();
+        let pending = PendingAnswer { output, state, _permit: permit, _unanswered: unanswered };
+        if answer_sender.send(pending).await.is_err() {
             return Ok(ReadEnd::Closing);
         }
     }
@@ -271,7 +280,7 @@
 /// Writes answers in the order of their requests.
 async fn write_answers(
     mut answer_receiver: mpsc::Receiver<PendingAnswer>,
-    output: &mut WriteHalf<WriteTimeoutStream>,
+    output: &mut WriteHalf<CallerStream>,
 ) -> io::Result<WriteEnd> {
     loop {
         let Some(mut pending) = answer_receiver.recv().await else { return Ok(WriteEnd::Written) };
@@ -289,16 +298,17 @@
 /// Lets hyper serve the rest of a connection.
 async fn serve_with_hyper(
     bytes: BytesMut,
-    input: ReadHalf<WriteTimeoutStream>,
-    output: WriteHalf<WriteTimeoutStream>,
+    input: ReadHalf<CallerStream>,
+    output: WriteHalf<CallerStream>,
     options: ConnectionOptions,
 ) -> io::Result<()> {
-    let ConnectionOptions { responder, limits, mut stopping } = options;
+    let ConnectionOptions { responder, limits, unanswered, mut stopping } = options;
     let service = service_fn(move |request: Request<Incoming>| {
-        let responder = responder.clone();
+        let (responder, unanswered) = (responder.clone(), unanswered.enter());
         async move {
             let request = request.map(|body| body.map_err(BodyError::from).boxed_unsync());
-            Ok::<_, Infallible>(responder.respond(request).await)
+            let response = responder.respond(request).await;
+            Ok::<_, Infallible>(response.map(|body| WatchedBody::new(body, move |_| drop(unanswered))))
         }
     });
     let io = TokioIo::new(join(Cursor::new(bytes).chain(input), output));
@@ -317,14 +327,3 @@
     };
     served.map_err(io::Error::other)
 }
-
-/// Closes a connection so that the last answer arrives.
-async fn close(
-    mut input: ReadHalf<WriteTimeoutStream>,
-    mut output: WriteHalf<WriteTimeoutStream>,
-) -> io::Result<()> {
-    output.shutdown().await?;
-    // Further input is discarded.
-    let _ = timeout(LINGER_TIME, copy(&mut input, &mut sink())).await;
-    Ok(())
-}
