A stopping node tells lost nodes from slow ones by pings

Answers on a slow connection were still lost at a stop, and a paused node could hold a stop to its time limit.

Cause: a stopping node took a connection on which it had written nothing for a second for a lost one. While an answer was not read, no bound applied but that of the stop: a node that was paused in an answer held it up for 20 s, the limit of that test.

The stopping server now pings each other node, as the client side of a connection does while it waits, and gives it up when nothing is received for 2 s; a closing connection between nodes waits for the same time. A node whose callers read slowly answers pings.

At 0.5 Mbit/s the four answers are still lost: their window updates come less often than each 2 s, and they take longer than most stops.

--- a/crates/laurelstall_node/src/listener.rs
+++ b/crates/laurelstall_node/src/listener.rs
@@ -32,6 +32,10 @@
 /// Maximum time to answer a connection with a refusal.
 const REFUSAL_TIMEOUT: Duration = Duration::from_secs(1);
 
+/// Time without a byte from a caller after which its end of a closing connection is no longer awaited. Idle callers that do
+/// not close their connections would hold up a stop for longer.
+const CLOSE_SILENCE_MAX: Duration = Duration::from_millis(500);
+
 /// Answers HTTP requests.
 pub trait Responder: Send + Sync + fmt::Debug {
     /// Answers a request.
@@ -116,7 +120,7 @@
             };
             connections.spawn(async move {
                 let _permit = permit;
-                let stream = LingeringStream::new(WriteTimeoutStream::new(stream, idle));
+                let stream = LingeringStream::new(WriteTimeoutStream::new(stream, idle), CLOSE_SILENCE_MAX);
                 if let Err(error) = serve_pipelined(stream, options).await {
                     log::debug!("client connection ended: {error}");
                 }
--- a/crates/laurelstall_peer/src/lib.rs
+++ b/crates/laurelstall_peer/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod gauge;
 pub mod lingering_stream;
 pub mod link;
+mod liveness;
 pub mod message;
 pub mod meter;
 pub mod partner_backoff;
--- a/crates/laurelstall_peer/src/lingering_stream.rs
+++ b/crates/laurelstall_peer/src/lingering_stream.rs
@@ -12,8 +12,6 @@
     time::{Duration, Instant, Sleep, sleep_until},
 };
 
-/// Time without a byte from the other side after which its end of the connection is no longer awaited.
-pub const LINGER_SILENCE_MAX: Duration = Duration::from_millis(500);
 /// Longest time for which the other side's end of the connection is awaited while it sends on.
 pub const LINGER_MAX: Duration = Duration::from_secs(5);
 /// Bytes that are discarded at a time.
@@ -27,6 +25,7 @@
 #[derive(Debug)]
 pub struct LingeringStream<S> {
     inner: S,
+    silence_max: Duration,
     state: State,
 }
 
@@ -48,22 +47,22 @@
 }
 
 impl Linger {
-    fn new() -> Self {
+    fn new(silence_max: Duration) -> Self {
         let now = Instant::now();
-        Self { deadline: now + LINGER_MAX, timer: Box::pin(sleep_until(now + LINGER_SILENCE_MAX)) }
+        Self { deadline: now + LINGER_MAX, timer: Box::pin(sleep_until(now + silence_max)) }
     }
 
     /// Starts a new silence.
-    fn note_received(&mut self) {
-        let end = (Instant::now() + LINGER_SILENCE_MAX).min(self.deadline);
+    fn note_received(&mut self, silence_max: Duration) {
+        let end = (Instant::now() + silence_max).min(self.deadline);
         self.timer.as_mut().reset(end);
     }
 }
 
 impl<S> LingeringStream<S> {
-    /// Wraps a connection.
-    pub fn new(inner: S) -> Self {
-        Self { inner, state: State::Open }
+    /// Wraps a connection. A shutdown waits for as long as the other side is not silent for `silence_max`.
+    pub fn new(inner: S, silence_max: Duration) -> Self {
+        Self { inner, silence_max, state: State::Open }
     }
 }
 
@@ -79,7 +78,7 @@
             let mut discarded = [MaybeUninit::uninit(); DISCARDED_BYTES];
             let mut buf = ReadBuf::uninit(&mut discarded);
             match Pin::new(&mut self.inner).poll_read(cx, &mut buf) {
-                Poll::Ready(Ok(())) if !buf.filled().is_empty() => linger.note_received(),
+                Poll::Ready(Ok(())) if !buf.filled().is_empty() => linger.note_received(self.silence_max),
                 // The other side has closed or reset the connection.
                 Poll::Ready(_) => return Poll::Ready(()),
                 Poll::Pending => return Poll::Pending,
@@ -123,7 +122,7 @@
         let this = &mut *self;
         if matches!(this.state, State::Open) {
             ready!(Pin::new(&mut this.inner).poll_shutdown(cx))?;
-            this.state = State::Lingering(Linger::new());
+            this.state = State::Lingering(Linger::new(this.silence_max));
         }
         ready!(this.poll_linger(cx));
         this.state = State::Closed;
--- a/crates/laurelstall_peer/src/meter.rs
+++ b/crates/laurelstall_peer/src/meter.rs
@@ -56,28 +56,10 @@
 pub struct Activity {
     /// Bytes received on the connection.
     pub received_bytes: AtomicU64,
-    /// Bytes sent on the connection.
-    pub sent_bytes: AtomicU64,
     /// Number of requests that wait for data on the connection.
     pub in_flight: AtomicU64,
 }
 
-impl Activity {
-    /// Waits until nothing was received or sent for `time`.
-    pub async fn silence(&self, time: Duration) {
-        let transferred_bytes = || {
-            self.received_bytes.load(Ordering::Relaxed).wrapping_add(self.sent_bytes.load(Ordering::Relaxed))
-        };
-        loop {
-            let before = transferred_bytes();
-            sleep(time).await;
-            if transferred_bytes() == before {
-                return;
-            }
-        }
-    }
-}
-
 /// Counts as a request that waits on a connection, until it is dropped.
 #[derive(Debug)]
 pub struct InFlight(Arc<Activity>);
@@ -144,11 +126,6 @@
         Ok(is_partitioned)
     }
 
-    fn count_sent(&self, bytes: usize) {
-        self.meter.sent_bytes.fetch_add(bytes as u64, Ordering::Relaxed);
-        self.activity.sent_bytes.fetch_add(bytes as u64, Ordering::Relaxed);
-    }
-
     fn poll_partition_check(&mut self, cx: &mut Context<'_>) {
         loop {
             let partition_check =
@@ -193,7 +170,7 @@
         }
         let polled = Pin::new(&mut self.inner).poll_write(cx, buf);
         if let Poll::Ready(Ok(written)) = &polled {
-            self.count_sent(*written);
+            self.meter.sent_bytes.fetch_add(*written as u64, Ordering::Relaxed);
         }
         polled
     }
@@ -208,7 +185,7 @@
         }
         let polled = Pin::new(&mut self.inner).poll_write_vectored(cx, bufs);
         if let Poll::Ready(Ok(written)) = &polled {
-            self.count_sent(*written);
+            self.meter.sent_bytes.fetch_add(*written as u64, Ordering::Relaxed);
         }
         polled
     }
--- a/crates/laurelstall_peer/src/pool.rs
+++ b/crates/laurelstall_peer/src/pool.rs
@@ -2,13 +2,11 @@
 
 use crate::{
     link::Link,
+    liveness::monitor,
     meter::{Activity, InFlight, Meter, MeteredStream},
 };
 use bytes::Bytes;
-use h2::{
-    Ping, PingPong,
-    client::{self, SendRequest},
-};
+use h2::client::{self, SendRequest};
 use laurelstall_guard::clock::Clock;
 use quick_error::quick_error;
 use rand::RngExt;
@@ -16,7 +14,6 @@
     collections::HashMap,
     io,
     net::SocketAddr,
-    pin::pin,
     sync::{Arc, Mutex, PoisonError, atomic::Ordering},
 };
 use tokio::{
@@ -225,7 +222,7 @@
                         log::debug!("connection to {address} failed: {error}");
                     }
                 }
-                () = monitor(pings, monitored) => log::info!("node at {address}: unreachable: no answer to a ping"),
+                () = monitor(pings, &monitored) => log::info!("node at {address}: unreachable: no answer to a ping"),
             }
         });
         let stream = sender.ready().await?;
@@ -236,35 +233,3 @@
         self.entries.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
-
-/// Time without received data after which a connection with waiting requests is pinged.
-const SILENCE_MAX: Duration = Duration::from_millis(300);
-/// Time limit for the answer to a ping; the connection is closed if nothing arrives.
-const PONG_TIMEOUT: Duration = Duration::from_millis(500);
-
-/// Returns if the other node does not answer a ping while requests wait for it.
-///
-/// Detects a lost or paused host within 0.8 s, much sooner than the time budgets of calls do. Idle
-/// connections are not pinged. Large answers may delay the answer to a ping, so any received data counts as a
-/// sign of life.
-async fn monitor(pings: Option<PingPong>, activity: Arc<Activity>) {
-    let Some(mut pings) = pings else { return std::future::pending().await };
-    loop {
-        let before = activity.received_bytes.load(Ordering::Relaxed);
-        sleep(SILENCE_MAX).await;
-        let has_waiting = activity.in_flight.load(Ordering::Relaxed) > 0;
-        if !has_waiting || activity.received_bytes.load(Ordering::Relaxed) != before {
-            continue;
-        }
-        let mut pong = pin!(pings.ping(Ping::opaque()));
-        loop {
-            let before = activity.received_bytes.load(Ordering::Relaxed);
-            match timeout(PONG_TIMEOUT, pong.as_mut()).await {
-                Ok(Ok(_)) => break,
-                Ok(Err(_)) => return std::future::pending().await,
-                Err(_) if activity.received_bytes.load(Ordering::Relaxed) == before => return,
-                Err(_) => {}
-            }
-        }
-    }
-}
--- a/crates/laurelstall_peer/src/server.rs
+++ b/crates/laurelstall_peer/src/server.rs
@@ -6,8 +6,9 @@
     client::headers_to_wire,
     frame::{FrameError, FrameReader, HEAD_BYTES_MAX, encode},
     lingering_stream::LingeringStream,
+    liveness::monitor_while_stopping,
     message::{AttemptHead, BodyKind, PeerAnswer, PeerRequest, WireHint},
-    meter::{Activity, Meter, MeteredStream},
+    meter::{Meter, MeteredStream},
     pool::{CONNECTION_WINDOW_BYTES, STREAM_WINDOW_BYTES},
 };
 use bytes::Bytes;
@@ -23,6 +24,7 @@
     fmt,
     future::poll_fn,
     net::{IpAddr, SocketAddr},
+    pin::pin,
     sync::{Arc, atomic::Ordering},
 };
 use tokio::{
@@ -38,10 +40,9 @@
 pub const STREAMS_MAX: u32 = 1_000;
 /// Time limit for a handshake, for the head of a stream, and for a body that is sent at once.
 pub const RECEIVE_TIMEOUT: Duration = Duration::from_secs(5);
-/// Time without a byte in either direction after which a stopping server closes a connection without open streams.
-/// The other node may be lost, and would never confirm the end of the connection.
-const CLOSE_SILENCE_MAX: Duration = Duration::from_secs(1);
-
+/// Time without a byte from the other node after which its end of a closing connection is no longer awaited. A node that
+/// reads the last answers at 1 Mbit/s sends a window update each second.
+const CLOSE_SILENCE_MAX: Duration = Duration::from_secs(2);
 /// Processes the requests of other nodes.
 pub trait PeerHandler: Send + Sync + fmt::Debug {
     /// Returns the guard that runs attempts.
@@ -118,11 +119,14 @@
         builder.initial_window_size(STREAM_WINDOW_BYTES);
         builder.initial_connection_window_size(CONNECTION_WINDOW_BYTES);
         builder.max_concurrent_streams(STREAMS_MAX);
-        let Ok(connection) = timeout(RECEIVE_TIMEOUT, builder.handshake(LingeringStream::new(stream))).await
+        let Ok(connection) =
+            timeout(RECEIVE_TIMEOUT, builder.handshake(LingeringStream::new(stream, CLOSE_SILENCE_MAX)))
+                .await
         else {
             return Ok(());
         };
         let mut connection = connection?;
+        let mut lost = pin!(monitor_while_stopping(connection.ping_pong(), &activity));
         let mut stopping = self.stopping.subscribe();
         let mut is_stopping = false;
         let mut streams = JoinSet::new();
@@ -130,7 +134,10 @@
             while streams.try_join_next().is_some() {}
             let accepted = tokio::select! {
                 accepted = connection.accept() => accepted,
-                () = wait_for_silence(&mut streams, &activity), if is_stopping => return Ok(()),
+                () = &mut lost, if is_stopping => {
+                    log::info!("node at {from}: lost while this node stops");
+                    return Ok(());
+                }
                 _ = stopping.wait_for(|is_stopping| *is_stopping), if !is_stopping => {
                     is_stopping = true;
                     connection.graceful_shutdown();
@@ -214,12 +221,6 @@
     }
 }
 
-/// Waits until all streams have ended and the connection has been silent for [`CLOSE_SILENCE_MAX`].
-async fn wait_for_silence(streams: &mut JoinSet<()>, activity: &Activity) {
-    while streams.join_next().await.is_some() {}
-    activity.silence(CLOSE_SILENCE_MAX).await;
-}
-
 async fn run_streamed(
     running: BoxFuture<'_, AttemptAnswer>,
     mut admitted: oneshot::Receiver<()>,
