The last decisions are written before a stopping process ends

Decision lines of the last calls of a stopping node could be lost.

Cause: the log is flushed at the end of the process, but decisions wait for up to 100 ms in a queue of their own before they reach it.

A stop waits until the decision log has handed on its lines, 200 ms at most.

--- a/crates/laurelstall_node/src/decision_log.rs
+++ b/crates/laurelstall_node/src/decision_log.rs
@@ -8,6 +8,7 @@
     wall_clock::unix_ms,
 };
 use laurelstall_config::{document::Version, settings::DecisionFormat};
+use laurelstall_peer::gauge::{Gauge, InProgress};
 use serde::{Serialize, Serializer};
 use std::{
     collections::VecDeque,
@@ -17,13 +18,17 @@
         mpsc::{Receiver, SyncSender, TryRecvError, sync_channel},
     },
     thread,
-    time::Duration,
 };
+use tokio::time::{Duration, Instant, sleep};
 
 /// Log target of decisions, which are written separately from other log lines.
 pub const DECISION_TARGET: &str = "laurelstall::decision";
 /// Interval between writes of queued lines.
 const WRITE_INTERVAL: Duration = Duration::from_millis(100);
+/// Maximum time to wait at a stop until the last lines are written, twice the interval of writes.
+const FLUSH_TIMEOUT: Duration = Duration::from_millis(200);
+/// Interval between checks whether all lines are written.
+const FLUSH_CHECK_INTERVAL: Duration = Duration::from_millis(5);
 /// Maximum number of recent decisions kept for the administration API.
 pub const RECENT_MAX: usize = 256;
 /// Maximum number of lines per second of successful calls. Lines of failed calls are not limited.
@@ -163,6 +168,8 @@
     unix_ms: u64,
     #[serde(flatten)]
     line: Line,
+    #[serde(skip)]
+    _waiting: InProgress,
 }
 
 /// Rate limit for lines of successful calls: the number of lines in the current second.
@@ -178,6 +185,8 @@
     sender: Option<SyncSender<TimedLine>>,
     recent: Arc<Mutex<VecDeque<Decision>>>,
     rate_limit: Mutex<RateLimit>,
+    /// Lines that are queued or being written.
+    waiting: Arc<Gauge>,
     counters: Arc<Counters>,
 }
 
@@ -193,7 +202,7 @@
             started.expect("the decision log thread starts");
             sender
         });
-        Self { sender, recent, rate_limit: Mutex::default(), counters }
+        Self { sender, recent, rate_limit: Mutex::default(), waiting: Arc::default(), counters }
     }
 
     /// Returns whether decisions are logged.
@@ -213,6 +222,14 @@
         self.send(Line::Call(end), is_success);
     }
 
+    /// Waits for up to [`FLUSH_TIMEOUT`] until all queued lines are handed to the logger.
+    pub async fn flush(&self) {
+        let deadline = Instant::now() + FLUSH_TIMEOUT;
+        while self.waiting.value() > 0 && Instant::now() < deadline {
+            sleep(FLUSH_CHECK_INTERVAL).await;
+        }
+    }
+
     /// Returns up to `limit` recent decisions, oldest first.
     pub fn recent(&self, limit: usize) -> Vec<Decision> {
         let recent = self.recent.lock().unwrap_or_else(PoisonError::into_inner);
@@ -224,7 +241,9 @@
         let Some(sender) = &self.sender else { return };
         let unix_ms = unix_ms();
         let is_allowed = !is_success || self.take_line(unix_ms / SECOND_MS);
-        if !is_allowed || sender.try_send(TimedLine { unix_ms, line }).is_err() {
+        if !is_allowed
+            || sender.try_send(TimedLine { unix_ms, line, _waiting: self.waiting.enter() }).is_err()
+        {
             count(&self.counters.decisions_dropped);
         }
     }
--- a/crates/laurelstall_node/src/node/stop.rs
+++ b/crates/laurelstall_node/src/node/stop.rs
@@ -37,6 +37,7 @@
             started.elapsed().as_millis(),
             self.unfinished_work()
         );
+        self.entry.context.decisions.flush().await;
         self.peer_task.abort();
         self.background.shutdown().await;
         is_graceful
