A stopping node closes connections to other nodes beside those of callers

A caller that held up a stop also held up the connections to other nodes: they were told nothing until the time limit, where they were cut.

Cause: the server for other nodes was stopped only after the last caller's connection had ended. Found in review.

Both are now closed side by side. The nested second time limit on the drain is gone; the limit of the stop covers it.

--- a/crates/laurelstall_node/src/node/stop.rs
+++ b/crates/laurelstall_node/src/node/stop.rs
@@ -1,9 +1,12 @@
 //! Stops a node.
 
 use super::Node;
-use crate::target_guard::drained;
+use futures_util::future::join_all;
 use std::{fmt, sync::atomic::Ordering};
-use tokio::time::{Duration, Instant, sleep, timeout};
+use tokio::{
+    join,
+    time::{Duration, Instant, sleep, timeout},
+};
 
 impl Node {
     /// Stops gracefully. Returns whether all requests ended within the time limit.
@@ -21,14 +24,15 @@
             sleep(linger).await;
             self.guard.start_final_drain();
             self.shutdown.send_replace(true);
-            for task in &mut self.listener_tasks {
-                // A task that panicked needs no waiting.
-                let _ = task.await;
-            }
-            drained(&self.guard, limit).await;
-            // The answers of calls that have ended may still wait for the link, or for the nodes that read them.
-            self.peer_server.stop();
-            let _ = (&mut self.peer_task).await;
+            // A task that panicked needs no waiting.
+            let callers = join_all(&mut self.listener_tasks);
+            let nodes = async {
+                self.guard.guard().drained().await;
+                // The answers of calls that have ended may still wait for the link, or for the nodes that read them.
+                self.peer_server.stop();
+                let _ = (&mut self.peer_task).await;
+            };
+            join!(callers, nodes);
         });
         let is_graceful = stopped.await.is_ok();
         log::info!(
--- a/crates/laurelstall_node/src/target_guard.rs
+++ b/crates/laurelstall_node/src/target_guard.rs
@@ -39,10 +39,7 @@
     Arc, Mutex, MutexGuard, PoisonError,
     atomic::{AtomicBool, Ordering},
 };
-use tokio::{
-    sync::Mutex as AsyncMutex,
-    time::{Duration, timeout},
-};
+use tokio::sync::Mutex as AsyncMutex;
 
 mod admission;
 mod answers;
@@ -403,8 +400,3 @@
     permit: Permit,
     watched_run: WatchedRun,
 }
-
-/// Waits up to `limit` until the guard has no running or queued calls; returns whether it got there.
-pub async fn drained(guard: &TargetGuard, limit: Duration) -> bool {
-    timeout(limit, guard.guard().drained()).await.is_ok()
-}
--- a/crates/laurelstall_standin/tests/planned_stops.rs
+++ b/crates/laurelstall_standin/tests/planned_stops.rs
@@ -120,3 +120,26 @@
     assert!(!is_graceful, "the answer was cut off");
     assert!(took < STOP_MAX + Duration::from_secs(1), "{took:?}");
 }
+
+/// Guards against other nodes that are cut off at the time limit because one caller holds up the stop. The caller opens an
+/// HTTP/2 connection and answers nothing on it.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_silent_caller_does_not_keep_connections_of_other_nodes_open() {
+    const SILENT_HTTP2_CALLER: &[u8] = b"PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n\0\0\0\x04\0\0\0\0\0";
+    let mut plan = plan(2);
+    plan.stop_max_ms = 6_000;
+    let harness = start(plan).await;
+    harness.nodes()[0].1.guard.set_operator_drain(true);
+    assert!(download(&harness).await.is_some());
+    let mut caller = TcpStream::connect(entry(&harness, 1)).await.expect("the node listens");
+    caller.write_all(SILENT_HTTP2_CALLER).await.expect("the node reads");
+    let node = harness.nodes()[1].1.clone();
+    let other = harness.nodes()[0].1.clone();
+    let open = || other.meter().open.load(Ordering::Relaxed);
+    let stop = tokio::spawn(async move { node.stop().await });
+    sleep(LINGER + Duration::from_millis(2_500)).await;
+    assert!(!stop.is_finished(), "the caller holds up the stop");
+    // The stopping node has closed the connection from the other node; its own one may be open.
+    assert!(open() <= 1, "{} open connections", open());
+    stop.await.expect("no panic");
+}
