--- a/crates/laurelstall_balance/src/target_view.rs
+++ b/crates/laurelstall_balance/src/target_view.rs
@@ -107,15 +107,27 @@
     }
 
     /// Whether `listed` is the same target after a restart, so that the state of this view no longer applies.
-    pub fn is_restarted_as(&self, listed: &Self) -> bool {
+    fn is_restarted_as(&self, listed: &Self) -> bool {
         let (before, now) = (self.started_unix_ms, listed.started_unix_ms);
         before != 0 && now != 0 && before != now
     }
 
-    /// Copies the attempts in flight from the view of the target before its restart; they still end here.
-    pub fn take_in_flight(&mut self, before: &Self) {
-        self.in_flight = before.in_flight;
-        self.in_flight_at_hint = before.in_flight;
+    /// Returns the view of this target after it was listed again as `listed`: the state stays, unless the target was
+    /// restarted. Attempts in flight still end here.
+    pub fn relisted_as(mut self, mut listed: Self) -> Self {
+        if self.is_restarted_as(&listed) {
+            listed.in_flight = self.in_flight;
+            listed.in_flight_at_hint = self.in_flight;
+            return listed;
+        }
+        self.started_unix_ms = listed.started_unix_ms;
+        self.slots = listed.slots;
+        self.round_trip_us = listed.round_trip_us;
+        self.remote_cost_percent = listed.remote_cost_percent;
+        self.data_centre = listed.data_centre;
+        self.is_live = listed.is_live;
+        self.is_leaving = listed.is_leaving;
+        self
     }
 
     /// Stores a guard's hint. A new incarnation resets latency, errors and ejection.
