--- a/crates/laurelstall_balance/tests/decisions.rs
+++ b/crates/laurelstall_balance/tests/decisions.rs
@@ -1,5 +1,7 @@
 //! Load balancing decisions of an entry node, in single cases and in long random runs.
 
+mod support;
+
 use laurelstall_balance::{
     attempt_budget::{AttemptBudget, BudgetClass},
     hint::{Hint, TargetState},
@@ -11,6 +13,7 @@
 };
 use laurelstall_config::team::ServiceLimits;
 use rand::{RngExt, SeedableRng, rngs::SmallRng};
+use support::{any_target, choose};
 
 const START_US: u64 = 1_000_000;
 const SECOND_US: u64 = 1_000_000;
@@ -37,20 +40,6 @@
     }
 }
 
-fn choose(balancer: &mut ServiceBalancer, now_us: u64) -> Option<usize> {
-    balancer
-        .choose(&ChoiceRequest {
-            excluded: &[],
-            only: None,
-            data_centres: None,
-            class: 0,
-            useful_us: None,
-            waives_remote_cost: false,
-            now_us,
-        })
-        .map(|choice| choice.index)
-}
-
 #[test]
 fn the_least_loaded_target_by_fresh_hints_is_chosen() {
     let mut balancer = balancer(4, ServiceLimits::default());
@@ -258,15 +247,7 @@
         match rng.random_range(0..10) {
             0..4 => {
                 let excluded = [rng.random_range(0..5)];
-                let choice = balancer.choose(&ChoiceRequest {
-                    excluded: &excluded,
-                    only: None,
-                    data_centres: None,
-                    class: 0,
-                    useful_us: None,
-                    waives_remote_cost: false,
-                    now_us,
-                });
+                let choice = balancer.choose(&ChoiceRequest { excluded: &excluded, ..any_target(now_us) });
                 let Some(choice) = choice else { continue };
                 let view = &balancer.targets()[choice.index];
                 assert!(view.is_eligible(now_us) && choice.index != excluded[0]);
@@ -328,15 +309,7 @@
         balancer.update_hint(0, "t-0", local, START_US);
         balancer.update_hint(1, "t-1", hint(0, 0), START_US);
         let useful_us = Some(useful_ms * 1_000);
-        let request = ChoiceRequest {
-            excluded: &[],
-            only: None,
-            data_centres: None,
-            class: 0,
-            useful_us,
-            waives_remote_cost: false,
-            now_us: START_US,
-        };
+        let request = ChoiceRequest { useful_us, ..any_target(START_US) };
         balancer.choose(&request).expect("a target").index
     };
     // A call takes 10 ms, or 40 ms while the local target is slow.
@@ -425,15 +398,7 @@
     balancer.update_hint(2, "t-2", hint(0, 0), START_US);
     let mut choose = |waives_remote_cost: bool| {
         let useful_us = Some(20_000);
-        let request = ChoiceRequest {
-            excluded: &[0],
-            only: None,
-            data_centres: None,
-            class: 0,
-            useful_us,
-            waives_remote_cost,
-            now_us: START_US,
-        };
+        let request = ChoiceRequest { excluded: &[0], useful_us, waives_remote_cost, ..any_target(START_US) };
         balancer.choose(&request).expect("a target").index
     };
     assert_eq!(choose(false), 1, "a local target is tried first");
--- a/crates/laurelstall_balance/tests/fault_recovery.rs
+++ b/crates/laurelstall_balance/tests/fault_recovery.rs
@@ -1,6 +1,8 @@
 //! What an entry node remembers of a fault, with and without `limits.load.refusal_causes`: each test has a fault, its end,
 //! and the time until nothing of it is left.
 
+mod support;
+
 use laurelstall_balance::{
     class_times::ClassTimes,
     least_cost::LeastCost,
@@ -9,6 +11,7 @@
     target_view::TargetView,
 };
 use laurelstall_config::{load_control::LoadControl, team::ServiceLimits};
+use support::any_target;
 
 const START_US: u64 = 1_000_000;
 const SECOND_US: u64 = 1_000_000;
@@ -34,15 +37,7 @@
 /// Chooses the target for a call that only target 0 may take; whether it gets the call.
 fn is_chosen(balancer: &mut ServiceBalancer, now_us: u64) -> bool {
     let others = (1..TARGETS).collect::<Vec<_>>();
-    let request = ChoiceRequest {
-        excluded: &others,
-        only: None,
-        data_centres: None,
-        class: 0,
-        useful_us: None,
-        waives_remote_cost: false,
-        now_us,
-    };
+    let request = ChoiceRequest { excluded: &others, ..any_target(now_us) };
     balancer.choose(&request).is_some()
 }
 
--- a/crates/laurelstall_balance/tests/leaving_targets.rs
+++ b/crates/laurelstall_balance/tests/leaving_targets.rs
@@ -1,12 +1,13 @@
 //! Targets that stated that they are leaving get no new calls, whatever lists of targets follow.
 
+mod support;
+
 use laurelstall_balance::{
-    least_cost::LeastCost,
-    leaving_targets::LeavingTargets,
-    service_balancer::{ChoiceRequest, ServiceBalancer},
+    least_cost::LeastCost, leaving_targets::LeavingTargets, service_balancer::ServiceBalancer,
     target_view::TargetView,
 };
 use laurelstall_config::team::ServiceLimits;
+use support::choose;
 
 const START_US: u64 = 1_000_000;
 
@@ -34,27 +35,14 @@
     (0..2).map(|n| TargetView::new(&format!("t-{n}"), &format!("h-{n}"), 12, 100, START_US)).collect()
 }
 
-fn choose(balancer: &mut ServiceBalancer) -> Option<usize> {
-    let request = ChoiceRequest {
-        excluded: &[],
-        only: None,
-        data_centres: None,
-        class: 0,
-        useful_us: None,
-        waives_remote_cost: false,
-        now_us: START_US,
-    };
-    balancer.choose(&request).map(|choice| choice.index)
-}
-
 #[test]
 fn a_leaving_target_is_not_chosen_and_gives_no_retry_time() {
     let limits = ServiceLimits::default();
     let mut balancer = ServiceBalancer::new(limits, Box::new(LeastCost::default()), 7);
     balancer.set_targets(limits, views());
     balancer.note_leaving("t-0");
-    assert!((0..50).all(|_| choose(&mut balancer) == Some(1)));
+    assert!((0..50).all(|_| choose(&mut balancer, START_US) == Some(1)));
     balancer.note_absent(1, "t-1", 700, START_US);
-    assert_eq!(choose(&mut balancer), None);
+    assert_eq!(choose(&mut balancer, START_US), None);
     assert_eq!(balancer.retry_after_ms(START_US), 700, "when the other target may be called again");
 }
--- a/crates/laurelstall_balance/tests/rate_limits.rs
+++ b/crates/laurelstall_balance/tests/rate_limits.rs
@@ -1,11 +1,12 @@
 //! Entry nodes and targets that state rate limits: which targets are left out, and when callers come back.
 
+mod support;
+
 use laurelstall_balance::{
-    least_cost::LeastCost,
-    service_balancer::{ChoiceRequest, ServiceBalancer},
-    target_view::TargetView,
+    least_cost::LeastCost, service_balancer::ServiceBalancer, target_view::TargetView,
 };
 use laurelstall_config::team::ServiceLimits;
+use support::choose;
 
 const START_US: u64 = 1_000_000;
 const SECOND_US: u64 = 1_000_000;
@@ -23,19 +24,6 @@
     format!("t-{index}")
 }
 
-fn choose(balancer: &mut ServiceBalancer, now_us: u64) -> Option<usize> {
-    let request = ChoiceRequest {
-        excluded: &[],
-        only: None,
-        data_centres: None,
-        class: 0,
-        useful_us: None,
-        waives_remote_cost: false,
-        now_us,
-    };
-    balancer.choose(&request).map(|choice| choice.index)
-}
-
 #[test]
 fn a_target_with_a_limit_is_left_out_until_its_guard_has_room() {
     let mut balancer = balancer();
--- a/crates/laurelstall_balance/tests/restarts.rs
+++ b/crates/laurelstall_balance/tests/restarts.rs
@@ -1,5 +1,7 @@
 //! A restart of a target under the same name resets what is known of it.
 
+mod support;
+
 use laurelstall_balance::{
     hint::{Hint, TargetState},
     least_cost::LeastCost,
@@ -7,6 +9,7 @@
     target_view::TargetView,
 };
 use laurelstall_config::team::ServiceLimits;
+use support::any_target;
 
 const START_US: u64 = 1_000_000;
 
@@ -72,15 +75,7 @@
     let index = balancer.targets().iter().position(|view| view.name == "t-0").expect("the target is listed");
     balancer.note_result(index, "t-0", 0, AttemptResult::Cancelled, START_US);
     assert_eq!(first_view(&balancer).in_flight(), 0);
-    let request = ChoiceRequest {
-        excluded: &[],
-        only: Some("t-0"),
-        data_centres: None,
-        class: 0,
-        useful_us: None,
-        waives_remote_cost: false,
-        now_us: START_US,
-    };
+    let request = ChoiceRequest { only: Some("t-0"), ..any_target(START_US) };
     assert!(balancer.choose(&request).is_some());
 }
 
--- a/crates/laurelstall_guard/tests/admission.rs
+++ b/crates/laurelstall_guard/tests/admission.rs
@@ -1,7 +1,9 @@
 //! Admission, queueing, hand-backs, refusals and draining, on a paused clock.
 
+mod support;
+
 use laurelstall_guard::{
-    admission_request::{AdmissionRequest, Rank, WorkspaceShare},
+    admission_request::{AdmissionRequest, Rank},
     clock::Clock,
     guard::{Guard, Permit},
     guard_limits::GuardLimits,
@@ -12,6 +14,7 @@
     Arc,
     atomic::{AtomicUsize, Ordering},
 };
+use support::enqueue;
 use tokio::{
     task::JoinSet,
     time::{Duration, advance, sleep, timeout},
@@ -35,35 +38,13 @@
 }
 
 fn request(clock: &Clock, importance: u8, budget_ms: u64) -> AdmissionRequest {
-    let deadline_us = clock.now_us() + budget_ms * 1_000;
-    AdmissionRequest {
-        rank: Rank::new(importance, false),
-        workspace_share: WorkspaceShare::NO_WORKSPACE,
-        class: 0,
-        deadline_us,
-        useful_until_us: deadline_us,
-        useful_us: budget_ms * 1_000,
-        may_hand_back: false,
-        hand_backs: 0,
-        slow_from_percent: None,
-    }
+    support::request(clock, Rank::new(importance, false), budget_ms)
 }
 
 fn reason(refused: Result<Permit, Refusal>) -> RefusalReason {
     refused.expect_err("the call must be refused").reason
 }
 
-/// Spawns the admission of `request` and lets it reach the queue.
-async fn enqueue(
-    guard: &Arc<Guard>,
-    request: AdmissionRequest,
-) -> tokio::task::JoinHandle<Result<Permit, Refusal>> {
-    let guard = guard.clone();
-    let task = tokio::spawn(async move { guard.admit(request).await });
-    tokio::task::yield_now().await;
-    task
-}
-
 #[tokio::test(start_paused = true)]
 async fn slots_are_never_exceeded_and_important_calls_go_first() {
     let (guard, clock) = guard();
--- a/crates/laurelstall_guard/tests/held_calls.rs
+++ b/crates/laurelstall_guard/tests/held_calls.rs
@@ -1,16 +1,19 @@
 //! Calls held during the target's slow phases, on a paused clock.
 
+mod support;
+
 use laurelstall_guard::{
     admission_request::{AdmissionRequest, Rank, WorkspaceShare},
     clock::Clock,
-    guard::{Guard, Permit},
+    guard::Guard,
     guard_limits::GuardLimits,
-    refusal::{Refusal, RefusalReason},
+    refusal::RefusalReason,
 };
 use std::sync::{
     Arc,
     atomic::{AtomicU32, Ordering},
 };
+use support::enqueue;
 use tokio::{
     task::{JoinHandle, yield_now},
     time::{Duration, advance, timeout},
@@ -29,8 +32,6 @@
 };
 const RUN_MS: u64 = 200;
 
-type Admission = JoinHandle<Result<Permit, Refusal>>;
-
 fn request(clock: &Clock) -> AdmissionRequest {
     let now_us = clock.now_us();
     AdmissionRequest {
@@ -46,13 +47,6 @@
     }
 }
 
-async fn enqueue(guard: &Arc<Guard>, request: AdmissionRequest) -> Admission {
-    let guard = guard.clone();
-    let task = tokio::spawn(async move { guard.admit(request).await });
-    yield_now().await;
-    task
-}
-
 /// Creates a guard that has measured a run and whose target has just turned slow.
 async fn slow_guard() -> (Arc<Guard>, Clock) {
     let clock = Clock::new();
--- a/crates/laurelstall_guard/tests/nested_order.rs
+++ b/crates/laurelstall_guard/tests/nested_order.rs
@@ -1,18 +1,18 @@
 //! The order of nested calls by the importance of the first request of their chain, on a paused clock.
 
+mod support;
+
 use laurelstall_guard::{
-    admission_request::{AdmissionRequest, NESTED_CALL_IMPORTANCE, Rank, WorkspaceShare},
+    admission_request::{NESTED_CALL_IMPORTANCE, Rank},
     clock::Clock,
     guard::{Guard, Permit},
     guard_limits::GuardLimits,
-    refusal::{Refusal, RefusalReason},
+    refusal::RefusalReason,
 };
 use laurelstall_overload::call_level::CallLevel;
 use std::sync::Arc;
-use tokio::{
-    task::{JoinHandle, yield_now},
-    time::{Duration, advance},
-};
+use support::{enqueue, request};
+use tokio::time::{Duration, advance};
 
 const LOW: u8 = 20;
 const HIGH: u8 = 70;
@@ -29,34 +29,12 @@
     may_hold: false,
 };
 
-fn request(clock: &Clock, rank: Rank, budget_ms: u64) -> AdmissionRequest {
-    let deadline_us = clock.now_us() + budget_ms * 1_000;
-    AdmissionRequest {
-        rank,
-        workspace_share: WorkspaceShare::NO_WORKSPACE,
-        class: 0,
-        deadline_us,
-        useful_until_us: deadline_us,
-        useful_us: budget_ms * 1_000,
-        may_hand_back: false,
-        hand_backs: 0,
-        slow_from_percent: None,
-    }
-}
-
 /// The rank of a nested call for a caller of some importance.
 fn nested(importance: u8, is_on: bool) -> Rank {
     let level = CallLevel { importance, bucket: 11 };
     Rank::new(NESTED_CALL_IMPORTANCE, false).with_level(level).by_first_caller(is_on)
 }
 
-async fn enqueue(guard: &Arc<Guard>, request: AdmissionRequest) -> JoinHandle<Result<Permit, Refusal>> {
-    let guard = guard.clone();
-    let task = tokio::spawn(async move { guard.admit(request).await });
-    yield_now().await;
-    task
-}
-
 /// A guard with one slot that takes 5 ms for a call, and the call that holds the slot.
 async fn busy_guard(clock: Clock) -> (Arc<Guard>, Permit) {
     let guard = Guard::new(LIMITS, clock);
--- a/crates/laurelstall_guard/tests/reserved_returns.rs
+++ b/crates/laurelstall_guard/tests/reserved_returns.rs
@@ -1,15 +1,14 @@
 //! Tests the place of returns with a reservation in a guard's queue, and prompt refusals, on a paused clock.
 
+mod support;
+
 use laurelstall_guard::{
-    admission_request::{AdmissionRequest, Rank, WorkspaceShare},
-    clock::Clock,
-    guard::{Guard, Permit},
-    guard_limits::GuardLimits,
-    refusal::{Refusal, RefusalReason},
+    admission_request::Rank, clock::Clock, guard::Guard, guard_limits::GuardLimits, refusal::RefusalReason,
 };
 use std::sync::Arc;
+use support::{Admission, request};
 use tokio::{
-    task::{JoinHandle, yield_now},
+    task::yield_now,
     time::{Duration, advance, sleep},
 };
 
@@ -31,28 +30,8 @@
     Rank::new(importance, is_caller_retry).with_reservation(is_reserved)
 }
 
-async fn enqueue(
-    guard: &Arc<Guard>,
-    clock: &Clock,
-    rank: Rank,
-    budget_ms: u64,
-) -> JoinHandle<Result<Permit, Refusal>> {
-    let deadline_us = clock.now_us() + budget_ms * 1_000;
-    let request = AdmissionRequest {
-        rank,
-        workspace_share: WorkspaceShare::NO_WORKSPACE,
-        class: 0,
-        deadline_us,
-        useful_until_us: deadline_us,
-        useful_us: budget_ms * 1_000,
-        may_hand_back: false,
-        hand_backs: 0,
-        slow_from_percent: None,
-    };
-    let guard = guard.clone();
-    let task = tokio::spawn(async move { guard.admit(request).await });
-    yield_now().await;
-    task
+async fn enqueue(guard: &Arc<Guard>, clock: &Clock, rank: Rank, budget_ms: u64) -> Admission {
+    support::enqueue(guard, request(clock, rank, budget_ms)).await
 }
 
 #[tokio::test(start_paused = true)]
