Stand-in programs and retry budgets: merged what was written twice

The programs share exit codes, listening and writing of results in program.rs, with the same messages. Both retry budgets count granted and refused attempts with one type.

--- a/crates/laurelstall_balance/src/attempt_budget.rs
+++ b/crates/laurelstall_balance/src/attempt_budget.rs
@@ -1,6 +1,6 @@
 //! Budgets for attempts beyond the first of a call, in proportion to the calls.
 
-use crate::recent_count::RecentCount;
+use crate::{grant_counts::GrantCounts, recent_count::RecentCount};
 
 /// Part of the deposits of the last ten seconds that the budget may hold.
 ///
@@ -59,8 +59,7 @@
     tokens: f64,
     refilled_at_us: u64,
     calls: RecentCount,
-    granted: u64,
-    refused: u64,
+    grants: GrantCounts,
 }
 
 impl AttemptBudget {
@@ -72,8 +71,7 @@
             tokens: SAVED_RESERVE * reserve,
             refilled_at_us: 0,
             calls: RecentCount::default(),
-            granted: 0,
-            refused: 0,
+            grants: GrantCounts::default(),
         }
     }
 
@@ -104,17 +102,10 @@
         let kept = class.kept_tokens(tokens_max);
         let fraction = (self.tokens - kept).min(1.0);
         if self.share <= 0.0 || fraction <= 0.0 || fraction < FRACTION_MIN.min(tokens_max - kept) {
-            self.refused += 1;
-            return false;
+            return self.grants.note(false);
         }
         self.tokens -= fraction;
-        let is_granted = draw < fraction;
-        if is_granted {
-            self.granted += 1;
-        } else {
-            self.refused += 1;
-        }
-        is_granted
+        self.grants.note(draw < fraction)
     }
 
     /// Withdraws a token for an extra attempt that is made in any case. The balance may become negative.
@@ -125,12 +116,12 @@
 
     /// Number of extra attempts granted.
     pub fn granted(&self) -> u64 {
-        self.granted
+        self.grants.granted
     }
 
     /// Number of extra attempts refused.
     pub fn refused(&self) -> u64 {
-        self.refused
+        self.grants.refused
     }
 
     fn refill(&mut self, now_us: u64) {
--- a/crates/laurelstall_balance/src/lib.rs
+++ b/crates/laurelstall_balance/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod class_times;
 pub mod ejection;
 pub mod fading;
+mod grant_counts;
 pub mod half_open;
 pub mod hint;
 pub mod importance_tracker;
--- a/crates/laurelstall_balance/src/shared_retry_budget.rs
+++ b/crates/laurelstall_balance/src/shared_retry_budget.rs
@@ -1,6 +1,6 @@
 //! The retry budget of an entry node that lends unused tokens to other entry nodes.
 
-use crate::{attempt_budget::BudgetClass, recent_count::RecentCount};
+use crate::{attempt_budget::BudgetClass, grant_counts::GrantCounts, recent_count::RecentCount};
 
 /// Deposit for a call, relative to half of the share that all retries may have of the requests.
 ///
@@ -58,8 +58,7 @@
     calls: RecentCount,
     /// Time at which a retry was last asked for.
     asked_at_us: Option<u64>,
-    granted: u64,
-    refused: u64,
+    grants: GrantCounts,
 }
 
 impl SharedRetryBudget {
@@ -75,8 +74,7 @@
             slot: 0,
             calls: RecentCount::default(),
             asked_at_us: None,
-            granted: 0,
-            refused: 0,
+            grants: GrantCounts::default(),
         }
     }
 
@@ -143,13 +141,7 @@
         if is_enough {
             self.take(fraction);
         }
-        let is_granted = is_enough && draw < fraction;
-        if is_granted {
-            self.granted += 1;
-        } else {
-            self.refused += 1;
-        }
-        is_granted
+        self.grants.note(is_enough && draw < fraction)
     }
 
     /// Withdraws a token for a retry that is made in any case. The budget may become negative.
@@ -163,12 +155,12 @@
 
     /// Number of retries granted.
     pub fn granted(&self) -> u64 {
-        self.granted
+        self.grants.granted
     }
 
     /// Number of retries refused.
     pub fn refused(&self) -> u64 {
-        self.refused
+        self.grants.refused
     }
 
     fn available(&self) -> f64 {
--- a/crates/laurelstall_standin/src/bin/laurelstall-fleet.rs
+++ b/crates/laurelstall_standin/src/bin/laurelstall-fleet.rs
@@ -3,14 +3,11 @@
 use gumdrop::Options;
 use laurelstall_standin::{
     fleet_bench::{Disturbance, FleetPlan, FleetResult, run},
+    program::{EXIT_GUARANTEE_VIOLATED, EXIT_USAGE, write_json},
     runtime_thread::RuntimeThread,
 };
 use std::process::ExitCode;
 
-/// Exit code for invalid arguments.
-const EXIT_USAGE: u8 = 2;
-/// Exit code for a violated guarantee.
-const EXIT_GUARANTEE_VIOLATED: u8 = 3;
 /// Largest number of nodes in one process, which keeps listeners and connections within the descriptor limit.
 const NODES_MAX: usize = 1_000;
 
@@ -70,12 +67,11 @@
         }
     };
     print_result(&result);
-    if let Some(file) = arguments.json {
-        let text = serde_json::to_string_pretty(&result).unwrap_or_default();
-        if let Err(error) = std::fs::write(&file, text) {
-            eprintln!("laurelstall-fleet: cannot write {file}: {error}");
-            return ExitCode::FAILURE;
-        }
+    if let Some(file) = arguments.json
+        && let Err(message) = write_json(&file, &result)
+    {
+        eprintln!("laurelstall-fleet: {message}");
+        return ExitCode::FAILURE;
     }
     if result.fell_back > 0 { ExitCode::from(EXIT_GUARANTEE_VIOLATED) } else { ExitCode::SUCCESS }
 }
--- a/crates/laurelstall_standin/src/bin/laurelstall-load.rs
+++ b/crates/laurelstall_standin/src/bin/laurelstall-load.rs
@@ -4,6 +4,7 @@
 use laurelstall_config::team::ServiceLimits;
 use laurelstall_standin::{
     experiment::{Balancer, BalancerResult, RunOptions, run},
+    program::{EXIT_GUARANTEE_VIOLATED, EXIT_USAGE},
     report,
     runtime_thread::RuntimeThread,
     scenario::Scenario,
@@ -11,11 +12,6 @@
 use serde::Serialize;
 use std::{collections::BTreeMap, path::Path, process::ExitCode};
 
-/// Exit code for invalid arguments.
-const EXIT_USAGE: u8 = 2;
-/// Exit code for a violated guarantee.
-const EXIT_GUARANTEE_VIOLATED: u8 = 3;
-
 #[derive(Debug, Options)]
 struct Arguments {
     #[options(help = "print this help")]
--- a/crates/laurelstall_standin/src/bin/laurelstall-standin-platform.rs
+++ b/crates/laurelstall_standin/src/bin/laurelstall-standin-platform.rs
@@ -2,11 +2,13 @@
 
 use gumdrop::Options;
 use laurelstall_config::document::DocumentName;
-use laurelstall_standin::platform::StandinPlatform;
+use laurelstall_standin::{
+    platform::StandinPlatform,
+    program::{EXIT_USAGE, listen},
+};
 use std::{
     collections::HashMap,
     fs,
-    net::TcpListener,
     path::{Path, PathBuf},
     process::ExitCode,
     sync::Arc,
@@ -49,12 +51,12 @@
     }
     let Some(folder) = arguments.documents else {
         eprintln!("laurelstall-standin-platform: missing --documents FOLDER; see --help");
-        return ExitCode::from(2);
+        return ExitCode::from(EXIT_USAGE);
     };
-    let listener = match TcpListener::bind(&arguments.listen) {
+    let listener = match listen(&arguments.listen) {
         Ok(listener) => listener,
-        Err(error) => {
-            eprintln!("laurelstall-standin-platform: cannot listen on {}: {error}", arguments.listen);
+        Err(message) => {
+            eprintln!("laurelstall-standin-platform: {message}");
             return ExitCode::FAILURE;
         }
     };
--- a/crates/laurelstall_standin/src/bin/laurelstall-standin-target.rs
+++ b/crates/laurelstall_standin/src/bin/laurelstall-standin-target.rs
@@ -2,10 +2,11 @@
 
 use gumdrop::Options;
 use laurelstall_standin::{
+    program::listen,
     run_records::RunRecords,
     target::{StandinTarget, TargetPlan},
 };
-use std::{net::TcpListener, process::ExitCode, sync::Arc, time::Duration};
+use std::{process::ExitCode, sync::Arc, time::Duration};
 
 #[derive(Debug, Options)]
 struct Arguments {
@@ -35,10 +36,10 @@
         println!("laurelstall-standin-target {}", env!("CARGO_PKG_VERSION"));
         return ExitCode::SUCCESS;
     }
-    let listener = match TcpListener::bind(&arguments.listen) {
+    let listener = match listen(&arguments.listen) {
         Ok(listener) => listener,
-        Err(error) => {
-            eprintln!("laurelstall-standin-target: cannot listen on {}: {error}", arguments.listen);
+        Err(message) => {
+            eprintln!("laurelstall-standin-target: {message}");
             return ExitCode::FAILURE;
         }
     };
--- a/crates/laurelstall_standin/src/bin/laurelstall-try.rs
+++ b/crates/laurelstall_standin/src/bin/laurelstall-try.rs
@@ -5,15 +5,12 @@
     callers::{CallPlan, Callers, EntryAddresses, Totals, answered_latency},
     harness::Harness,
     harness_plan::HarnessPlan,
+    program::{EXIT_GUARANTEE_VIOLATED, EXIT_USAGE, write_json},
     runtime_thread::RuntimeThread,
 };
 use serde::Serialize;
 use std::{process::ExitCode, sync::atomic::Ordering, time::Duration};
 
-/// Exit code for invalid arguments.
-const EXIT_USAGE: u8 = 2;
-/// Exit code for a violated guarantee.
-const EXIT_GUARANTEE_VIOLATED: u8 = 3;
 /// Pause before each pair of pings.
 const PING_PAUSE: Duration = Duration::from_millis(3);
 
@@ -77,12 +74,11 @@
         }
     };
     print_table(&result);
-    if let Some(file) = arguments.json {
-        let text = serde_json::to_string_pretty(&result).unwrap_or_default();
-        if let Err(error) = std::fs::write(&file, text) {
-            eprintln!("laurelstall-try: cannot write {file}: {error}");
-            return ExitCode::FAILURE;
-        }
+    if let Some(file) = arguments.json
+        && let Err(message) = write_json(&file, &result)
+    {
+        eprintln!("laurelstall-try: {message}");
+        return ExitCode::FAILURE;
     }
     if result.totals.violates_guarantees() {
         ExitCode::from(EXIT_GUARANTEE_VIOLATED)
--- a/crates/laurelstall_standin/src/lib.rs
+++ b/crates/laurelstall_standin/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod partitions;
 pub mod platform;
 pub mod process;
+pub mod program;
 pub mod report;
 pub mod run_records;
 pub mod runtime_thread;
