Traffic between nodes by kind of message, and counts of crash reports

Nothing told what the nodes send each other: control_bytes is one sum, and crash reports that a node took, forwarded or dropped were not counted. The gauges control_KIND_bytes and control_KIND_messages count control messages by kind at the places where they were counted in one sum. crash_records, crash_reports_received, _new, _forwarded, crash_records_dropped and crash_records_taken_again tell what became of crash reports; the last one grows only if reports circulate. No decision changes.

--- a/crates/laurelstall_crash/src/crash_table.rs
+++ b/crates/laurelstall_crash/src/crash_table.rs
@@ -7,6 +7,7 @@
 
 use crate::{
     crash_record::{CrashRecord, CrashReport, TargetCrash},
+    dropped_records::DroppedRecords,
     request_digest::RequestDigest,
     successful_runs::SuccessfulRuns,
 };
@@ -65,12 +66,27 @@
     pub last_crash_age_ms: u64,
 }
 
+/// What a table did with reports since it was created.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct CrashTableCounts {
+    /// Reports that other nodes sent.
+    pub received: u64,
+    /// Received reports that changed a record, or that lacked a successful run known here.
+    pub changed: u64,
+    /// Records that were dropped because the table was full.
+    pub dropped: u64,
+    /// Records of requests that were taken although they had been dropped from the full table shortly before.
+    pub taken_again: u64,
+}
+
 /// All requests of which one node knows that they were running when targets crashed.
 #[derive(Debug, Default)]
 pub struct CrashTable {
     /// Records by [`RequestDigest::whole`].
     records: BTreeMap<u64, CrashRecord>,
     successful_runs: SuccessfulRuns,
+    dropped: DroppedRecords,
+    counts: CrashTableCounts,
 }
 
 impl CrashTable {
@@ -116,6 +132,7 @@
     pub fn merge_reports(&mut self, reports: &[CrashReport], now_us: i64) -> Vec<RequestDigest> {
         let mut changed = Vec::new();
         for report in reports.iter().take(RECORDS_MAX) {
+            self.counts.received += 1;
             let record = self.record(report.digest, &report.service);
             let has_changed = record.merge_report(report, now_us);
             if self.apply_remembered_success(report.digest.whole) || has_changed {
@@ -124,6 +141,7 @@
         }
         self.prune(now_us);
         changed.retain(|digest| self.records.contains_key(&digest.whole));
+        self.counts.changed += changed.len() as u64;
         changed
     }
 
@@ -152,6 +170,21 @@
         hasher.digest()
     }
 
+    /// What the table did with reports so far.
+    pub fn counts(&self) -> CrashTableCounts {
+        self.counts
+    }
+
+    /// The number of records.
+    pub fn len(&self) -> usize {
+        self.records.len()
+    }
+
+    /// Whether there is no record.
+    pub fn is_empty(&self) -> bool {
+        self.records.is_empty()
+    }
+
     /// The current status of a request.
     pub fn request_status(&self, digest: RequestDigest, now_us: i64) -> RequestStatus {
         self.records
@@ -180,6 +213,9 @@
     }
 
     fn record(&mut self, digest: RequestDigest, service: &str) -> &mut CrashRecord {
+        if !self.records.contains_key(&digest.whole) && self.dropped.take(digest.whole) {
+            self.counts.taken_again += 1;
+        }
         self.records.entry(digest.whole).or_insert_with(|| CrashRecord::new(digest, service))
     }
 
@@ -230,6 +266,8 @@
             let weakest = self.records.iter().min_by_key(|(_, record)| strength(record));
             let Some(weakest) = weakest.map(|(digest_hash, _)| *digest_hash) else { return };
             self.records.remove(&weakest);
+            self.dropped.note(weakest);
+            self.counts.dropped += 1;
         }
     }
 }
--- a/crates/laurelstall_crash/src/lib.rs
+++ b/crates/laurelstall_crash/src/lib.rs
@@ -4,6 +4,7 @@
 
 pub mod crash_record;
 pub mod crash_table;
+pub mod dropped_records;
 pub mod request_digest;
 pub mod run_tracker;
 pub mod successful_runs;
--- a/crates/laurelstall_crash/tests/crash_table.rs
+++ b/crates/laurelstall_crash/tests/crash_table.rs
@@ -180,6 +180,23 @@
     assert!(is_quarantined(&table, 1, 210));
 }
 
+#[test]
+fn records_that_are_dropped_from_a_full_table_and_taken_again_are_counted() {
+    let mut table = CrashTable::default();
+    let mut witness = CrashTable::default();
+    crash(&mut witness, 1, 10, &[1]);
+    let report = witness.all_reports(10 * S);
+    table.merge_reports(&report, 10 * S);
+    assert_eq!((table.counts().received, table.counts().changed, table.counts().dropped), (1, 1, 0));
+    for id in 2..7 {
+        crash(&mut table, id, 10 + id as i64, &(0..100).map(|number| id * 100 + number).collect::<Vec<_>>());
+    }
+    assert!(table.counts().dropped > 0);
+    assert_eq!(table.counts().taken_again, 0);
+    crash(&mut table, 500, 300, &[1]);
+    assert_eq!(table.counts().taken_again, 1, "it was at another crash");
+}
+
 #[test]
 fn a_request_that_is_not_quarantined_is_forgotten_after_ten_minutes() {
     let mut table = CrashTable::default();
--- a/crates/laurelstall_node/src/background.rs
+++ b/crates/laurelstall_node/src/background.rs
@@ -12,7 +12,10 @@
 use laurelstall_config::document::DocumentName;
 use laurelstall_guard::clock::Clock;
 use laurelstall_overload::call_level::CallLevel;
-use laurelstall_peer::{client::PeerClient, meter::Meter, replicator::Replicator};
+use laurelstall_peer::{
+    client::PeerClient, control_kind::ControlKind, crash_registry::CrashRegistry, meter::Meter,
+    replicator::Replicator,
+};
 use std::sync::{Arc, atomic::Ordering};
 use tokio::time::{Duration, sleep};
 
@@ -111,4 +114,31 @@
         ("platform_era", fleet_version.era),
         ("platform_returns", active.restores.load(Ordering::Relaxed)),
     ]
+    .into_iter()
+    .chain(traffic_gauges(meter))
+    .chain(crash_report_gauges(guard.crashes()))
+    .collect()
+}
+
+/// Returns the bytes and messages between nodes by kind of control message.
+fn traffic_gauges(meter: &Meter) -> Gauges {
+    let of_kind = |kind: ControlKind| {
+        let (bytes, messages) = kind.gauge_names();
+        let traffic = &meter.by_kind[kind.index()];
+        [(bytes, traffic.bytes.load(Ordering::Relaxed)), (messages, traffic.messages.load(Ordering::Relaxed))]
+    };
+    ControlKind::ALL.into_iter().flat_map(of_kind).collect()
+}
+
+/// Returns what became of the reports on requests that were running when targets crashed.
+fn crash_report_gauges(crashes: &CrashRegistry) -> Gauges {
+    let counts = crashes.counts();
+    vec![
+        ("crash_records", crashes.len() as u64),
+        ("crash_reports_received", counts.received),
+        ("crash_reports_new", counts.changed),
+        ("crash_reports_forwarded", crashes.forwarded()),
+        ("crash_records_dropped", counts.dropped),
+        ("crash_records_taken_again", counts.taken_again),
+    ]
 }
--- a/crates/laurelstall_node/src/target_guard.rs
+++ b/crates/laurelstall_node/src/target_guard.rs
@@ -281,6 +281,11 @@
         self.inner.incarnation
     }
 
+    /// Returns the registry of requests that were running when targets crashed.
+    pub fn crashes(&self) -> &CrashRegistry {
+        &self.inner.crashes
+    }
+
     /// Returns the current load of the target.
     pub fn hint(&self) -> Hint {
         self.inner.hint()
--- a/crates/laurelstall_peer/src/client.rs
+++ b/crates/laurelstall_peer/src/client.rs
@@ -3,6 +3,7 @@
 use crate::{
     attempt::{Attempt, AttemptAnswer, AttemptBody, AttemptOutcome, UnknownCause},
     body::{BodyError, BoxedBody, StreamBody, send_body, send_data},
+    control_kind::ControlKind,
     frame::{DOCUMENTS_BYTES_MAX, FrameError, FrameReader, HEAD_BYTES_MAX, encode},
     message::{AttemptHead, BodyKind, PeerAnswer, PeerRequest},
     meter::InFlight,
@@ -150,13 +151,14 @@
         let sender = self.pool.sender(address).await?;
         let monitor = RequestMonitor::new(sender.monitor());
         let (response, mut stream) = open(sender)?;
+        let kind = ControlKind::of(request);
         let frame = encode(request);
-        self.pool.meter().note_control(frame.len());
+        self.pool.meter().note_control(kind, frame.len());
         stream.send_data(frame, true)?;
         let response = response.await?;
         let mut reader = FrameReader::new(response.into_body());
         let answer = reader.read(DOCUMENTS_BYTES_MAX).await?;
-        self.pool.meter().note_control(encoded_length(&answer));
+        self.pool.meter().note_control(kind, encoded_length(&answer));
         monitor.end();
         Ok(answer)
     }
--- a/crates/laurelstall_peer/src/crash_registry.rs
+++ b/crates/laurelstall_peer/src/crash_registry.rs
@@ -3,13 +3,16 @@
 
 use laurelstall_crash::{
     crash_record::{CrashReport, TargetCrash},
-    crash_table::{CrashTable, RequestStatus, SuspectState},
+    crash_table::{CrashTable, CrashTableCounts, RequestStatus, SuspectState},
     request_digest::RequestDigest,
 };
 use laurelstall_guard::clock::Clock;
 use std::{
     collections::{HashMap, HashSet},
-    sync::{Mutex, MutexGuard, PoisonError},
+    sync::{
+        Mutex, MutexGuard, PoisonError,
+        atomic::{AtomicU64, Ordering},
+    },
 };
 use tokio::sync::Notify;
 
@@ -27,6 +30,8 @@
     /// clock.
     trials: Mutex<HashMap<u64, i64>>,
     has_unsent: Notify,
+    /// Reports that were handed out for the partners.
+    forwarded: AtomicU64,
 }
 
 impl CrashRegistry {
@@ -38,6 +43,7 @@
             unsent: Mutex::default(),
             trials: Mutex::default(),
             has_unsent: Notify::new(),
+            forwarded: AtomicU64::new(0),
         }
     }
 
@@ -117,6 +123,26 @@
         self.table().hash()
     }
 
+    /// Returns what the table did with reports so far.
+    pub fn counts(&self) -> CrashTableCounts {
+        self.table().counts()
+    }
+
+    /// Returns the number of reports that were forwarded to the partners.
+    pub fn forwarded(&self) -> u64 {
+        self.forwarded.load(Ordering::Relaxed)
+    }
+
+    /// Returns the number of requests with crashes.
+    pub fn len(&self) -> usize {
+        self.table().len()
+    }
+
+    /// Whether no request has a crash.
+    pub fn is_empty(&self) -> bool {
+        self.len() == 0
+    }
+
     /// Returns the state of all requests with crashes, for operators.
     pub fn suspects(&self) -> Vec<SuspectState> {
         self.table().suspects(self.now_us())
@@ -130,6 +156,7 @@
             let unsent = unsent.into_iter().collect::<Vec<_>>();
             let reports = self.table().reports_of(&unsent, self.now_us());
             if !reports.is_empty() {
+                self.forwarded.fetch_add(reports.len() as u64, Ordering::Relaxed);
                 return reports;
             }
         }
--- a/crates/laurelstall_peer/src/lib.rs
+++ b/crates/laurelstall_peer/src/lib.rs
@@ -4,6 +4,7 @@
 pub mod attempt;
 pub mod body;
 pub mod client;
+pub mod control_kind;
 pub mod crash_registry;
 pub mod delta;
 pub mod fleet_corrections;
--- a/crates/laurelstall_peer/src/meter.rs
+++ b/crates/laurelstall_peer/src/meter.rs
@@ -1,6 +1,9 @@
 //! Counts traffic on connections between nodes.
 
-use crate::link::Link;
+use crate::{
+    control_kind::{CONTROL_KINDS, ControlKind},
+    link::Link,
+};
 use std::{
     future::Future,
     io,
@@ -29,6 +32,8 @@
     pub control_bytes: AtomicU64,
     /// Number of control messages in both directions.
     pub control_messages: AtomicU64,
+    /// Traffic of control messages by kind, in the order of [`ControlKind::ALL`].
+    pub by_kind: [KindTraffic; CONTROL_KINDS],
     /// Number of connections that this node opened.
     pub opened: AtomicU64,
     /// Number of open connections in both directions.
@@ -37,14 +42,27 @@
     pub unreadable: AtomicU64,
 }
 
+/// Traffic of control messages of one kind in both directions.
+#[derive(Debug, Default)]
+pub struct KindTraffic {
+    /// Total bytes.
+    pub bytes: AtomicU64,
+    /// Number of messages; a request and its answer are two.
+    pub messages: AtomicU64,
+}
+
 /// Overhead of a control message beyond its payload: two `h2` frames with indexed header fields, and a
 /// TCP/IP header.
 pub const MESSAGE_OVERHEAD_BYTES: u64 = 90;
 
 impl Meter {
     /// Counts one control message.
-    pub fn note_control(&self, payload_bytes: usize) {
-        self.control_bytes.fetch_add(payload_bytes as u64 + MESSAGE_OVERHEAD_BYTES, Ordering::Relaxed);
+    pub fn note_control(&self, kind: ControlKind, payload_bytes: usize) {
+        let bytes = payload_bytes as u64 + MESSAGE_OVERHEAD_BYTES;
+        let of_kind = &self.by_kind[kind.index()];
+        of_kind.bytes.fetch_add(bytes, Ordering::Relaxed);
+        of_kind.messages.fetch_add(1, Ordering::Relaxed);
+        self.control_bytes.fetch_add(bytes, Ordering::Relaxed);
         self.control_messages.fetch_add(1, Ordering::Relaxed);
     }
 }
--- a/crates/laurelstall_peer/src/server.rs
+++ b/crates/laurelstall_peer/src/server.rs
@@ -4,6 +4,7 @@
     attempt::{Admission, Attempt, AttemptAnswer, AttemptBody, AttemptHandler, AttemptOutcome},
     body::{BodyError, StreamBody, send_body},
     client::headers_to_wire,
+    control_kind::ControlKind,
     frame::{FrameError, FrameReader, HEAD_BYTES_MAX, encode},
     message::{AttemptHead, BodyKind, PeerAnswer, PeerRequest, WireHint},
     meter::{Meter, MeteredStream},
@@ -159,9 +160,10 @@
         match head {
             PeerRequest::Attempt(head) => self.serve_attempt(head, reader, respond).await,
             other => {
-                self.meter.note_control(encode(&other).len());
+                let kind = ControlKind::of(&other);
+                self.meter.note_control(kind, encode(&other).len());
                 let answer = encode(&self.handler.answer(from.ip(), other).await);
-                self.meter.note_control(answer.len());
+                self.meter.note_control(kind, answer.len());
                 let mut stream = respond.send_response(Response::new(()), false)?;
                 crate::body::send_data(answer, &mut stream).await?;
                 stream.send_data(Bytes::new(), true)?;
