--- a/crates/laurelstall_peer/src/crash_registry.rs
+++ b/crates/laurelstall_peer/src/crash_registry.rs
@@ -152,16 +152,46 @@
     pub(crate) async fn unsent_reports(&self) -> Vec<CrashReport> {
         loop {
             self.has_unsent.notified().await;
-            let unsent = std::mem::take(&mut *self.unsent.lock().unwrap_or_else(PoisonError::into_inner));
-            let unsent = unsent.into_iter().collect::<Vec<_>>();
-            let reports = self.table().reports_of(&unsent, self.now_us());
+            let reports = self.take_unsent();
             if !reports.is_empty() {
-                self.forwarded.fetch_add(reports.len() as u64, Ordering::Relaxed);
                 return reports;
             }
         }
     }
 
+    /// Takes the reports that the partners have not been sent yet.
+    pub fn take_unsent(&self) -> Vec<CrashReport> {
+        let unsent = std::mem::take(&mut *self.unsent.lock().unwrap_or_else(PoisonError::into_inner));
+        let unsent = unsent.into_iter().collect::<Vec<_>>();
+        let reports = self.table().reports_of(&unsent, self.now_us());
+        self.forwarded.fetch_add(reports.len() as u64, Ordering::Relaxed);
+        reports
+    }
+
+    /// Returns what another node needs to find the differences between its reports and those of this node.
+    pub fn comparison(&self) -> Vec<CrashReport> {
+        self.all_reports()
+    }
+
+    /// Answers the comparison of another node.
+    pub fn answer_comparison(&self, theirs: &[CrashReport]) -> Vec<CrashReport> {
+        self.merge_reports(theirs);
+        let is_known = |report: &CrashReport| {
+            theirs.iter().any(|known| known.digest == report.digest && known.ends.len() >= report.ends.len())
+        };
+        let mut ours = self.all_reports();
+        ours.retain(|report| {
+            !is_known(report) || report.good_run_age_ms.is_some() || report.release_age_ms.is_some()
+        });
+        ours
+    }
+
+    /// Merges the answer to a comparison and returns the reports that the other node lacks.
+    pub fn finish_comparison(&self, answer: &[CrashReport]) -> Vec<CrashReport> {
+        self.merge_reports(answer);
+        Vec::new()
+    }
+
     fn queue(&self, digests: Vec<RequestDigest>) {
         if digests.is_empty() {
             return;
--- a/crates/laurelstall_peer/src/replicator/crash_reports.rs
+++ b/crates/laurelstall_peer/src/replicator/crash_reports.rs
@@ -36,15 +36,7 @@
 
     /// Merges another node's crash reports and answers with those that it lacks.
     pub fn answer_crashes(&self, theirs: &[CrashReport]) -> PeerAnswer {
-        self.crashes.merge_reports(theirs);
-        let is_known = |report: &CrashReport| {
-            theirs.iter().any(|known| known.digest == report.digest && known.ends.len() >= report.ends.len())
-        };
-        let mut ours = self.crashes.all_reports();
-        ours.retain(|report| {
-            !is_known(report) || report.good_run_age_ms.is_some() || report.release_age_ms.is_some()
-        });
-        PeerAnswer::Crashes(ours)
+        PeerAnswer::Crashes(self.crashes.answer_comparison(theirs))
     }
 
     /// Exchanges crash reports with a node unless `their_hash` shows that both have the same.
@@ -56,12 +48,17 @@
         if their_hash == self.crashes.hash() {
             return Ok(());
         }
-        let request = PeerRequest::CompareCrashes(self.crashes.all_reports());
+        let request = PeerRequest::CompareCrashes(self.crashes.comparison());
         match self.client.request(address, &request).await? {
-            PeerAnswer::Crashes(theirs) => self.crashes.merge_reports(&theirs),
-            _ => return Err(PeerError::Unexpected),
+            PeerAnswer::Crashes(theirs) => {
+                let lacking = self.crashes.finish_comparison(&theirs);
+                if !lacking.is_empty() {
+                    self.client.request(address, &PeerRequest::CrashReports(lacking)).await?;
+                }
+                Ok(())
+            }
+            _ => Err(PeerError::Unexpected),
         }
-        Ok(())
     }
 
     async fn send_crash_reports(&self, reports: Vec<CrashReport>) {
