Full tables of crash records keep the same records at all nodes

Cause: a full table dropped its weakest record by the age that this node estimates. Another node's report brought the record back, it counted as changed and was forwarded to all partners, whose tables dropped others for it.

Change: what a full table keeps is decided by data that is the same at all nodes. Ids of crashes hold the witness's wall clock in seconds in their upper half, so they are ordered by time; a record keeps the 16 crashes with the highest ids, a table the requests with the newest crash. A record only rises in that order, so what was dropped does not come back from a node that knows less, and all nodes that heard the same keep the same. 512 requests with several crashes have room of their own, and 2,048 others the rest: a crowd of requests with one crash cannot push out a quarantined one, and the newest crash is always kept. No time of a node's own decides, except that requests are forgotten ten minutes after their last crash, success or release: a node takes none from others in the last of these minutes, so nodes that forget at slightly different times do not tell each other anew. A wrong clock only changes what a full table keeps.

The bound of 256 records becomes 2,560 (0.5 MB): the requests of some 100 targets that end at one instant must be found again when one of them crashes another target. The test of the bound asserts the new one exactly, where it allowed any smaller number.

A request of the flood, and one after it, is quarantined at all nodes within a second of its second crash.

--- a/crates/laurelstall_crash/src/crash_record.rs
+++ b/crates/laurelstall_crash/src/crash_record.rs
@@ -8,7 +8,7 @@
 /// A frequent harmless request is running at any target that crashes, but it has also just succeeded elsewhere. A
 /// request that crashes every target it runs on has no successful run.
 pub const IGNORED_AFTER_SUCCESS_US: i64 = 2_000_000;
-/// Largest number of crashes that are kept for one request; older ones are dropped.
+/// Largest number of crashes that are kept for one request: those with the highest ids, which are the newest.
 const CRASHES_MAX: usize = 16;
 /// Pause in µs between two crashes that separates two bursts. Within a burst, requests that were in flight when the
 /// quarantine began still crash targets.
@@ -18,6 +18,16 @@
 /// Difference in µs between the times of two nodes that is ignored: the delay of a report.
 const TIME_SLACK_US: i64 = 500_000;
 
+/// The id of a crash: the time in s at which its witness noticed it, by the witness's wall clock, and 32 bits of a hash
+/// that identifies it.
+///
+/// Ids are thereby ordered by time in the same way at all nodes, so that nodes with too many crashes keep the same ones. A
+/// wrong clock changes only what a full table keeps.
+pub fn crash_id(unix_s: u64, hash: u64) -> u64 {
+    let unix_s = u64::from(u32::try_from(unix_s).unwrap_or(u32::MAX));
+    (unix_s << 32) | (hash & u64::from(u32::MAX))
+}
+
 /// A crash of a target while the request was running there.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct TargetCrash {
@@ -79,14 +89,17 @@
             known.at_us = known.at_us.min(crash.at_us);
             return false;
         }
-        if self.crashes.len() >= CRASHES_MAX && self.crashes.iter().all(|known| known.at_us >= crash.at_us) {
-            return false;
+        if self.crashes.len() >= CRASHES_MAX {
+            let Some(oldest) = (0..self.crashes.len()).min_by_key(|index| self.crashes[*index].id) else {
+                return false;
+            };
+            if crash.id < self.crashes[oldest].id {
+                return false;
+            }
+            self.crashes.remove(oldest);
         }
         self.crashes.push(crash);
-        self.crashes.sort_by_key(|crash| crash.at_us);
-        if self.crashes.len() > CRASHES_MAX {
-            self.crashes.remove(0);
-        }
+        self.crashes.sort_by_key(|crash| (crash.at_us, crash.id));
         true
     }
 
@@ -160,6 +173,23 @@
         has_changed
     }
 
+    /// The time since the last crash, successful run or release in µs; `None` when no crash is known.
+    pub fn last_event_age_us(&self, now_us: i64) -> Option<i64> {
+        let crash_us = self.crashes.last()?.at_us;
+        let last_us = [Some(crash_us), self.success_us, self.release_us].into_iter().flatten().max()?;
+        Some(now_us - last_us)
+    }
+
+    /// The number of known crashes, whether they count or not.
+    pub fn known_crashes(&self) -> usize {
+        self.crashes.len()
+    }
+
+    /// The highest id of the known crashes; 0 when there are none.
+    pub fn newest_crash_id(&self) -> u64 {
+        self.crashes.iter().map(|crash| crash.id).max().unwrap_or(0)
+    }
+
     /// The sorted ids of the crashes.
     pub fn crash_ids(&self) -> Vec<u64> {
         let mut ids = self.crashes.iter().map(|crash| crash.id).collect::<Vec<_>>();
--- a/crates/laurelstall_crash/src/crash_table.rs
+++ b/crates/laurelstall_crash/src/crash_table.rs
@@ -11,7 +11,10 @@
     request_digest::RequestDigest,
     successful_runs::SuccessfulRuns,
 };
-use std::{cmp::Reverse, collections::BTreeMap};
+use std::{
+    cmp::Reverse,
+    collections::{BTreeMap, HashSet},
+};
 use xxhash_rust::xxh3::Xxh3;
 
 /// Number of crashes after which a request is quarantined. One is not enough, because it counts for all requests that
@@ -24,10 +27,19 @@
 /// Largest number of quarantined requests of one service: when targets crash whatever they run, most requests must
 /// still reach them.
 const QUARANTINED_MAX: usize = 32;
-/// Largest number of records, which takes about 50 KB.
-const RECORDS_MAX: usize = 256;
-/// Time in µs since its last crash after which a request is forgotten if it is not quarantined.
+/// Largest number of records of requests with several crashes that have room of their own, so that requests with one crash
+/// cannot displace a quarantined request.
+const REPEATED_CRASH_RECORDS_MAX: usize = 512;
+/// Largest number of other records. Some 100 targets that crash at one instant leave about 1,000 requests; a request that is
+/// dropped needs one crash more for its quarantine. A record takes about 200 bytes, so all of them take 0.5 MB.
+const OTHER_RECORDS_MAX: usize = 2_048;
+/// Largest number of reports that are merged from one message.
+const REPORTS_MAX: usize = REPEATED_CRASH_RECORDS_MAX + OTHER_RECORDS_MAX;
+/// Time in µs since its last crash, successful run or release after which a request is forgotten if it is not quarantined.
 const FORGET_AFTER_US: i64 = 600_000_000;
+/// Age in µs from which an unknown request that is not quarantined is no longer taken from a report. Nodes forget a request
+/// at slightly different times; without this margin, one that still knows it would tell it again to those that forgot it.
+const NOT_TAKEN_AFTER_US: i64 = 540_000_000;
 /// Duration of the quarantine in µs before one trial request is let through, by the number of failed trials: 5
 /// minutes, 1 hour, 12 hours. After three failed trials only a successful run or an operator ends the quarantine,
 /// because each trial may cost a target.
@@ -100,14 +112,19 @@
         now_us: i64,
     ) -> Vec<RequestDigest> {
         let mut changed = Vec::new();
+        let mut inserted = HashSet::new();
         for digest in digests {
+            if !self.records.contains_key(&digest.whole) {
+                inserted.insert(digest.whole);
+            }
             let record = self.record(*digest, service);
             if record.add_crash(crash) {
                 changed.push(*digest);
             }
             self.apply_remembered_success(digest.whole);
         }
-        self.prune(now_us);
+        self.prune(&inserted, now_us);
+        changed.retain(|digest| self.records.contains_key(&digest.whole));
         changed
     }
 
@@ -131,15 +148,22 @@
     /// knows a successful run that the reports lack.
     pub fn merge_reports(&mut self, reports: &[CrashReport], now_us: i64) -> Vec<RequestDigest> {
         let mut changed = Vec::new();
-        for report in reports.iter().take(RECORDS_MAX) {
+        let mut inserted = HashSet::new();
+        for report in reports.iter().take(REPORTS_MAX) {
             self.counts.received += 1;
+            if !self.records.contains_key(&report.digest.whole) {
+                if !is_taken(report, now_us) {
+                    continue;
+                }
+                inserted.insert(report.digest.whole);
+            }
             let record = self.record(report.digest, &report.service);
             let has_changed = record.merge_report(report, now_us);
             if self.apply_remembered_success(report.digest.whole) || has_changed {
                 changed.push(report.digest);
             }
         }
-        self.prune(now_us);
+        self.prune(&inserted, now_us);
         changed.retain(|digest| self.records.contains_key(&digest.whole));
         self.counts.changed += changed.len() as u64;
         changed
@@ -213,9 +237,6 @@
     }
 
     fn record(&mut self, digest: RequestDigest, service: &str) -> &mut CrashRecord {
-        if !self.records.contains_key(&digest.whole) && self.dropped.take(digest.whole) {
-            self.counts.taken_again += 1;
-        }
         self.records.entry(digest.whole).or_insert_with(|| CrashRecord::new(digest, service))
     }
 
@@ -253,25 +274,63 @@
         others.filter_map(quarantine_rank).filter(|rank| *rank < own).count() < QUARANTINED_MAX
     }
 
-    /// Removes old records and, when there are too many, those with the fewest and oldest crashes.
-    fn prune(&mut self, now_us: i64) {
+    /// Removes old records and, when there are too many, those that rank lowest in an order that is the same at all nodes.
+    ///
+    /// A record only rises in that order, so all nodes that have heard the same end with the same records, and a record that
+    /// was dropped does not come back without a further crash. `inserted` are the requests whose records are new.
+    fn prune(&mut self, inserted: &HashSet<u64>, now_us: i64) {
         let is_recent = |record: &CrashRecord| {
-            record.last_crash_age_us(now_us).is_some_and(|age_us| age_us < FORGET_AFTER_US)
+            record.last_event_age_us(now_us).is_some_and(|age_us| age_us < FORGET_AFTER_US)
         };
         self.records.retain(|_, record| is_recent(record) || quarantine_rank(record).is_some());
-        while self.records.len() > RECORDS_MAX {
-            let strength = |record: &CrashRecord| {
-                (record.counted_crashes().len(), Reverse(record.last_crash_age_us(now_us)))
-            };
-            let weakest = self.records.iter().min_by_key(|(_, record)| strength(record));
-            let Some(weakest) = weakest.map(|(digest_hash, _)| *digest_hash) else { return };
-            self.records.remove(&weakest);
-            self.dropped.note(weakest);
-            self.counts.dropped += 1;
+        for digest_hash in surplus(&self.records) {
+            self.records.remove(&digest_hash);
+            if !inserted.contains(&digest_hash) {
+                self.dropped.note(digest_hash);
+                self.counts.dropped += 1;
+            }
+        }
+        for digest_hash in inserted.iter().filter(|digest_hash| self.records.contains_key(digest_hash)) {
+            self.counts.taken_again += u64::from(self.dropped.take(*digest_hash));
         }
     }
 }
 
+/// The requests whose records exceed the bounds.
+///
+/// Of the requests with several crashes, those with the newest ones are kept. All others compete for the remaining room, by
+/// their newest crash as well, so that a request that was dropped is not taken again when a node with fewer of its crashes
+/// reports it.
+fn surplus(records: &BTreeMap<u64, CrashRecord>) -> Vec<u64> {
+    if records.len() <= OTHER_RECORDS_MAX {
+        return Vec::new();
+    }
+    let is_repeated = |record: &CrashRecord| record.known_crashes() > 1;
+    let rank = |digest_hash: &u64, record: &CrashRecord| (record.newest_crash_id(), *digest_hash);
+    let (mut repeated, mut others) = (Vec::new(), Vec::new());
+    for (digest_hash, record) in records {
+        let ranks = if is_repeated(record) { &mut repeated } else { &mut others };
+        ranks.push(rank(digest_hash, record));
+    }
+    others.extend(take_lowest(&mut repeated, REPEATED_CRASH_RECORDS_MAX));
+    take_lowest(&mut others, OTHER_RECORDS_MAX).into_iter().map(|(_, digest_hash)| digest_hash).collect()
+}
+
+/// Removes and returns the lowest ranks beyond the `max` highest ones.
+fn take_lowest(ranks: &mut Vec<(u64, u64)>, max: usize) -> Vec<(u64, u64)> {
+    let Some(excess) = ranks.len().checked_sub(max).filter(|excess| *excess > 0) else { return Vec::new() };
+    ranks.select_nth_unstable(excess - 1);
+    ranks.drain(..excess).collect()
+}
+
+/// Whether a report on an unknown request is taken: not if the request is about to be forgotten.
+fn is_taken(report: &CrashReport, now_us: i64) -> bool {
+    let mut record = CrashRecord::new(report.digest, &report.service);
+    record.merge_report(report, now_us);
+    record.last_event_age_us(now_us).is_some_and(|age_us| age_us < NOT_TAKEN_AFTER_US)
+        || quarantine_rank(&record).is_some()
+}
+
 /// The order in which requests are quarantined: those with more crashes first, then those that reached the required
 /// number first. `None` for a request with too few crashes.
 fn quarantine_rank(record: &CrashRecord) -> Option<(Reverse<usize>, i64, u64)> {
--- a/crates/laurelstall_crash/tests/crash_table.rs
+++ b/crates/laurelstall_crash/tests/crash_table.rs
@@ -7,6 +7,10 @@
 };
 
 const S: i64 = 1_000_000;
+/// Largest number of records of requests with one crash.
+const OTHER_RECORDS_MAX: usize = 2_048;
+/// Largest number of records of requests with several crashes that have room of their own.
+const REPEATED_CRASH_RECORDS_MAX: usize = 512;
 const SERVICE: &str = "team/service";
 
 fn digest(number: u64) -> RequestDigest {
@@ -176,10 +180,72 @@
         let running = harmless.chain([1]).collect::<Vec<_>>();
         crash(&mut table, id, 10 + id as i64, &running);
     }
-    assert!(table.all_reports(300 * S).len() <= 256);
+    assert_eq!(table.all_reports(210 * S).len(), OTHER_RECORDS_MAX + 1);
     assert!(is_quarantined(&table, 1, 210));
 }
 
+/// Two nodes that heard the same crashes in another order, with other delays, must keep the same records: otherwise each
+/// brings back what the other dropped.
+#[test]
+fn full_tables_keep_the_same_records_whatever_the_order_and_age_of_the_reports() {
+    let mut witness = CrashTable::default();
+    let mut reports = Vec::new();
+    for number in 0..4_000 {
+        let numbers = [10 + number, 10_000 + number % 700];
+        crash(&mut witness, 1 + number * 7_919 % 4_001, 10 + number as i64 / 100, &numbers);
+        reports.extend(witness.reports_of(&numbers.map(digest), 50 * S));
+    }
+    let merged = |reports: &mut dyn Iterator<Item = &CrashReport>, now_us: i64| {
+        let mut table = CrashTable::default();
+        for (index, report) in reports.enumerate() {
+            table.merge_reports(std::slice::from_ref(report), now_us + index as i64 * 997 % 300_000);
+        }
+        table
+    };
+    let forwards = merged(&mut reports.iter(), 50 * S);
+    let backwards = merged(&mut reports.iter().rev(), 50 * S);
+    let mut tables = [forwards, backwards, witness];
+    assert!(tables.iter().all(|table| table.len() == OTHER_RECORDS_MAX + REPEATED_CRASH_RECORDS_MAX));
+    // What one table lacks of a request that it dropped and took again, the others tell it once.
+    for _ in 0..2 {
+        for (from, to) in [(0, 1), (1, 2), (2, 0)] {
+            let told = tables[from].all_reports(51 * S);
+            tables[to].merge_reports(&told, 51 * S);
+        }
+    }
+    let [forwards, mut backwards, witness] = tables;
+    assert_eq!(forwards.hash(), backwards.hash());
+    assert_eq!(forwards.hash(), witness.hash());
+    let dropped = reports.iter().filter(|report| backwards.reports_of(&[report.digest], 51 * S).is_empty());
+    let dropped = dropped.cloned().collect::<Vec<_>>();
+    assert!(!dropped.is_empty());
+    assert_eq!(backwards.merge_reports(&dropped, 51 * S), Vec::new(), "a dropped record does not come back");
+}
+
+/// A node that has just forgotten a request must not take it from one that is about to: the ages in reports do not grow on
+/// the way, so the request would go round among the nodes for long.
+#[test]
+fn a_request_that_is_about_to_be_forgotten_is_not_taken_from_a_report() {
+    let (mut old, mut young) = (CrashTable::default(), CrashTable::default());
+    crash(&mut old, 1, 10, &[1]);
+    assert_eq!(young.merge_reports(&old.all_reports(605 * S), S), Vec::new());
+    assert!(young.is_empty());
+    assert_eq!(young.merge_reports(&old.all_reports(500 * S), S), vec![digest(1)]);
+}
+
+/// The success that ends a long quarantine must be told on by the nodes that hear of it, so they keep the record.
+#[test]
+fn a_success_long_after_the_crashes_is_told_on() {
+    let (mut one, mut two) = (CrashTable::default(), CrashTable::default());
+    crash(&mut one, 1, 10, &[1]);
+    crash(&mut one, 2, 11, &[1]);
+    two.merge_reports(&one.all_reports(11 * S), 11 * S);
+    assert!(one.note_success(digest(1), 4_000 * S));
+    assert_eq!(two.merge_reports(&one.all_reports(4_000 * S), 4_000 * S), vec![digest(1)]);
+    assert_eq!(two.request_status(digest(1), 4_000 * S), RequestStatus::Harmless);
+    assert_eq!(one.hash(), two.hash());
+}
+
 #[test]
 fn records_that_are_dropped_from_a_full_table_and_taken_again_are_counted() {
     let mut table = CrashTable::default();
@@ -189,7 +255,7 @@
     table.merge_reports(&report, 10 * S);
     assert_eq!((table.counts().received, table.counts().changed, table.counts().dropped), (1, 1, 0));
     for id in 2..7 {
-        crash(&mut table, id, 10 + id as i64, &(0..100).map(|number| id * 100 + number).collect::<Vec<_>>());
+        crash(&mut table, id, 10 + id as i64, &(0..500).map(|number| id * 500 + number).collect::<Vec<_>>());
     }
     assert!(table.counts().dropped > 0);
     assert_eq!(table.counts().taken_again, 0);
--- a/crates/laurelstall_node/src/target_guard/crash_detection.rs
+++ b/crates/laurelstall_node/src/target_guard/crash_detection.rs
@@ -4,9 +4,9 @@
 //! connection, link or node.
 
 use super::Inner;
-use crate::{counters::count, target_http::TargetError};
+use crate::{counters::count, target_http::TargetError, wall_clock::unix_ms};
 use laurelstall_crash::{
-    crash_record::CrashReport,
+    crash_record::{CrashReport, crash_id},
     crash_table::RequestStatus,
     request_digest::RequestDigest,
     run_tracker::{CrashedRuns, RunId, RunTracker},
@@ -206,9 +206,10 @@
         self.crashes.note_crash(self.crash_id(target, crash.number), service, &crash.digests);
     }
 
-    /// Returns the number that identifies the crash on all nodes.
+    /// Returns the number that identifies the crash on all nodes and orders it by time.
     fn crash_id(&self, target: &str, crash_number: u64) -> u64 {
-        xxh3_64_with_seed(format!("{target} {crash_number}").as_bytes(), self.incarnation)
+        let hash = xxh3_64_with_seed(format!("{target} {crash_number}").as_bytes(), self.incarnation);
+        crash_id(unix_ms() / 1_000, hash)
     }
 
     /// Returns the refusal of a quarantined request; `None` if the request may run.
--- a/crates/laurelstall_node/src/wall_clock.rs
+++ b/crates/laurelstall_node/src/wall_clock.rs
@@ -1,4 +1,4 @@
-//! Wall-clock time, used only in log lines.
+//! Wall-clock time, used in log lines and to order the ids of crashes.
 
 use std::time::{SystemTime, UNIX_EPOCH};
 
--- a/crates/laurelstall_peer/tests/circulating_crash_reports.rs
+++ b/crates/laurelstall_peer/tests/circulating_crash_reports.rs
@@ -4,7 +4,7 @@
 //! round among the nodes without end, all nodes must end with the same records, and a request that crashes targets
 //! must still be quarantined everywhere.
 
-use laurelstall_crash::{crash_table::RequestStatus, request_digest::RequestDigest};
+use laurelstall_crash::{crash_record::crash_id, crash_table::RequestStatus, request_digest::RequestDigest};
 use laurelstall_guard::clock::Clock;
 use laurelstall_peer::{
     crash_registry::CrashRegistry,
@@ -93,8 +93,7 @@
 
     /// Id of a crash as witnesses make it: the second of the crash, and a hash.
     fn crash_id(&mut self) -> u64 {
-        let unix_s = 1_700_000_000 + self.now_ms / 1_000;
-        (unix_s << 32) | u64::from(self.rng.random::<u32>())
+        crash_id(1_700_000_000 + self.now_ms / 1_000, self.rng.random())
     }
 
     fn crash(&mut self, node: usize, numbers: &[u64]) {
@@ -237,36 +236,41 @@
     mesh
 }
 
-async fn assert_flood_ends(digests: u64) {
-    const NODES: usize = 48;
-    let mesh = flooded_mesh(NODES, digests).await;
+async fn assert_flood_ends(nodes: usize, digests: u64) {
+    let mesh = flooded_mesh(nodes, digests).await;
     assert!(mesh.traffic.messages < MESSAGES_MAX, "the reports circulate: {:?}", mesh.traffic);
     let silent_after_ms = mesh.last_message_ms.saturating_sub(1_000);
     assert!(silent_after_ms <= SILENT_AFTER_MS, "the last message was sent after {silent_after_ms} ms");
     assert_eq!(mesh.distinct_hashes(), 1, "all nodes have the same records");
     // Each node may tell its recipients once of each crash of each request: ten at each target.
     let crashes = digests / 9 * 10;
-    let copies_max = NODES * FAN_OUT * crashes as usize;
+    let copies_max = nodes * FAN_OUT * crashes as usize;
     assert!(mesh.traffic.reports <= copies_max, "{} copies, {copies_max} allowed", mesh.traffic.reports);
     assert!(mesh.traffic.report_bytes <= copies_max * REPORT_BYTES_MAX);
 }
 
 #[tokio::test(start_paused = true)]
 async fn reports_on_300_requests_end() {
-    assert_flood_ends(300).await;
+    assert_flood_ends(48, 300).await;
 }
 
 #[tokio::test(start_paused = true)]
 async fn reports_on_1000_requests_end() {
-    assert_flood_ends(1_000).await;
+    assert_flood_ends(48, 1_000).await;
 }
 
 #[tokio::test(start_paused = true)]
 async fn reports_on_2000_requests_end() {
-    assert_flood_ends(2_000).await;
+    assert_flood_ends(48, 2_000).await;
 }
 
-/// A table that no crash fills any more must still take the crashes of a new request.
+/// More than twice what a table holds.
+#[tokio::test(start_paused = true)]
+async fn reports_on_more_requests_than_a_table_holds_end() {
+    assert_flood_ends(24, 6_000).await;
+}
+
+/// A table that a flood has filled must still take the crashes of a new request.
 #[tokio::test(start_paused = true)]
 async fn a_request_that_crashes_targets_after_a_flood_is_quarantined_everywhere() {
     for digests in [1_000, 2_000, 4_000] {
