A successful run is news only once at each node

When messages are slow, one success of one request went round among the nodes without end.

Cause: times travel as ages, and an age does not grow on the way. A node took a success that looked later by more than 0.5 s for a new one and forwarded it, and each hop made it look later still. Each node also decided by its own estimates whether a crash shortly after a success counts, and those at the border never agreed.

Change: whether a success or release clears a crash is kept beside the crash, for good, once any node has found it, and travels with it. A report is news only if it adds a fact: a crash, that one is cleared, or that there ever was a success. Facts only grow, so each node forwards each of them once. Times still decide about later crashes.

Reports travel packed, with each service and crash once (CrashReportBatch), in a new message.

--- a/crates/laurelstall_crash/src/crash_record.rs
+++ b/crates/laurelstall_crash/src/crash_record.rs
@@ -44,6 +44,10 @@
     pub id: u64,
     /// The time since the crash in ms.
     pub age_ms: u64,
+    /// Whether a node found that a successful run or a release clears the request of this crash. Only a
+    /// [`CrashReportBatch`](crate::report_batch::CrashReportBatch) transmits it.
+    #[serde(skip)]
+    pub is_cleared: bool,
 }
 
 /// A report on one request from one node to another.
@@ -61,7 +65,21 @@
     pub release_age_ms: Option<u64>,
 }
 
+/// A crash and whether it counts against the request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+struct KnownCrash {
+    id: u64,
+    at_us: i64,
+    /// Set for good as soon as any node finds that a successful run or a release clears the request of the crash. The nodes
+    /// estimate times differently, so each would decide differently for crashes shortly after a successful run.
+    is_cleared: bool,
+}
+
 /// What one node knows of one request that was running when targets crashed.
+///
+/// The ids of the crashes, which of them are cleared, and whether there was a successful run are facts that all nodes come to
+/// agree on, in whatever order and however late they hear of them. Times are estimates of this node: a report is news only if
+/// it adds a fact.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct CrashRecord {
     /// The request.
@@ -69,7 +87,7 @@
     /// Full name of the service whose targets crashed.
     pub service: String,
     /// The latest crashes, earliest first.
-    crashes: Vec<TargetCrash>,
+    crashes: Vec<KnownCrash>,
     /// The time of the last successful run in µs of the node's clock.
     success_us: Option<i64>,
     /// The time of the last release by an operator in µs of the node's clock.
@@ -85,9 +103,18 @@
     /// Adds a crash and returns whether it is new. Of several times for one crash the earliest is kept, because
     /// reports arrive late.
     pub fn add_crash(&mut self, crash: TargetCrash) -> bool {
+        let is_new = self.insert_crash(KnownCrash { id: crash.id, at_us: crash.at_us, is_cleared: false });
+        self.clear_crashes();
+        is_new
+    }
+
+    /// Inserts a crash or merges it with the known one of this id. Returns whether that adds a fact.
+    fn insert_crash(&mut self, crash: KnownCrash) -> bool {
         if let Some(known) = self.crashes.iter_mut().find(|known| known.id == crash.id) {
             known.at_us = known.at_us.min(crash.at_us);
-            return false;
+            let is_newly_cleared = crash.is_cleared && !known.is_cleared;
+            known.is_cleared |= crash.is_cleared;
+            return is_newly_cleared;
         }
         if self.crashes.len() >= CRASHES_MAX {
             let Some(oldest) = (0..self.crashes.len()).min_by_key(|index| self.crashes[*index].id) else {
@@ -103,15 +130,30 @@
         true
     }
 
-    /// Records a successful run of the request and returns whether it is later than the last known one.
+    /// Records a successful run of the request, which clears it of the crashes until [`IGNORED_AFTER_SUCCESS_US`] later.
+    /// Returns whether it is the first known one or clears any crash.
     pub fn add_success(&mut self, at_us: i64) -> bool {
-        update_if_later(&mut self.success_us, at_us)
+        let is_first = self.success_us.is_none();
+        self.success_us = self.success_us.max(Some(at_us));
+        self.clear_crashes() || is_first
     }
 
-    /// Records a release by an operator, after which earlier crashes no longer count. Returns whether it is later than
-    /// the last known one.
+    /// Records a release by an operator, which clears the request of the crashes before it. Returns whether it clears any.
     pub fn add_release(&mut self, at_us: i64) -> bool {
-        update_if_later(&mut self.release_us, at_us)
+        self.release_us = self.release_us.max(Some(at_us));
+        self.clear_crashes()
+    }
+
+    /// Marks the crashes that the last successful run and the last release clear, and returns whether there is a new one.
+    fn clear_crashes(&mut self) -> bool {
+        let success_until_us = self.success_us.map_or(i64::MIN, |at_us| at_us + IGNORED_AFTER_SUCCESS_US);
+        let until_us = success_until_us.max(self.release_us.unwrap_or(i64::MIN));
+        let mut has_changed = false;
+        for crash in self.crashes.iter_mut().filter(|crash| !crash.is_cleared && crash.at_us <= until_us) {
+            crash.is_cleared = true;
+            has_changed = true;
+        }
+        has_changed
     }
 
     /// Whether a successful run of the request is known.
@@ -119,14 +161,19 @@
         self.success_us.is_some()
     }
 
-    /// The crashes that count against the request, earliest first: those after its last release and more than
-    /// [`IGNORED_AFTER_SUCCESS_US`] after its last successful run.
-    pub fn counted_crashes(&self) -> &[TargetCrash] {
-        let counted_after_us = self.success_us.map_or(i64::MIN, |at_us| at_us + IGNORED_AFTER_SUCCESS_US);
-        let released_us = self.release_us.unwrap_or(i64::MIN);
-        let from_us = counted_after_us.max(released_us);
-        let first = self.crashes.partition_point(|crash| crash.at_us <= from_us);
-        &self.crashes[first..]
+    /// The number of crashes that count against the request.
+    pub fn counted_crashes(&self) -> usize {
+        self.counted().count()
+    }
+
+    /// The time of the crash that is the `number`th, from 1, to count against the request; `None` if fewer count.
+    pub fn counted_crash_us(&self, number: usize) -> Option<i64> {
+        self.counted().nth(number.checked_sub(1)?).map(|crash| crash.at_us)
+    }
+
+    /// The crashes that are not cleared, earliest first.
+    fn counted(&self) -> impl Iterator<Item = &KnownCrash> {
+        self.crashes.iter().filter(|crash| !crash.is_cleared)
     }
 
     /// The time since the last crash in µs; `None` when no crash is known.
@@ -136,8 +183,8 @@
 
     /// The number of bursts of counted crashes: the first one, and one for each failed trial after a quarantine.
     pub fn crash_bursts(&self) -> usize {
-        let counted = self.counted_crashes();
-        let is_pause = |pair: &&[TargetCrash]| pair[1].at_us - pair[0].at_us > BURST_PAUSE_US;
+        let counted = self.counted().collect::<Vec<_>>();
+        let is_pause = |pair: &&[&KnownCrash]| pair[1].at_us - pair[0].at_us > BURST_PAUSE_US;
         usize::from(!counted.is_empty()) + counted.windows(2).filter(is_pause).count()
     }
 
@@ -150,27 +197,32 @@
             ends: self
                 .crashes
                 .iter()
-                .map(|crash| ReportedCrash { id: crash.id, age_ms: age_ms(crash.at_us) })
+                .map(|crash| ReportedCrash {
+                    id: crash.id,
+                    age_ms: age_ms(crash.at_us),
+                    is_cleared: crash.is_cleared,
+                })
                 .collect(),
             good_run_age_ms: self.success_us.map(age_ms),
             release_age_ms: self.release_us.map(age_ms),
         }
     }
 
-    /// Merges a report of another node and returns whether it has anything new.
+    /// Merges a report of another node and returns whether it adds a fact.
     pub fn merge_report(&mut self, report: &CrashReport, now_us: i64) -> bool {
         let at_us = |age_ms: u64| now_us - i64::try_from(age_ms.min(AGE_MAX_MS)).unwrap_or(0) * 1_000;
         let mut has_changed = false;
         for crash in report.ends.iter().take(CRASHES_MAX) {
-            has_changed |= self.add_crash(TargetCrash { id: crash.id, at_us: at_us(crash.age_ms) });
-        }
-        if let Some(age_ms) = report.good_run_age_ms {
-            has_changed |= self.add_success(at_us(age_ms));
+            has_changed |= self.insert_crash(KnownCrash {
+                id: crash.id,
+                at_us: at_us(crash.age_ms),
+                is_cleared: crash.is_cleared,
+            });
         }
-        if let Some(age_ms) = report.release_age_ms {
-            has_changed |= self.add_release(at_us(age_ms));
-        }
-        has_changed
+        has_changed |= report.good_run_age_ms.is_some() && self.success_us.is_none();
+        update_if_later(&mut self.success_us, report.good_run_age_ms.map(at_us));
+        update_if_later(&mut self.release_us, report.release_age_ms.map(at_us));
+        self.clear_crashes() || has_changed
     }
 
     /// The time since the last crash, successful run or release in µs; `None` when no crash is known.
@@ -198,11 +250,9 @@
     }
 }
 
-/// Keeps the later of two times. Returns whether the new one is later by enough to be reported.
-fn update_if_later(known_us: &mut Option<i64>, at_us: i64) -> bool {
-    if known_us.is_some_and(|known_us| at_us <= known_us + TIME_SLACK_US) {
-        return false;
+/// Replaces a time by a reported one that is later by more than the usual delay of a report.
+fn update_if_later(known_us: &mut Option<i64>, reported_us: Option<i64>) {
+    if reported_us > known_us.map(|known_us| known_us + TIME_SLACK_US) {
+        *known_us = reported_us;
     }
-    *known_us = Some(at_us);
-    true
 }
--- a/crates/laurelstall_crash/src/crash_table.rs
+++ b/crates/laurelstall_crash/src/crash_table.rs
@@ -132,14 +132,13 @@
     pub fn note_success(&mut self, digest: RequestDigest, now_us: i64) -> bool {
         self.successful_runs.note(digest.whole, now_us);
         let record = self.records.get_mut(&digest.whole);
-        record.is_some_and(|record| !record.counted_crashes().is_empty() && record.add_success(now_us))
+        record.is_some_and(|record| record.counted_crashes() > 0 && record.add_success(now_us))
     }
 
     /// Releases the request with this [`RequestDigest::whole`] for an operator: its crashes so far no longer count, but
     /// further ones do. Returns `None` when no crash counts against it.
     pub fn release(&mut self, digest_hash: u64, now_us: i64) -> Option<RequestDigest> {
-        let record =
-            self.records.get_mut(&digest_hash).filter(|record| !record.counted_crashes().is_empty())?;
+        let record = self.records.get_mut(&digest_hash).filter(|record| record.counted_crashes() > 0)?;
         record.add_release(now_us);
         Some(record.digest)
     }
@@ -186,7 +185,7 @@
         let mut hasher = Xxh3::new();
         for (digest_hash, record) in &self.records {
             hasher.update(&digest_hash.to_le_bytes());
-            hasher.update(&[record.counted_crashes().len() as u8]);
+            hasher.update(&[record.counted_crashes() as u8]);
             for id in record.crash_ids() {
                 hasher.update(&id.to_le_bytes());
             }
@@ -219,17 +218,17 @@
     /// Whether crashes count against a request with this head. The body of another request with this head must be read
     /// to tell the two apart.
     pub fn knows_head(&self, head: u64) -> bool {
-        self.records.values().any(|record| record.digest.head == head && !record.counted_crashes().is_empty())
+        self.records.values().any(|record| record.digest.head == head && record.counted_crashes() > 0)
     }
 
     /// All requests with counted crashes.
     pub fn suspects(&self, now_us: i64) -> Vec<SuspectState> {
-        let suspects = self.records.values().filter(|record| !record.counted_crashes().is_empty());
+        let suspects = self.records.values().filter(|record| record.counted_crashes() > 0);
         let state = |record: &CrashRecord| SuspectState {
             digest: record.digest,
             service: record.service.clone(),
             request_status: self.status_of(record, now_us),
-            crashes: record.counted_crashes().len(),
+            crashes: record.counted_crashes(),
             last_crash_age_ms: u64::try_from(record.last_crash_age_us(now_us).unwrap_or(0) / 1_000)
                 .unwrap_or(0),
         };
@@ -244,11 +243,11 @@
     fn apply_remembered_success(&mut self, digest_hash: u64) -> bool {
         let Some(at_us) = self.successful_runs.last_us(digest_hash) else { return false };
         let record = self.records.get_mut(&digest_hash);
-        record.is_some_and(|record| !record.counted_crashes().is_empty() && record.add_success(at_us))
+        record.is_some_and(|record| record.counted_crashes() > 0 && record.add_success(at_us))
     }
 
     fn status_of(&self, record: &CrashRecord, now_us: i64) -> RequestStatus {
-        let crashes = record.counted_crashes().len();
+        let crashes = record.counted_crashes();
         if crashes == 0 {
             return RequestStatus::Harmless;
         }
@@ -334,8 +333,7 @@
 /// The order in which requests are quarantined: those with more crashes first, then those that reached the required
 /// number first. `None` for a request with too few crashes.
 fn quarantine_rank(record: &CrashRecord) -> Option<(Reverse<usize>, i64, u64)> {
-    let counted = record.counted_crashes();
     let required = if record.has_succeeded() { QUARANTINE_CRASHES_AFTER_SUCCESS } else { QUARANTINE_CRASHES };
-    let reached = counted.get(required - 1)?;
-    Some((Reverse(counted.len()), reached.at_us, record.digest.whole))
+    let reached_us = record.counted_crash_us(required)?;
+    Some((Reverse(record.counted_crashes()), reached_us, record.digest.whole))
 }
--- a/crates/laurelstall_crash/tests/crash_table.rs
+++ b/crates/laurelstall_crash/tests/crash_table.rs
@@ -246,6 +246,40 @@
     assert_eq!(one.hash(), two.hash());
 }
 
+/// Nodes estimate times differently. If each decided for itself whether a crash shortly after a successful run counts, their
+/// hashes would differ for good and each comparison would carry both tables.
+#[test]
+fn all_nodes_agree_on_a_crash_shortly_after_a_successful_run() {
+    let us = |ms: i64| ms * 1_000;
+    let (mut one, mut two) = (CrashTable::default(), CrashTable::default());
+    one.note_success(digest(1), us(10_000));
+    let crash_at = |table: &mut CrashTable, ms: i64| {
+        table.note_crash(TargetCrash { id: 7, at_us: us(ms) }, SERVICE, &[digest(1)], us(ms));
+    };
+    crash_at(&mut one, 12_100);
+    assert_eq!(one.request_status(digest(1), us(12_100)), RequestStatus::Suspected(1));
+    // The other node heard of the success, with the age of a delayed message, before the crash.
+    two.note_success(digest(1), us(10_200));
+    crash_at(&mut two, 12_100);
+    assert_eq!(two.request_status(digest(1), us(12_100)), RequestStatus::Harmless);
+    assert_eq!(one.merge_reports(&two.all_reports(us(12_200)), us(12_200)), vec![digest(1)]);
+    assert_eq!(two.merge_reports(&one.all_reports(us(12_300)), us(12_300)), Vec::new());
+    assert_eq!(one.request_status(digest(1), us(12_300)), RequestStatus::Harmless);
+    assert_eq!(one.hash(), two.hash());
+}
+
+/// A success is told on once by each node, however much later the delays of the messages make it look.
+#[test]
+fn a_known_success_that_looks_later_is_not_news() {
+    let (mut one, mut two) = (CrashTable::default(), CrashTable::default());
+    one.note_success(digest(1), 10 * S);
+    crash(&mut one, 1, 10, &[1]);
+    assert_eq!(two.merge_reports(&one.all_reports(11 * S), 12 * S), vec![digest(1)]);
+    assert_eq!(one.merge_reports(&two.all_reports(13 * S), 15 * S), Vec::new());
+    assert_eq!(two.merge_reports(&one.all_reports(16 * S), 20 * S), Vec::new());
+    assert_eq!(one.hash(), two.hash());
+}
+
 #[test]
 fn records_that_are_dropped_from_a_full_table_and_taken_again_are_counted() {
     let mut table = CrashTable::default();
@@ -284,7 +318,14 @@
             let reports = reports.iter().map(|(number, ends, good_run_age_ms, release_age_ms)| CrashReport {
                 digest: digest(u64::from(*number)),
                 service: SERVICE.to_owned(),
-                ends: ends.iter().map(|(id, age_ms)| ReportedCrash { id: *id, age_ms: *age_ms }).collect(),
+                ends: ends
+                    .iter()
+                    .map(|(id, age_ms)| ReportedCrash {
+                        id: *id,
+                        age_ms: *age_ms,
+                        is_cleared: id.is_multiple_of(3),
+                    })
+                    .collect(),
                 good_run_age_ms: *good_run_age_ms,
                 release_age_ms: *release_age_ms,
             });
--- a/crates/laurelstall_node/src/node.rs
+++ b/crates/laurelstall_node/src/node.rs
@@ -211,6 +211,10 @@
                     PeerAnswer::Noted
                 }
                 PeerRequest::CanRead => self.replicator.answer_can_read(),
+                PeerRequest::CrashReportBatch(batch) => {
+                    self.replicator.crashes().merge_reports(&batch.unpack());
+                    PeerAnswer::Noted
+                }
                 PeerRequest::CrashReports(reports) => {
                     self.replicator.crashes().merge_reports(&reports);
                     PeerAnswer::Noted
--- a/crates/laurelstall_peer/src/control_kind.rs
+++ b/crates/laurelstall_peer/src/control_kind.rs
@@ -46,7 +46,7 @@
             PeerRequest::Exchange(_) => Self::Exchange,
             PeerRequest::Offer(..) => Self::Offer,
             PeerRequest::Pull(_) => Self::Pull,
-            PeerRequest::CrashReports(_) => Self::CrashReports,
+            PeerRequest::CrashReports(_) | PeerRequest::CrashReportBatch(_) => Self::CrashReports,
             PeerRequest::CompareCrashes(_) => Self::CrashComparison,
             PeerRequest::CompareCorrections(_) => Self::Corrections,
             PeerRequest::Probe | PeerRequest::CanRead | PeerRequest::Attempt(_) => Self::Probe,
--- a/crates/laurelstall_peer/src/message.rs
+++ b/crates/laurelstall_peer/src/message.rs
@@ -3,7 +3,9 @@
 use crate::fleet_corrections::FleetCorrections;
 use laurelstall_balance::hint::{Hint, TargetState};
 use laurelstall_config::document::{DocumentName, Version};
-use laurelstall_crash::{crash_record::CrashReport, request_digest::RequestDigest};
+use laurelstall_crash::{
+    crash_record::CrashReport, report_batch::CrashReportBatch, request_digest::RequestDigest,
+};
 use laurelstall_guard::refusal::Refusal;
 use laurelstall_workspace::owned_shares::{Grant, ShareKey};
 use serde::{Deserialize, Serialize};
@@ -205,7 +207,7 @@
     Pull(Vec<PullItem>),
     /// Return whether the node can read the platform.
     CanRead,
-    /// New crash reports.
+    /// New crash reports of a node of an earlier build.
     #[serde(rename = "CrashNews")]
     CrashReports(Vec<CrashReport>),
     /// All crash reports of the sender; the answer contains those that it lacks.
@@ -217,6 +219,8 @@
     TakeTokens(ShareKey, u32),
     /// Return tokens of calls that did not run.
     ReturnTokens(ShareKey, u32),
+    /// New crash reports.
+    CrashReportBatch(CrashReportBatch),
 }
 
 /// An answer to a [`PeerRequest`].
--- a/crates/laurelstall_peer/src/replicator/crash_reports.rs
+++ b/crates/laurelstall_peer/src/replicator/crash_reports.rs
@@ -9,7 +9,7 @@
     message::{PeerAnswer, PeerRequest},
 };
 use futures_util::stream::{FuturesUnordered, StreamExt};
-use laurelstall_crash::crash_record::CrashReport;
+use laurelstall_crash::{crash_record::CrashReport, report_batch::CrashReportBatch};
 use std::{net::SocketAddr, sync::Arc};
 use tokio::{
     task::JoinSet,
@@ -53,7 +53,8 @@
             PeerAnswer::Crashes(theirs) => {
                 let lacking = self.crashes.finish_comparison(&theirs);
                 if !lacking.is_empty() {
-                    self.client.request(address, &PeerRequest::CrashReports(lacking)).await?;
+                    let lacking = CrashReportBatch::pack(&lacking);
+                    self.client.request(address, &PeerRequest::CrashReportBatch(lacking)).await?;
                 }
                 Ok(())
             }
@@ -65,7 +66,7 @@
         let mut partners = self.partners();
         partners.extend(self.remote_nodes(REMOTE_RECIPIENTS));
         let mut substitutes = self.substitutes(&partners, partners.len()).into_iter();
-        let request = PeerRequest::CrashReports(reports);
+        let request = PeerRequest::CrashReportBatch(CrashReportBatch::pack(&reports));
         let send = |address| self.try_send_crash_reports(address, &request);
         let mut sending = partners.into_iter().map(send).collect::<FuturesUnordered<_>>();
         while let Some(is_sent) = sending.next().await {
--- a/crates/laurelstall_peer/tests/circulating_crash_reports.rs
+++ b/crates/laurelstall_peer/tests/circulating_crash_reports.rs
@@ -4,7 +4,10 @@
 //! round among the nodes without end, all nodes must end with the same records, and a request that crashes targets
 //! must still be quarantined everywhere.
 
-use laurelstall_crash::{crash_record::crash_id, crash_table::RequestStatus, request_digest::RequestDigest};
+use laurelstall_crash::{
+    crash_record::crash_id, crash_table::RequestStatus, report_batch::CrashReportBatch,
+    request_digest::RequestDigest,
+};
 use laurelstall_guard::clock::Clock;
 use laurelstall_peer::{
     crash_registry::CrashRegistry,
@@ -116,7 +119,7 @@
             return;
         }
         let count = reports.len();
-        let request = PeerRequest::CrashReports(reports);
+        let request = PeerRequest::CrashReportBatch(CrashReportBatch::pack(&reports));
         let bytes = encode(&request).len();
         for to in self.recipients[node].clone() {
             self.traffic.reports += count;
@@ -142,7 +145,9 @@
 
     fn receive(&mut self, node: usize, message: Message) {
         match message {
-            Message::Reports(PeerRequest::CrashReports(reports)) => self.nodes[node].merge_reports(&reports),
+            Message::Reports(PeerRequest::CrashReportBatch(batch)) => {
+                self.nodes[node].merge_reports(&batch.unpack());
+            }
             Message::Comparison { from, request: PeerRequest::CompareCrashes(theirs) } => {
                 let answer = PeerAnswer::Crashes(self.nodes[node].answer_comparison(&theirs));
                 self.traffic.comparison_bytes += encode(&answer).len();
@@ -151,7 +156,7 @@
             Message::Answer { from, answer: PeerAnswer::Crashes(theirs) } => {
                 let lacking = self.nodes[node].finish_comparison(&theirs);
                 if !lacking.is_empty() {
-                    let request = PeerRequest::CrashReports(lacking);
+                    let request = PeerRequest::CrashReportBatch(CrashReportBatch::pack(&lacking));
                     self.traffic.comparison_bytes += encode(&request).len();
                     self.send(from, Message::Reports(request));
                 }
--- a/crates/laurelstall_peer/tests/messages.rs
+++ b/crates/laurelstall_peer/tests/messages.rs
@@ -7,6 +7,7 @@
 };
 use laurelstall_crash::{
     crash_record::{CrashReport, ReportedCrash},
+    report_batch::CrashReportBatch,
     request_digest::RequestDigest,
 };
 use laurelstall_guard::refusal::{Refusal, RefusalReason};
@@ -131,7 +132,7 @@
     let report = CrashReport {
         digest: RequestDigest { whole: 1, head: 2 },
         service: "t/s".to_owned(),
-        ends: vec![ReportedCrash { id: 3, age_ms: 4 }],
+        ends: vec![ReportedCrash { id: 3, age_ms: 4, is_cleared: false }],
         good_run_age_ms: None,
         release_age_ms: Some(5),
     };
@@ -139,6 +140,7 @@
         PeerRequest::Attempt(head()),
         PeerRequest::Pull(vec![item]),
         PeerRequest::CrashReports(vec![report.clone()]),
+        PeerRequest::CrashReportBatch(CrashReportBatch::pack(std::slice::from_ref(&report))),
         PeerRequest::CompareCrashes(vec![report]),
     ];
     bolero::check!().with_type::<(usize, usize, u8)>().with_iterations(20_000).for_each(
