Comparisons of crash records carry only the differences

When two nodes differed in one crash record, each exchange between them carried all records both ways: the request told all, and the answer told again each one that has a success or release, known or not. The hash that starts a comparison held the number of counted crashes, which came from each node's own estimates of time, so it could differ for good.

Change: the hash covers the facts of which all nodes come to agree (crashes, which of them are cleared, whether there was a success) and no time. A comparison tells a fingerprint of each record; the answer holds the reports whose fingerprints the asking node lacks, and names those that the answering node lacks, which are then sent. The messages of earlier builds are still answered.

New test: nodes that know 2,000 requests and differ in two compare within 10 bytes for each and 1,000; three reports cross.

--- a/crates/laurelstall_crash/src/crash_record.rs
+++ b/crates/laurelstall_crash/src/crash_record.rs
@@ -2,6 +2,7 @@
 
 use crate::request_digest::RequestDigest;
 use serde::{Deserialize, Serialize};
+use xxhash_rust::xxh3::Xxh3;
 
 /// Time in µs after a successful run in which crashes do not count against the request.
 ///
@@ -242,11 +243,18 @@
         self.crashes.iter().map(|crash| crash.id).max().unwrap_or(0)
     }
 
-    /// The sorted ids of the crashes.
-    pub fn crash_ids(&self) -> Vec<u64> {
-        let mut ids = self.crashes.iter().map(|crash| crash.id).collect::<Vec<_>>();
-        ids.sort_unstable();
-        ids
+    /// A hash of the facts that all nodes come to agree on. No time of this node takes part.
+    pub fn fingerprint(&self) -> u64 {
+        let mut facts = self.crashes.iter().map(|crash| (crash.id, crash.is_cleared)).collect::<Vec<_>>();
+        facts.sort_unstable();
+        let mut hasher = Xxh3::new();
+        hasher.update(&self.digest.whole.to_le_bytes());
+        hasher.update(&[u8::from(self.success_us.is_some())]);
+        for (id, is_cleared) in facts {
+            hasher.update(&id.to_le_bytes());
+            hasher.update(&[u8::from(is_cleared)]);
+        }
+        hasher.digest()
     }
 }
 
--- a/crates/laurelstall_crash/src/crash_table.rs
+++ b/crates/laurelstall_crash/src/crash_table.rs
@@ -13,7 +13,7 @@
 };
 use std::{
     cmp::Reverse,
-    collections::{BTreeMap, HashSet},
+    collections::{BTreeMap, HashMap, HashSet},
 };
 use xxhash_rust::xxh3::Xxh3;
 
@@ -179,20 +179,25 @@
         self.records.values().map(|record| record.report(now_us)).collect()
     }
 
-    /// A hash of the digests and crash ids of all records and of how many of the crashes count. Two nodes compare it to
-    /// detect that one of them knows more.
+    /// A hash of the facts of all records. Two nodes compare it to detect that one of them knows more.
     pub fn hash(&self) -> u64 {
         let mut hasher = Xxh3::new();
-        for (digest_hash, record) in &self.records {
-            hasher.update(&digest_hash.to_le_bytes());
-            hasher.update(&[record.counted_crashes() as u8]);
-            for id in record.crash_ids() {
-                hasher.update(&id.to_le_bytes());
-            }
+        for record in self.records.values() {
+            hasher.update(&record.fingerprint().to_le_bytes());
         }
         hasher.digest()
     }
 
+    /// The [fingerprints](CrashRecord::fingerprint) of all records, with their requests.
+    pub fn fingerprints(&self) -> HashMap<u64, RequestDigest> {
+        self.records.values().map(|record| (record.fingerprint(), record.digest)).collect()
+    }
+
+    /// The fingerprint of the record of a request; `None` if there is no record.
+    pub fn fingerprint_of(&self, digest: RequestDigest) -> Option<u64> {
+        self.records.get(&digest.whole).map(CrashRecord::fingerprint)
+    }
+
     /// What the table did with reports so far.
     pub fn counts(&self) -> CrashTableCounts {
         self.counts
--- a/crates/laurelstall_node/src/node.rs
+++ b/crates/laurelstall_node/src/node.rs
@@ -225,6 +225,9 @@
                 }
                 PeerRequest::ReturnTokens(key, tokens) => self.quotas.answer_return_tokens(&key, tokens),
                 PeerRequest::CompareCrashes(reports) => self.replicator.answer_crashes(&reports),
+                PeerRequest::CompareCrashFingerprints(theirs) => {
+                    self.replicator.answer_crash_fingerprints(&theirs)
+                }
                 PeerRequest::CompareCorrections(corrections) => {
                     self.replicator.answer_corrections(corrections.as_ref())
                 }
--- a/crates/laurelstall_peer/src/control_kind.rs
+++ b/crates/laurelstall_peer/src/control_kind.rs
@@ -47,7 +47,9 @@
             PeerRequest::Offer(..) => Self::Offer,
             PeerRequest::Pull(_) => Self::Pull,
             PeerRequest::CrashReports(_) | PeerRequest::CrashReportBatch(_) => Self::CrashReports,
-            PeerRequest::CompareCrashes(_) => Self::CrashComparison,
+            PeerRequest::CompareCrashes(_) | PeerRequest::CompareCrashFingerprints(_) => {
+                Self::CrashComparison
+            }
             PeerRequest::CompareCorrections(_) => Self::Corrections,
             PeerRequest::Probe | PeerRequest::CanRead | PeerRequest::Attempt(_) => Self::Probe,
             PeerRequest::Tickets(_) | PeerRequest::TakeTokens(..) | PeerRequest::ReturnTokens(..) => {
--- a/crates/laurelstall_peer/src/crash_registry.rs
+++ b/crates/laurelstall_peer/src/crash_registry.rs
@@ -1,9 +1,11 @@
 //! Thread-safe registry of the requests that crashed targets, shared by a node's entry, guard and
 //! replication.
 
+use crate::message::CrashDifferences;
 use laurelstall_crash::{
-    crash_record::{CrashReport, TargetCrash},
+    crash_record::{CrashRecord, CrashReport, TargetCrash},
     crash_table::{CrashTable, CrashTableCounts, RequestStatus, SuspectState},
+    report_batch::CrashReportBatch,
     request_digest::RequestDigest,
 };
 use laurelstall_guard::clock::Clock;
@@ -168,28 +170,42 @@
         reports
     }
 
-    /// Returns what another node needs to find the differences between its reports and those of this node.
-    pub fn comparison(&self) -> Vec<CrashReport> {
-        self.all_reports()
+    /// Returns the fingerprints of all records, by which another node finds the differences.
+    pub fn comparison(&self) -> Vec<u64> {
+        self.table().fingerprints().into_keys().collect()
     }
 
-    /// Answers the comparison of another node.
-    pub fn answer_comparison(&self, theirs: &[CrashReport]) -> Vec<CrashReport> {
-        self.merge_reports(theirs);
-        let is_known = |report: &CrashReport| {
-            theirs.iter().any(|known| known.digest == report.digest && known.ends.len() >= report.ends.len())
-        };
-        let mut ours = self.all_reports();
-        ours.retain(|report| {
-            !is_known(report) || report.good_run_age_ms.is_some() || report.release_age_ms.is_some()
-        });
-        ours
+    /// Answers another node, whose records have these fingerprints, with the reports that it lacks and with the
+    /// fingerprints that this node lacks.
+    pub fn answer_comparison(&self, theirs: &[u64]) -> CrashDifferences {
+        let table = self.table();
+        let ours = table.fingerprints();
+        let theirs = theirs.iter().copied().collect::<HashSet<_>>();
+        let differing = ours.iter().filter(|(fingerprint, _)| !theirs.contains(fingerprint));
+        let differing = differing.map(|(_, digest)| *digest).collect::<Vec<_>>();
+        let reports = table.reports_of(&differing, self.now_us());
+        let lacking = theirs.into_iter().filter(|fingerprint| !ours.contains_key(fingerprint)).collect();
+        CrashDifferences { reports: CrashReportBatch::pack(&reports), lacking }
     }
 
     /// Merges the answer to a comparison and returns the reports that the other node lacks.
-    pub fn finish_comparison(&self, answer: &[CrashReport]) -> Vec<CrashReport> {
-        self.merge_reports(answer);
-        Vec::new()
+    pub fn finish_comparison(&self, answer: &CrashDifferences) -> Vec<CrashReport> {
+        let ours = self.table().fingerprints();
+        let mut lacking =
+            answer.lacking.iter().filter_map(|lacking| ours.get(lacking)).copied().collect::<Vec<_>>();
+        let reports = answer.reports.unpack();
+        self.merge_reports(&reports);
+        // What the other node reported is not sent back unless this node knew more of it.
+        let now_us = self.now_us();
+        let fingerprint = |report: &CrashReport| {
+            let mut record = CrashRecord::new(report.digest, &report.service);
+            record.merge_report(report, now_us);
+            record.fingerprint()
+        };
+        let theirs = reports.iter().map(fingerprint).collect::<HashSet<_>>();
+        let table = self.table();
+        lacking.retain(|digest| !table.fingerprint_of(*digest).is_some_and(|known| theirs.contains(&known)));
+        table.reports_of(&lacking, now_us)
     }
 
     fn queue(&self, digests: Vec<RequestDigest>) {
--- a/crates/laurelstall_peer/src/message.rs
+++ b/crates/laurelstall_peer/src/message.rs
@@ -190,6 +190,15 @@
     pub documents_age_ms: u64,
 }
 
+/// The differences between the crash records of two nodes, for the node that requested the comparison.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct CrashDifferences {
+    /// The reports that the requesting node lacks, or of which it knows other facts.
+    pub reports: CrashReportBatch,
+    /// The fingerprints of the requesting node that the answering node lacks.
+    pub lacking: Vec<u64>,
+}
+
 /// A request to another node.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub enum PeerRequest {
@@ -210,7 +219,7 @@
     /// New crash reports of a node of an earlier build.
     #[serde(rename = "CrashNews")]
     CrashReports(Vec<CrashReport>),
-    /// All crash reports of the sender; the answer contains those that it lacks.
+    /// All crash reports of a node of an earlier build; the answer contains those of this node.
     CompareCrashes(Vec<CrashReport>),
     /// The corrections of the sender; the answer contains those of the node.
     #[serde(rename = "CompareCarried")]
@@ -221,6 +230,8 @@
     ReturnTokens(ShareKey, u32),
     /// New crash reports.
     CrashReportBatch(CrashReportBatch),
+    /// Fingerprints of all crash records of the sender; the answer contains the differences.
+    CompareCrashFingerprints(Vec<u64>),
 }
 
 /// An answer to a [`PeerRequest`].
@@ -280,7 +291,7 @@
     Noted,
     /// Whether the last read of the platform, if there was one, succeeded.
     CanRead(bool),
-    /// The crash reports that the requesting node lacks.
+    /// The crash reports for a node of an earlier build.
     Crashes(Vec<CrashReport>),
     /// The corrections since the last restore of the platform.
     #[serde(rename = "Carried")]
@@ -289,4 +300,6 @@
     Tokens(Option<Grant>),
     /// The request was rejected for this reason.
     Refused(Refusal),
+    /// The differences between the crash records of two nodes.
+    CrashDifferences(CrashDifferences),
 }
--- a/crates/laurelstall_peer/src/replicator/crash_reports.rs
+++ b/crates/laurelstall_peer/src/replicator/crash_reports.rs
@@ -34,9 +34,15 @@
         }
     }
 
-    /// Merges another node's crash reports and answers with those that it lacks.
+    /// Merges the crash reports of a node of an earlier build and answers with those of this node.
     pub fn answer_crashes(&self, theirs: &[CrashReport]) -> PeerAnswer {
-        PeerAnswer::Crashes(self.crashes.answer_comparison(theirs))
+        self.crashes.merge_reports(theirs);
+        PeerAnswer::Crashes(self.crashes.all_reports())
+    }
+
+    /// Answers a node, whose crash records have these fingerprints, with the differences.
+    pub fn answer_crash_fingerprints(&self, theirs: &[u64]) -> PeerAnswer {
+        PeerAnswer::CrashDifferences(self.crashes.answer_comparison(theirs))
     }
 
     /// Exchanges crash reports with a node unless `their_hash` shows that both have the same.
@@ -48,9 +54,9 @@
         if their_hash == self.crashes.hash() {
             return Ok(());
         }
-        let request = PeerRequest::CompareCrashes(self.crashes.comparison());
+        let request = PeerRequest::CompareCrashFingerprints(self.crashes.comparison());
         match self.client.request(address, &request).await? {
-            PeerAnswer::Crashes(theirs) => {
+            PeerAnswer::CrashDifferences(theirs) => {
                 let lacking = self.crashes.finish_comparison(&theirs);
                 if !lacking.is_empty() {
                     let lacking = CrashReportBatch::pack(&lacking);
--- a/crates/laurelstall_peer/tests/circulating_crash_reports.rs
+++ b/crates/laurelstall_peer/tests/circulating_crash_reports.rs
@@ -137,7 +137,7 @@
         if self.nodes[node].hash() == self.nodes[other].hash() {
             return;
         }
-        let request = PeerRequest::CompareCrashes(self.nodes[node].comparison());
+        let request = PeerRequest::CompareCrashFingerprints(self.nodes[node].comparison());
         self.traffic.comparisons += 1;
         self.traffic.comparison_bytes += encode(&request).len();
         self.send(other, Message::Comparison { from: node, request });
@@ -148,12 +148,12 @@
             Message::Reports(PeerRequest::CrashReportBatch(batch)) => {
                 self.nodes[node].merge_reports(&batch.unpack());
             }
-            Message::Comparison { from, request: PeerRequest::CompareCrashes(theirs) } => {
-                let answer = PeerAnswer::Crashes(self.nodes[node].answer_comparison(&theirs));
+            Message::Comparison { from, request: PeerRequest::CompareCrashFingerprints(theirs) } => {
+                let answer = PeerAnswer::CrashDifferences(self.nodes[node].answer_comparison(&theirs));
                 self.traffic.comparison_bytes += encode(&answer).len();
                 self.send(from, Message::Answer { from: node, answer });
             }
-            Message::Answer { from, answer: PeerAnswer::Crashes(theirs) } => {
+            Message::Answer { from, answer: PeerAnswer::CrashDifferences(theirs) } => {
                 let lacking = self.nodes[node].finish_comparison(&theirs);
                 if !lacking.is_empty() {
                     let request = PeerRequest::CrashReportBatch(CrashReportBatch::pack(&lacking));
@@ -315,3 +315,32 @@
     assert!(mesh.traffic.reports <= copies_max, "{} copies, {copies_max} allowed", mesh.traffic.reports);
     assert_eq!(mesh.distinct_hashes(), 1);
 }
+
+/// Two nodes that differ in one request must not tell each other of all the others.
+#[tokio::test(start_paused = true)]
+async fn a_comparison_carries_only_the_differences() {
+    const KNOWN: u64 = 2_000;
+    let mut mesh = Mesh::new(24, (2, 30), 7);
+    mesh.run(1_000).await;
+    mesh.flood(KNOWN);
+    mesh.run(SILENT_AFTER_MS).await;
+    assert_eq!(mesh.distinct_hashes(), 1);
+    for (node, number) in [(0, 700_000), (1, 800_000), (1, 700_000)] {
+        mesh.crash(node, &[number]);
+        mesh.nodes[node].take_unsent();
+    }
+    let [one, two] = &mesh.nodes[..2] else { unreachable!("there are 24 nodes") };
+    one.note_success(digest(700_000));
+    one.take_unsent();
+    let request = PeerRequest::CompareCrashFingerprints(one.comparison());
+    let differences = two.answer_comparison(&one.comparison());
+    assert_eq!(differences.reports.len(), 2);
+    let lacking = one.finish_comparison(&differences);
+    assert_eq!(lacking.len(), 1, "the success and the crash that the other node lacks");
+    two.merge_reports(&lacking);
+    assert_eq!(one.hash(), two.hash());
+    let answer = PeerAnswer::CrashDifferences(differences);
+    // Ten bytes for each known request, and some for the three reports.
+    let bytes = encode(&request).len() + encode(&answer).len();
+    assert!(bytes <= 10 * KNOWN as usize + 1_000, "{bytes} bytes");
+}
--- a/crates/laurelstall_peer/tests/messages.rs
+++ b/crates/laurelstall_peer/tests/messages.rs
@@ -142,6 +142,7 @@
         PeerRequest::CrashReports(vec![report.clone()]),
         PeerRequest::CrashReportBatch(CrashReportBatch::pack(std::slice::from_ref(&report))),
         PeerRequest::CompareCrashes(vec![report]),
+        PeerRequest::CompareCrashFingerprints(vec![6, u64::MAX]),
     ];
     bolero::check!().with_type::<(usize, usize, u8)>().with_iterations(20_000).for_each(
         |(which, at, byte)| {
--- a/crates/laurelstall_peer/tests/support/mesh.rs
+++ b/crates/laurelstall_peer/tests/support/mesh.rs
@@ -216,6 +216,9 @@
                 PeerAnswer::Noted
             }
             PeerRequest::CompareCrashes(reports) => self.replicator.answer_crashes(&reports),
+            PeerRequest::CompareCrashFingerprints(theirs) => {
+                self.replicator.answer_crash_fingerprints(&theirs)
+            }
             PeerRequest::CompareCorrections(corrections) => {
                 self.replicator.answer_corrections(corrections.as_ref())
             }
