Quarantine status without a walk through the table

Each report of each message was looked up twice to know whether a log line is due, and each lookup of a request with enough crashes walked the whole table to find its rank; each streamed call walked it for its head. The work grew with the square of the records, and nodes without spare processor time answered others too late.

Change: which requests are quarantined and which heads are suspected is computed once after a fact has changed, when it is first asked (standing.rs). The age of the last crash is found only for lines that are written.

--- a/crates/laurelstall_crash/src/crash_table.rs
+++ b/crates/laurelstall_crash/src/crash_table.rs
@@ -9,10 +9,11 @@
     crash_record::{CrashRecord, CrashReport, TargetCrash},
     dropped_records::DroppedRecords,
     request_digest::RequestDigest,
+    standing::{Standing, quarantine_rank},
     successful_runs::SuccessfulRuns,
 };
 use std::{
-    cmp::Reverse,
+    cell::OnceCell,
     collections::{BTreeMap, HashMap, HashSet},
 };
 use xxhash_rust::xxh3::Xxh3;
@@ -24,9 +25,6 @@
 /// Number of crashes after which a request with a known successful run is quarantined. A frequent harmless request may
 /// have no successful run for a while when few targets are up, and it is running at each crash.
 pub const QUARANTINE_CRASHES_AFTER_SUCCESS: usize = 4;
-/// Largest number of quarantined requests of one service: when targets crash whatever they run, most requests must
-/// still reach them.
-const QUARANTINED_MAX: usize = 32;
 /// Largest number of records of requests with several crashes that have room of their own, so that requests with one crash
 /// cannot displace a quarantined request.
 const REPEATED_CRASH_RECORDS_MAX: usize = 512;
@@ -97,6 +95,8 @@
     /// Records by [`RequestDigest::whole`].
     records: BTreeMap<u64, CrashRecord>,
     successful_runs: SuccessfulRuns,
+    /// Follows from the records; computed when it is first read after a fact has changed.
+    standing: OnceCell<Standing>,
     dropped: DroppedRecords,
     counts: CrashTableCounts,
 }
@@ -118,10 +118,13 @@
                 inserted.insert(digest.whole);
             }
             let record = self.record(*digest, service);
-            if record.add_crash(crash) {
+            let is_new = record.add_crash(crash);
+            if self.apply_remembered_success(digest.whole) || is_new {
                 changed.push(*digest);
             }
-            self.apply_remembered_success(digest.whole);
+        }
+        if !changed.is_empty() {
+            self.standing.take();
         }
         self.prune(&inserted, now_us);
         changed.retain(|digest| self.records.contains_key(&digest.whole));
@@ -132,7 +135,12 @@
     pub fn note_success(&mut self, digest: RequestDigest, now_us: i64) -> bool {
         self.successful_runs.note(digest.whole, now_us);
         let record = self.records.get_mut(&digest.whole);
-        record.is_some_and(|record| record.counted_crashes() > 0 && record.add_success(now_us))
+        let has_changed =
+            record.is_some_and(|record| record.counted_crashes() > 0 && record.add_success(now_us));
+        if has_changed {
+            self.standing.take();
+        }
+        has_changed
     }
 
     /// Releases the request with this [`RequestDigest::whole`] for an operator: its crashes so far no longer count, but
@@ -140,7 +148,9 @@
     pub fn release(&mut self, digest_hash: u64, now_us: i64) -> Option<RequestDigest> {
         let record = self.records.get_mut(&digest_hash).filter(|record| record.counted_crashes() > 0)?;
         record.add_release(now_us);
-        Some(record.digest)
+        let digest = record.digest;
+        self.standing.take();
+        Some(digest)
     }
 
     /// Merges the reports of another node. Returns the requests of which they have anything new, or of which this node
@@ -162,6 +172,9 @@
                 changed.push(report.digest);
             }
         }
+        if !changed.is_empty() {
+            self.standing.take();
+        }
         self.prune(&inserted, now_us);
         changed.retain(|digest| self.records.contains_key(&digest.whole));
         self.counts.changed += changed.len() as u64;
@@ -223,7 +236,7 @@
     /// Whether crashes count against a request with this head. The body of another request with this head must be read
     /// to tell the two apart.
     pub fn knows_head(&self, head: u64) -> bool {
-        self.records.values().any(|record| record.digest.head == head && record.counted_crashes() > 0)
+        self.standing().is_suspected_head(head)
     }
 
     /// All requests with counted crashes.
@@ -240,6 +253,10 @@
         suspects.map(state).collect()
     }
 
+    fn standing(&self) -> &Standing {
+        self.standing.get_or_init(|| Standing::of(self.records.values()))
+    }
+
     fn record(&mut self, digest: RequestDigest, service: &str) -> &mut CrashRecord {
         self.records.entry(digest.whole).or_insert_with(|| CrashRecord::new(digest, service))
     }
@@ -256,7 +273,7 @@
         if crashes == 0 {
             return RequestStatus::Harmless;
         }
-        if !self.is_quarantined(record) {
+        if !self.standing().is_quarantined(record.digest.whole) {
             return RequestStatus::Suspected(crashes);
         }
         let Some(quarantine_us) = QUARANTINE_US.get(record.crash_bursts().saturating_sub(1)) else {
@@ -271,13 +288,6 @@
         }
     }
 
-    /// Whether a request has enough crashes and is among the [`QUARANTINED_MAX`] of its service that rank highest.
-    fn is_quarantined(&self, record: &CrashRecord) -> bool {
-        let Some(own) = quarantine_rank(record) else { return false };
-        let others = self.records.values().filter(|other| other.service == record.service);
-        others.filter_map(quarantine_rank).filter(|rank| *rank < own).count() < QUARANTINED_MAX
-    }
-
     /// Removes old records and, when there are too many, those that rank lowest in an order that is the same at all nodes.
     ///
     /// A record only rises in that order, so all nodes that have heard the same end with the same records, and a record that
@@ -286,6 +296,7 @@
         let is_recent = |record: &CrashRecord| {
             record.last_event_age_us(now_us).is_some_and(|age_us| age_us < FORGET_AFTER_US)
         };
+        let known = self.records.len();
         self.records.retain(|_, record| is_recent(record) || quarantine_rank(record).is_some());
         for digest_hash in surplus(&self.records) {
             self.records.remove(&digest_hash);
@@ -297,6 +308,9 @@
         for digest_hash in inserted.iter().filter(|digest_hash| self.records.contains_key(digest_hash)) {
             self.counts.taken_again += u64::from(self.dropped.take(*digest_hash));
         }
+        if self.records.len() != known {
+            self.standing.take();
+        }
     }
 }
 
@@ -334,11 +348,3 @@
     record.last_event_age_us(now_us).is_some_and(|age_us| age_us < NOT_TAKEN_AFTER_US)
         || quarantine_rank(&record).is_some()
 }
-
-/// The order in which requests are quarantined: those with more crashes first, then those that reached the required
-/// number first. `None` for a request with too few crashes.
-fn quarantine_rank(record: &CrashRecord) -> Option<(Reverse<usize>, i64, u64)> {
-    let required = if record.has_succeeded() { QUARANTINE_CRASHES_AFTER_SUCCESS } else { QUARANTINE_CRASHES };
-    let reached_us = record.counted_crash_us(required)?;
-    Some((Reverse(record.counted_crashes()), reached_us, record.digest.whole))
-}
--- a/crates/laurelstall_crash/src/lib.rs
+++ b/crates/laurelstall_crash/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod report_batch;
 pub mod request_digest;
 pub mod run_tracker;
+mod standing;
 pub mod successful_runs;
 
 /// The most commonly used types.
--- a/crates/laurelstall_peer/src/crash_registry.rs
+++ b/crates/laurelstall_peer/src/crash_registry.rs
@@ -224,14 +224,15 @@
     fn log_changes(&self, before: &[(RequestDigest, RequestStatus)]) {
         for (digest, before) in before {
             let after = self.request_status(*digest);
-            let age_ms = self.last_crash_age_ms(*digest);
             match (*before, after) {
                 (RequestStatus::Quarantined { .. }, RequestStatus::Quarantined { .. }) => {}
                 (_, RequestStatus::Quarantined { retry_after_ms }) => log::warn!(
-                    "request {digest}: quarantined for {retry_after_ms} ms, its last target crashed {age_ms} ms ago"
+                    "request {digest}: quarantined for {retry_after_ms} ms, its last target crashed {} ms ago",
+                    self.last_crash_age_ms(*digest)
                 ),
                 (RequestStatus::Harmless, RequestStatus::Suspected(crashes)) => log::info!(
-                    "request {digest}: suspected, it was running in {crashes} target crashes, the last one {age_ms} ms ago"
+                    "request {digest}: suspected, it was running in {crashes} target crashes, the last one {} ms ago",
+                    self.last_crash_age_ms(*digest)
                 ),
                 (RequestStatus::Quarantined { .. } | RequestStatus::HalfOpen, RequestStatus::Harmless) => {
                     log::warn!(
--- a/crates/laurelstall_peer/tests/circulating_crash_reports.rs
+++ b/crates/laurelstall_peer/tests/circulating_crash_reports.rs
@@ -344,3 +344,23 @@
     let bytes = encode(&request).len() + encode(&answer).len();
     assert!(bytes <= 10 * KNOWN as usize + 1_000, "{bytes} bytes");
 }
+
+/// Whether a request is quarantined must not be found by walking the table for each report of each message.
+#[tokio::test(start_paused = true)]
+async fn merging_a_full_message_does_not_cost_the_square_of_the_records() {
+    const REQUESTS: u64 = 2_000;
+    /// Far above what the work takes in a debug build on a busy machine, and far below its square.
+    const MERGE_TIME_MAX_MS: u128 = 1_000;
+    let mut mesh = Mesh::new(2 * FAN_OUT, (2, 30), 7);
+    let numbers = (0..REQUESTS).collect::<Vec<_>>();
+    mesh.crash(0, &numbers);
+    mesh.crash(0, &numbers);
+    let reports = mesh.nodes[0].take_unsent();
+    assert_eq!(reports.len() as u64, REQUESTS);
+    let started = std::time::Instant::now();
+    mesh.nodes[1].merge_reports(&reports);
+    mesh.nodes[1].merge_reports(&reports);
+    let took_ms = started.elapsed().as_millis();
+    println!("{took_ms} ms");
+    assert!(took_ms <= MERGE_TIME_MAX_MS, "{took_ms} ms");
+}
