Crash reports are sent in at most ten messages a second, the most urgent first

A node sent each new report to its eight recipients at once, in a message of its own if it came alone, without a bound on messages or bytes a second. While a flood of reports goes round, this takes the time of nodes that serve calls.

Change: the first report is sent at once; for 100 ms after a message further reports are collected, and a message holds at most 256, requests at several crashes first. That is at most 80 KB a second to each recipient and a full table in a second. The differences of a comparison are sent with the same bound.

--- a/crates/laurelstall_crash/src/crash_table.rs
+++ b/crates/laurelstall_crash/src/crash_table.rs
@@ -206,6 +206,13 @@
         self.records.values().map(|record| (record.fingerprint(), record.digest)).collect()
     }
 
+    /// How urgent a report on a request is, for a message that has no room for all: requests at several crashes come first,
+    /// then those with newer ones. `None` if there is no record.
+    pub fn urgency_of(&self, digest: RequestDigest) -> Option<(bool, u64)> {
+        let record = self.records.get(&digest.whole)?;
+        Some((record.counted_crashes() > 1, record.newest_crash_id()))
+    }
+
     /// The fingerprint of the record of a request; `None` if there is no record.
     pub fn fingerprint_of(&self, digest: RequestDigest) -> Option<u64> {
         self.records.get(&digest.whole).map(CrashRecord::fingerprint)
--- a/crates/laurelstall_peer/src/crash_registry.rs
+++ b/crates/laurelstall_peer/src/crash_registry.rs
@@ -10,6 +10,7 @@
 };
 use laurelstall_guard::clock::Clock;
 use std::{
+    cmp::Reverse,
     collections::{HashMap, HashSet},
     sync::{
         Mutex, MutexGuard, PoisonError,
@@ -22,6 +23,13 @@
 /// the distribution of its crash report take.
 const TRIAL_TIMEOUT_US: i64 = 10_000_000;
 
+/// Pause in ms after a message with new reports, in which further reports are collected: the first report is sent at once, and a
+/// flood of them takes ten messages a second.
+pub const ROUND_PAUSE_MS: u64 = 100;
+/// Largest number of reports in one message. A report takes some 30 bytes, so a node sends each recipient at most 80 KB of them a
+/// second, and a full table within a second. A message with 16 crashes for each is within the limit of a message.
+pub const ROUND_REPORTS_MAX: usize = 256;
+
 /// The crash table of a node and the reports that its partners have not been sent yet.
 #[derive(Debug)]
 pub struct CrashRegistry {
@@ -161,11 +169,16 @@
         }
     }
 
-    /// Takes the reports that the partners have not been sent yet.
+    /// Takes the most urgent reports that the partners have not been sent yet, at most [`ROUND_REPORTS_MAX`].
     pub fn take_unsent(&self) -> Vec<CrashReport> {
-        let unsent = std::mem::take(&mut *self.unsent.lock().unwrap_or_else(PoisonError::into_inner));
-        let unsent = unsent.into_iter().collect::<Vec<_>>();
-        let reports = self.table().reports_of(&unsent, self.now_us());
+        let mut unsent = self.unsent.lock().unwrap_or_else(PoisonError::into_inner);
+        let table = self.table();
+        let mut taken = unsent.drain().collect::<Vec<_>>();
+        unsent.extend(split_least_urgent(&table, &mut taken));
+        if !unsent.is_empty() {
+            self.has_unsent.notify_one();
+        }
+        let reports = table.reports_of(&taken, self.now_us());
         self.forwarded.fetch_add(reports.len() as u64, Ordering::Relaxed);
         reports
     }
@@ -205,6 +218,8 @@
         let theirs = reports.iter().map(fingerprint).collect::<HashSet<_>>();
         let table = self.table();
         lacking.retain(|digest| !table.fingerprint_of(*digest).is_some_and(|known| theirs.contains(&known)));
+        // What does not fit is left to the next comparison.
+        split_least_urgent(&table, &mut lacking);
         table.reports_of(&lacking, now_us)
     }
 
@@ -257,3 +272,10 @@
         self.table.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
+
+/// Sorts requests by the urgency of their reports, and splits off those beyond [`ROUND_REPORTS_MAX`].
+fn split_least_urgent(table: &CrashTable, digests: &mut Vec<RequestDigest>) -> Vec<RequestDigest> {
+    digests.retain(|digest| table.urgency_of(*digest).is_some());
+    digests.sort_by_cached_key(|digest| Reverse(table.urgency_of(*digest)));
+    digests.split_off(digests.len().min(ROUND_REPORTS_MAX))
+}
--- a/crates/laurelstall_peer/src/replicator/crash_reports.rs
+++ b/crates/laurelstall_peer/src/replicator/crash_reports.rs
@@ -6,6 +6,7 @@
 use super::Replicator;
 use crate::{
     client::PeerError,
+    crash_registry::ROUND_PAUSE_MS,
     message::{PeerAnswer, PeerRequest},
 };
 use futures_util::stream::{FuturesUnordered, StreamExt};
@@ -13,7 +14,7 @@
 use std::{net::SocketAddr, sync::Arc};
 use tokio::{
     task::JoinSet,
-    time::{Duration, timeout},
+    time::{Duration, sleep, timeout},
 };
 
 /// Time to wait for a partner before a substitute is contacted.
@@ -23,7 +24,7 @@
 const REMOTE_RECIPIENTS: usize = 2;
 
 impl Replicator {
-    /// Sends each crash report to the partners as soon as this node has it. Rounds run concurrently.
+    /// Sends new crash reports to the partners, at once after a pause without any. Rounds run concurrently.
     pub(super) async fn crash_report_loop(self: &Arc<Self>) {
         let mut rounds = JoinSet::new();
         loop {
@@ -31,6 +32,7 @@
             while rounds.try_join_next().is_some() {}
             let this = self.clone();
             rounds.spawn(async move { this.send_crash_reports(reports).await });
+            sleep(Duration::from_millis(ROUND_PAUSE_MS)).await;
         }
     }
 
--- a/crates/laurelstall_peer/tests/circulating_crash_reports.rs
+++ b/crates/laurelstall_peer/tests/circulating_crash_reports.rs
@@ -10,7 +10,7 @@
 };
 use laurelstall_guard::clock::Clock;
 use laurelstall_peer::{
-    crash_registry::CrashRegistry,
+    crash_registry::{CrashRegistry, ROUND_PAUSE_MS, ROUND_REPORTS_MAX},
     frame::encode,
     message::{PeerAnswer, PeerRequest},
 };
@@ -58,6 +58,8 @@
     /// Messages in transit by the time of arrival in ms and a running number.
     in_transit: BTreeMap<(u64, u64), (usize, Message)>,
     next_exchange_ms: Vec<u64>,
+    /// When each node may send new reports again.
+    next_round_ms: Vec<u64>,
     delay: Delay,
     now_ms: u64,
     sent: u64,
@@ -85,6 +87,7 @@
             recipients: (0..count).map(|own| recipients(own, &mut rng)).collect(),
             in_transit: BTreeMap::new(),
             next_exchange_ms: (0..count).map(|_| rng.random_range(0..EXCHANGE_MS)).collect(),
+            next_round_ms: vec![0; count],
             delay,
             now_ms: 0,
             sent: 0,
@@ -114,10 +117,14 @@
     }
 
     fn forward(&mut self, node: usize) {
+        if self.now_ms < self.next_round_ms[node] {
+            return;
+        }
         let reports = self.nodes[node].take_unsent();
         if reports.is_empty() {
             return;
         }
+        self.next_round_ms[node] = self.now_ms + ROUND_PAUSE_MS;
         let count = reports.len();
         let request = PeerRequest::CrashReportBatch(CrashReportBatch::pack(&reports));
         let bytes = encode(&request).len();
@@ -275,6 +282,22 @@
     assert_flood_ends(24, 6_000).await;
 }
 
+/// A message has room for some reports; one on a request that crashed several targets must not wait behind a flood.
+#[tokio::test(start_paused = true)]
+async fn the_most_urgent_reports_are_sent_first_and_all_are_sent() {
+    let mut mesh = Mesh::new(2 * FAN_OUT, (2, 30), 7);
+    mesh.crash(0, &(0..1_000).collect::<Vec<_>>());
+    mesh.crash(0, &[3]);
+    let node = &mesh.nodes[0];
+    let first = node.take_unsent();
+    assert_eq!(first.len(), ROUND_REPORTS_MAX);
+    assert_eq!(first[0].digest, digest(3));
+    let rest = (0..3).flat_map(|_| node.take_unsent()).collect::<Vec<_>>();
+    let sent = first.iter().chain(&rest).map(|report| report.digest).collect::<HashSet<_>>();
+    assert_eq!(sent.len(), 1_000);
+    assert!(node.take_unsent().is_empty());
+}
+
 /// A table that a flood has filled must still take the crashes of a new request.
 #[tokio::test(start_paused = true)]
 async fn a_request_that_crashes_targets_after_a_flood_is_quarantined_everywhere() {
@@ -355,7 +378,7 @@
     let numbers = (0..REQUESTS).collect::<Vec<_>>();
     mesh.crash(0, &numbers);
     mesh.crash(0, &numbers);
-    let reports = mesh.nodes[0].take_unsent();
+    let reports = mesh.nodes[0].all_reports();
     assert_eq!(reports.len() as u64, REQUESTS);
     let started = std::time::Instant::now();
     mesh.nodes[1].merge_reports(&reports);
