--- a/crates/laurelstall_crash/src/crash_table.rs
+++ b/crates/laurelstall_crash/src/crash_table.rs
@@ -7,10 +7,15 @@
 
 use crate::{
     crash_record::{CrashRecord, CrashReport, TargetCrash},
+    dropped_records::DroppedRecords,
     request_digest::RequestDigest,
+    standing::{Standing, quarantine_rank},
     successful_runs::SuccessfulRuns,
 };
-use std::{cmp::Reverse, collections::BTreeMap};
+use std::{
+    cell::OnceCell,
+    collections::{BTreeMap, HashMap, HashSet},
+};
 use xxhash_rust::xxh3::Xxh3;
 
 /// Number of crashes after which a request is quarantined. One is not enough, because it counts for all requests that
@@ -20,13 +25,19 @@
 /// Number of crashes after which a request with a known successful run is quarantined. A frequent harmless request may
 /// have no successful run for a while when few targets are up, and it is running at each crash.
 pub const QUARANTINE_CRASHES_AFTER_SUCCESS: usize = 4;
-/// Largest number of quarantined requests of one service: when targets crash whatever they run, most requests must
-/// still reach them.
-const QUARANTINED_MAX: usize = 32;
-/// Largest number of records, which takes about 50 KB.
-const RECORDS_MAX: usize = 256;
-/// Time in µs since its last crash after which a request is forgotten if it is not quarantined.
+/// Largest number of records of requests with several crashes that have room of their own, so that requests with one crash
+/// cannot displace a quarantined request.
+const REPEATED_CRASH_RECORDS_MAX: usize = 512;
+/// Largest number of other records. Some 100 targets that crash at one instant leave about 1,000 requests; a request that is
+/// dropped needs one crash more for its quarantine. A record takes about 200 bytes, so all of them take 0.5 MB.
+const OTHER_RECORDS_MAX: usize = 2_048;
+/// Largest number of reports that are merged from one message.
+const REPORTS_MAX: usize = REPEATED_CRASH_RECORDS_MAX + OTHER_RECORDS_MAX;
+/// Time in µs since its last crash, successful run or release after which a request is forgotten if it is not quarantined.
 const FORGET_AFTER_US: i64 = 600_000_000;
+/// Age in µs from which an unknown request that is not quarantined is no longer taken from a report. Nodes forget a request
+/// at slightly different times; without this margin, one that still knows it would tell it again to those that forgot it.
+const NOT_TAKEN_AFTER_US: i64 = 540_000_000;
 /// Duration of the quarantine in µs before one trial request is let through, by the number of failed trials: 5
 /// minutes, 1 hour, 12 hours. After three failed trials only a successful run or an operator ends the quarantine,
 /// because each trial may cost a target.
@@ -65,12 +76,29 @@
     pub last_crash_age_ms: u64,
 }
 
+/// What a table did with reports since it was created.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct CrashTableCounts {
+    /// Reports that other nodes sent.
+    pub received: u64,
+    /// Received reports that changed a record, or that lacked a successful run known here.
+    pub changed: u64,
+    /// Records that were dropped because the table was full.
+    pub dropped: u64,
+    /// Records of requests that were taken although they had been dropped from the full table shortly before.
+    pub taken_again: u64,
+}
+
 /// All requests of which one node knows that they were running when targets crashed.
 #[derive(Debug, Default)]
 pub struct CrashTable {
     /// Records by [`RequestDigest::whole`].
     records: BTreeMap<u64, CrashRecord>,
     successful_runs: SuccessfulRuns,
+    /// Follows from the records; computed when it is first read after a fact has changed.
+    standing: OnceCell<Standing>,
+    dropped: DroppedRecords,
+    counts: CrashTableCounts,
 }
 
 impl CrashTable {
@@ -84,14 +112,22 @@
         now_us: i64,
     ) -> Vec<RequestDigest> {
         let mut changed = Vec::new();
+        let mut inserted = HashSet::new();
         for digest in digests {
+            if !self.records.contains_key(&digest.whole) {
+                inserted.insert(digest.whole);
+            }
             let record = self.record(*digest, service);
-            if record.add_crash(crash) {
+            let is_new = record.add_crash(crash);
+            if self.apply_remembered_success(digest.whole) || is_new {
                 changed.push(*digest);
             }
-            self.apply_remembered_success(digest.whole);
         }
-        self.prune(now_us);
+        if !changed.is_empty() {
+            self.standing.take();
+        }
+        self.prune(&inserted, now_us);
+        changed.retain(|digest| self.records.contains_key(&digest.whole));
         changed
     }
 
@@ -99,31 +135,49 @@
     pub fn note_success(&mut self, digest: RequestDigest, now_us: i64) -> bool {
         self.successful_runs.note(digest.whole, now_us);
         let record = self.records.get_mut(&digest.whole);
-        record.is_some_and(|record| !record.counted_crashes().is_empty() && record.add_success(now_us))
+        let has_changed =
+            record.is_some_and(|record| record.counted_crashes() > 0 && record.add_success(now_us));
+        if has_changed {
+            self.standing.take();
+        }
+        has_changed
     }
 
     /// Releases the request with this [`RequestDigest::whole`] for an operator: its crashes so far no longer count, but
     /// further ones do. Returns `None` when no crash counts against it.
     pub fn release(&mut self, digest_hash: u64, now_us: i64) -> Option<RequestDigest> {
-        let record =
-            self.records.get_mut(&digest_hash).filter(|record| !record.counted_crashes().is_empty())?;
+        let record = self.records.get_mut(&digest_hash).filter(|record| record.counted_crashes() > 0)?;
         record.add_release(now_us);
-        Some(record.digest)
+        let digest = record.digest;
+        self.standing.take();
+        Some(digest)
     }
 
     /// Merges the reports of another node. Returns the requests of which they have anything new, or of which this node
     /// knows a successful run that the reports lack.
     pub fn merge_reports(&mut self, reports: &[CrashReport], now_us: i64) -> Vec<RequestDigest> {
         let mut changed = Vec::new();
-        for report in reports.iter().take(RECORDS_MAX) {
+        let mut inserted = HashSet::new();
+        for report in reports.iter().take(REPORTS_MAX) {
+            self.counts.received += 1;
+            if !self.records.contains_key(&report.digest.whole) {
+                if !is_taken(report, now_us) {
+                    continue;
+                }
+                inserted.insert(report.digest.whole);
+            }
             let record = self.record(report.digest, &report.service);
             let has_changed = record.merge_report(report, now_us);
             if self.apply_remembered_success(report.digest.whole) || has_changed {
                 changed.push(report.digest);
             }
         }
-        self.prune(now_us);
+        if !changed.is_empty() {
+            self.standing.take();
+        }
+        self.prune(&inserted, now_us);
         changed.retain(|digest| self.records.contains_key(&digest.whole));
+        self.counts.changed += changed.len() as u64;
         changed
     }
 
@@ -138,20 +192,47 @@
         self.records.values().map(|record| record.report(now_us)).collect()
     }
 
-    /// A hash of the digests and crash ids of all records and of how many of the crashes count. Two nodes compare it to
-    /// detect that one of them knows more.
+    /// A hash of the facts of all records. Two nodes compare it to detect that one of them knows more.
     pub fn hash(&self) -> u64 {
         let mut hasher = Xxh3::new();
-        for (digest_hash, record) in &self.records {
-            hasher.update(&digest_hash.to_le_bytes());
-            hasher.update(&[record.counted_crashes().len() as u8]);
-            for id in record.crash_ids() {
-                hasher.update(&id.to_le_bytes());
-            }
+        for record in self.records.values() {
+            hasher.update(&record.fingerprint().to_le_bytes());
         }
         hasher.digest()
     }
 
+    /// The [fingerprints](CrashRecord::fingerprint) of all records, with their requests.
+    pub fn fingerprints(&self) -> HashMap<u64, RequestDigest> {
+        self.records.values().map(|record| (record.fingerprint(), record.digest)).collect()
+    }
+
+    /// How urgent a report on a request is, for a message that has no room for all: requests at several crashes come first,
+    /// then those with newer ones. `None` if there is no record.
+    pub fn urgency_of(&self, digest: RequestDigest) -> Option<(bool, u64)> {
+        let record = self.records.get(&digest.whole)?;
+        Some((record.counted_crashes() > 1, record.newest_crash_id()))
+    }
+
+    /// The fingerprint of the record of a request; `None` if there is no record.
+    pub fn fingerprint_of(&self, digest: RequestDigest) -> Option<u64> {
+        self.records.get(&digest.whole).map(CrashRecord::fingerprint)
+    }
+
+    /// What the table did with reports so far.
+    pub fn counts(&self) -> CrashTableCounts {
+        self.counts
+    }
+
+    /// The number of records.
+    pub fn len(&self) -> usize {
+        self.records.len()
+    }
+
+    /// Whether there is no record.
+    pub fn is_empty(&self) -> bool {
+        self.records.is_empty()
+    }
+
     /// The current status of a request.
     pub fn request_status(&self, digest: RequestDigest, now_us: i64) -> RequestStatus {
         self.records
@@ -162,23 +243,27 @@
     /// Whether crashes count against a request with this head. The body of another request with this head must be read
     /// to tell the two apart.
     pub fn knows_head(&self, head: u64) -> bool {
-        self.records.values().any(|record| record.digest.head == head && !record.counted_crashes().is_empty())
+        self.standing().is_suspected_head(head)
     }
 
     /// All requests with counted crashes.
     pub fn suspects(&self, now_us: i64) -> Vec<SuspectState> {
-        let suspects = self.records.values().filter(|record| !record.counted_crashes().is_empty());
+        let suspects = self.records.values().filter(|record| record.counted_crashes() > 0);
         let state = |record: &CrashRecord| SuspectState {
             digest: record.digest,
             service: record.service.clone(),
             request_status: self.status_of(record, now_us),
-            crashes: record.counted_crashes().len(),
+            crashes: record.counted_crashes(),
             last_crash_age_ms: u64::try_from(record.last_crash_age_us(now_us).unwrap_or(0) / 1_000)
                 .unwrap_or(0),
         };
         suspects.map(state).collect()
     }
 
+    fn standing(&self) -> &Standing {
+        self.standing.get_or_init(|| Standing::of(self.records.values()))
+    }
+
     fn record(&mut self, digest: RequestDigest, service: &str) -> &mut CrashRecord {
         self.records.entry(digest.whole).or_insert_with(|| CrashRecord::new(digest, service))
     }
@@ -187,15 +272,15 @@
     fn apply_remembered_success(&mut self, digest_hash: u64) -> bool {
         let Some(at_us) = self.successful_runs.last_us(digest_hash) else { return false };
         let record = self.records.get_mut(&digest_hash);
-        record.is_some_and(|record| !record.counted_crashes().is_empty() && record.add_success(at_us))
+        record.is_some_and(|record| record.counted_crashes() > 0 && record.add_success(at_us))
     }
 
     fn status_of(&self, record: &CrashRecord, now_us: i64) -> RequestStatus {
-        let crashes = record.counted_crashes().len();
+        let crashes = record.counted_crashes();
         if crashes == 0 {
             return RequestStatus::Harmless;
         }
-        if !self.is_quarantined(record) {
+        if !self.standing().is_quarantined(record.digest.whole) {
             return RequestStatus::Suspected(crashes);
         }
         let Some(quarantine_us) = QUARANTINE_US.get(record.crash_bursts().saturating_sub(1)) else {
@@ -210,35 +295,63 @@
         }
     }
 
-    /// Whether a request has enough crashes and is among the [`QUARANTINED_MAX`] of its service that rank highest.
-    fn is_quarantined(&self, record: &CrashRecord) -> bool {
-        let Some(own) = quarantine_rank(record) else { return false };
-        let others = self.records.values().filter(|other| other.service == record.service);
-        others.filter_map(quarantine_rank).filter(|rank| *rank < own).count() < QUARANTINED_MAX
-    }
-
-    /// Removes old records and, when there are too many, those with the fewest and oldest crashes.
-    fn prune(&mut self, now_us: i64) {
+    /// Removes old records and, when there are too many, those that rank lowest in an order that is the same at all nodes.
+    ///
+    /// A record only rises in that order, so all nodes that have heard the same end with the same records, and a record that
+    /// was dropped does not come back without a further crash. `inserted` are the requests whose records are new.
+    fn prune(&mut self, inserted: &HashSet<u64>, now_us: i64) {
         let is_recent = |record: &CrashRecord| {
-            record.last_crash_age_us(now_us).is_some_and(|age_us| age_us < FORGET_AFTER_US)
+            record.last_event_age_us(now_us).is_some_and(|age_us| age_us < FORGET_AFTER_US)
         };
+        let known = self.records.len();
         self.records.retain(|_, record| is_recent(record) || quarantine_rank(record).is_some());
-        while self.records.len() > RECORDS_MAX {
-            let strength = |record: &CrashRecord| {
-                (record.counted_crashes().len(), Reverse(record.last_crash_age_us(now_us)))
-            };
-            let weakest = self.records.iter().min_by_key(|(_, record)| strength(record));
-            let Some(weakest) = weakest.map(|(digest_hash, _)| *digest_hash) else { return };
-            self.records.remove(&weakest);
+        for digest_hash in surplus(&self.records) {
+            self.records.remove(&digest_hash);
+            if !inserted.contains(&digest_hash) {
+                self.dropped.note(digest_hash);
+                self.counts.dropped += 1;
+            }
         }
+        for digest_hash in inserted.iter().filter(|digest_hash| self.records.contains_key(digest_hash)) {
+            self.counts.taken_again += u64::from(self.dropped.take(*digest_hash));
+        }
+        if self.records.len() != known {
+            self.standing.take();
+        }
+    }
+}
+
+/// The requests whose records exceed the bounds.
+///
+/// Of the requests with several crashes, those with the newest ones are kept. All others compete for the remaining room, by
+/// their newest crash as well, so that a request that was dropped is not taken again when a node with fewer of its crashes
+/// reports it.
+fn surplus(records: &BTreeMap<u64, CrashRecord>) -> Vec<u64> {
+    if records.len() <= OTHER_RECORDS_MAX {
+        return Vec::new();
+    }
+    let is_repeated = |record: &CrashRecord| record.known_crashes() > 1;
+    let rank = |digest_hash: &u64, record: &CrashRecord| (record.newest_crash_id(), *digest_hash);
+    let (mut repeated, mut others) = (Vec::new(), Vec::new());
+    for (digest_hash, record) in records {
+        let ranks = if is_repeated(record) { &mut repeated } else { &mut others };
+        ranks.push(rank(digest_hash, record));
     }
+    others.extend(take_lowest(&mut repeated, REPEATED_CRASH_RECORDS_MAX));
+    take_lowest(&mut others, OTHER_RECORDS_MAX).into_iter().map(|(_, digest_hash)| digest_hash).collect()
+}
+
+/// Removes and returns the lowest ranks beyond the `max` highest ones.
+fn take_lowest(ranks: &mut Vec<(u64, u64)>, max: usize) -> Vec<(u64, u64)> {
+    let Some(excess) = ranks.len().checked_sub(max).filter(|excess| *excess > 0) else { return Vec::new() };
+    ranks.select_nth_unstable(excess - 1);
+    ranks.drain(..excess).collect()
 }
 
-/// The order in which requests are quarantined: those with more crashes first, then those that reached the required
-/// number first. `None` for a request with too few crashes.
-fn quarantine_rank(record: &CrashRecord) -> Option<(Reverse<usize>, i64, u64)> {
-    let counted = record.counted_crashes();
-    let required = if record.has_succeeded() { QUARANTINE_CRASHES_AFTER_SUCCESS } else { QUARANTINE_CRASHES };
-    let reached = counted.get(required - 1)?;
-    Some((Reverse(counted.len()), reached.at_us, record.digest.whole))
+/// Whether a report on an unknown request is taken: not if the request is about to be forgotten.
+fn is_taken(report: &CrashReport, now_us: i64) -> bool {
+    let mut record = CrashRecord::new(report.digest, &report.service);
+    record.merge_report(report, now_us);
+    record.last_event_age_us(now_us).is_some_and(|age_us| age_us < NOT_TAKEN_AFTER_US)
+        || quarantine_rank(&record).is_some()
 }
--- a/crates/laurelstall_crash/src/lib.rs
+++ b/crates/laurelstall_crash/src/lib.rs
@@ -4,8 +4,11 @@
 
 pub mod crash_record;
 pub mod crash_table;
+pub mod dropped_records;
+pub mod report_batch;
 pub mod request_digest;
 pub mod run_tracker;
+mod standing;
 pub mod successful_runs;
 
 /// The most commonly used types.
--- a/crates/laurelstall_node/src/node.rs
+++ b/crates/laurelstall_node/src/node.rs
@@ -214,6 +214,10 @@
                     PeerAnswer::Noted
                 }
                 PeerRequest::CanRead => self.replicator.answer_can_read(),
+                PeerRequest::CrashReportBatch(batch) => {
+                    self.replicator.crashes().merge_reports(&batch.unpack());
+                    PeerAnswer::Noted
+                }
                 PeerRequest::CrashReports(reports) => {
                     self.replicator.crashes().merge_reports(&reports);
                     PeerAnswer::Noted
@@ -224,6 +228,9 @@
                 }
                 PeerRequest::ReturnTokens(key, tokens) => self.quotas.answer_return_tokens(&key, tokens),
                 PeerRequest::CompareCrashes(reports) => self.replicator.answer_crashes(&reports),
+                PeerRequest::CompareCrashFingerprints(theirs) => {
+                    self.replicator.answer_crash_fingerprints(&theirs)
+                }
                 PeerRequest::CompareCorrections(corrections) => {
                     self.replicator.answer_corrections(corrections.as_ref())
                 }
--- a/crates/laurelstall_peer/src/crash_registry.rs
+++ b/crates/laurelstall_peer/src/crash_registry.rs
@@ -1,15 +1,21 @@
 //! Thread-safe registry of the requests that crashed targets, shared by a node's entry, guard and
 //! replication.
 
+use crate::message::CrashDifferences;
 use laurelstall_crash::{
-    crash_record::{CrashReport, TargetCrash},
-    crash_table::{CrashTable, RequestStatus, SuspectState},
+    crash_record::{CrashRecord, CrashReport, TargetCrash},
+    crash_table::{CrashTable, CrashTableCounts, RequestStatus, SuspectState},
+    report_batch::CrashReportBatch,
     request_digest::RequestDigest,
 };
 use laurelstall_guard::clock::Clock;
 use std::{
+    cmp::Reverse,
     collections::{HashMap, HashSet},
-    sync::{Mutex, MutexGuard, PoisonError},
+    sync::{
+        Mutex, MutexGuard, PoisonError,
+        atomic::{AtomicU64, Ordering},
+    },
 };
 use tokio::sync::Notify;
 
@@ -17,6 +23,13 @@
 /// the distribution of its crash report take.
 const TRIAL_TIMEOUT_US: i64 = 10_000_000;
 
+/// Pause in ms after a message with new reports, in which further reports are collected: the first report is sent at once, and a
+/// flood of them takes ten messages a second.
+pub const ROUND_PAUSE_MS: u64 = 100;
+/// Largest number of reports in one message. A report takes some 30 bytes, so a node sends each recipient at most 80 KB of them a
+/// second, and a full table within a second. A message with 16 crashes for each is within the limit of a message.
+pub const ROUND_REPORTS_MAX: usize = 256;
+
 /// The crash table of a node and the reports that its partners have not been sent yet.
 #[derive(Debug)]
 pub struct CrashRegistry {
@@ -27,6 +40,8 @@
     /// clock.
     trials: Mutex<HashMap<u64, i64>>,
     has_unsent: Notify,
+    /// Reports that were handed out for the partners.
+    forwarded: AtomicU64,
 }
 
 impl CrashRegistry {
@@ -38,6 +53,7 @@
             unsent: Mutex::default(),
             trials: Mutex::default(),
             has_unsent: Notify::new(),
+            forwarded: AtomicU64::new(0),
         }
     }
 
@@ -117,6 +133,26 @@
         self.table().hash()
     }
 
+    /// Returns what the table did with reports so far.
+    pub fn counts(&self) -> CrashTableCounts {
+        self.table().counts()
+    }
+
+    /// Returns the number of reports that were forwarded to the partners.
+    pub fn forwarded(&self) -> u64 {
+        self.forwarded.load(Ordering::Relaxed)
+    }
+
+    /// Returns the number of requests with crashes.
+    pub fn len(&self) -> usize {
+        self.table().len()
+    }
+
+    /// Whether no request has a crash.
+    pub fn is_empty(&self) -> bool {
+        self.len() == 0
+    }
+
     /// Returns the state of all requests with crashes, for operators.
     pub fn suspects(&self) -> Vec<SuspectState> {
         self.table().suspects(self.now_us())
@@ -126,15 +162,67 @@
     pub(crate) async fn unsent_reports(&self) -> Vec<CrashReport> {
         loop {
             self.has_unsent.notified().await;
-            let unsent = std::mem::take(&mut *self.unsent.lock().unwrap_or_else(PoisonError::into_inner));
-            let unsent = unsent.into_iter().collect::<Vec<_>>();
-            let reports = self.table().reports_of(&unsent, self.now_us());
+            let reports = self.take_unsent();
             if !reports.is_empty() {
                 return reports;
             }
         }
     }
 
+    /// Takes the most urgent reports that the partners have not been sent yet, at most [`ROUND_REPORTS_MAX`].
+    pub fn take_unsent(&self) -> Vec<CrashReport> {
+        let mut unsent = self.unsent.lock().unwrap_or_else(PoisonError::into_inner);
+        let table = self.table();
+        let mut taken = unsent.drain().collect::<Vec<_>>();
+        unsent.extend(split_least_urgent(&table, &mut taken));
+        if !unsent.is_empty() {
+            self.has_unsent.notify_one();
+        }
+        let reports = table.reports_of(&taken, self.now_us());
+        self.forwarded.fetch_add(reports.len() as u64, Ordering::Relaxed);
+        reports
+    }
+
+    /// Returns the fingerprints of all records, by which another node finds the differences.
+    pub fn comparison(&self) -> Vec<u64> {
+        self.table().fingerprints().into_keys().collect()
+    }
+
+    /// Answers another node, whose records have these fingerprints, with the reports that it lacks and with the
+    /// fingerprints that this node lacks.
+    pub fn answer_comparison(&self, theirs: &[u64]) -> CrashDifferences {
+        let table = self.table();
+        let ours = table.fingerprints();
+        let theirs = theirs.iter().copied().collect::<HashSet<_>>();
+        let differing = ours.iter().filter(|(fingerprint, _)| !theirs.contains(fingerprint));
+        let differing = differing.map(|(_, digest)| *digest).collect::<Vec<_>>();
+        let reports = table.reports_of(&differing, self.now_us());
+        let lacking = theirs.into_iter().filter(|fingerprint| !ours.contains_key(fingerprint)).collect();
+        CrashDifferences { reports: CrashReportBatch::pack(&reports), lacking }
+    }
+
+    /// Merges the answer to a comparison and returns the reports that the other node lacks.
+    pub fn finish_comparison(&self, answer: &CrashDifferences) -> Vec<CrashReport> {
+        let ours = self.table().fingerprints();
+        let mut lacking =
+            answer.lacking.iter().filter_map(|lacking| ours.get(lacking)).copied().collect::<Vec<_>>();
+        let reports = answer.reports.unpack();
+        self.merge_reports(&reports);
+        // What the other node reported is not sent back unless this node knew more of it.
+        let now_us = self.now_us();
+        let fingerprint = |report: &CrashReport| {
+            let mut record = CrashRecord::new(report.digest, &report.service);
+            record.merge_report(report, now_us);
+            record.fingerprint()
+        };
+        let theirs = reports.iter().map(fingerprint).collect::<HashSet<_>>();
+        let table = self.table();
+        lacking.retain(|digest| !table.fingerprint_of(*digest).is_some_and(|known| theirs.contains(&known)));
+        // What does not fit is left to the next comparison.
+        split_least_urgent(&table, &mut lacking);
+        table.reports_of(&lacking, now_us)
+    }
+
     fn queue(&self, digests: Vec<RequestDigest>) {
         if digests.is_empty() {
             return;
@@ -151,14 +239,15 @@
     fn log_changes(&self, before: &[(RequestDigest, RequestStatus)]) {
         for (digest, before) in before {
             let after = self.request_status(*digest);
-            let age_ms = self.last_crash_age_ms(*digest);
             match (*before, after) {
                 (RequestStatus::Quarantined { .. }, RequestStatus::Quarantined { .. }) => {}
                 (_, RequestStatus::Quarantined { retry_after_ms }) => log::warn!(
-                    "request {digest}: quarantined for {retry_after_ms} ms, its last target crashed {age_ms} ms ago"
+                    "request {digest}: quarantined for {retry_after_ms} ms, its last target crashed {} ms ago",
+                    self.last_crash_age_ms(*digest)
                 ),
                 (RequestStatus::Harmless, RequestStatus::Suspected(crashes)) => log::info!(
-                    "request {digest}: suspected, it was running in {crashes} target crashes, the last one {age_ms} ms ago"
+                    "request {digest}: suspected, it was running in {crashes} target crashes, the last one {} ms ago",
+                    self.last_crash_age_ms(*digest)
                 ),
                 (RequestStatus::Quarantined { .. } | RequestStatus::HalfOpen, RequestStatus::Harmless) => {
                     log::warn!(
@@ -183,3 +272,10 @@
         self.table.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
+
+/// Sorts requests by the urgency of their reports, and splits off those beyond [`ROUND_REPORTS_MAX`].
+fn split_least_urgent(table: &CrashTable, digests: &mut Vec<RequestDigest>) -> Vec<RequestDigest> {
+    digests.retain(|digest| table.urgency_of(*digest).is_some());
+    digests.sort_by_cached_key(|digest| Reverse(table.urgency_of(*digest)));
+    digests.split_off(digests.len().min(ROUND_REPORTS_MAX))
+}
--- a/crates/laurelstall_peer/src/message.rs
+++ b/crates/laurelstall_peer/src/message.rs
@@ -3,7 +3,9 @@
 use crate::fleet_corrections::FleetCorrections;
 use laurelstall_balance::hint::{Hint, TargetState};
 use laurelstall_config::document::{DocumentName, Version};
-use laurelstall_crash::{crash_record::CrashReport, request_digest::RequestDigest};
+use laurelstall_crash::{
+    crash_record::CrashReport, report_batch::CrashReportBatch, request_digest::RequestDigest,
+};
 use laurelstall_guard::refusal::Refusal;
 use laurelstall_workspace::owned_shares::{Grant, ShareKey};
 use serde::{Deserialize, Serialize};
@@ -188,6 +190,15 @@
     pub documents_age_ms: u64,
 }
 
+/// The differences between the crash records of two nodes, for the node that requested the comparison.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct CrashDifferences {
+    /// The reports that the requesting node lacks, or of which it knows other facts.
+    pub reports: CrashReportBatch,
+    /// The fingerprints of the requesting node that the answering node lacks.
+    pub lacking: Vec<u64>,
+}
+
 /// A request to another node.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub enum PeerRequest {
@@ -205,10 +216,10 @@
     Pull(Vec<PullItem>),
     /// Return whether the node can read the platform.
     CanRead,
-    /// New crash reports.
+    /// New crash reports of a node of an earlier build.
     #[serde(rename = "CrashNews")]
     CrashReports(Vec<CrashReport>),
-    /// All crash reports of the sender; the answer contains those that it lacks.
+    /// All crash reports of a node of an earlier build; the answer contains those of this node.
     CompareCrashes(Vec<CrashReport>),
     /// The corrections of the sender; the answer contains those of the node.
     #[serde(rename = "CompareCarried")]
@@ -217,6 +228,10 @@
     TakeTokens(ShareKey, u32),
     /// Return tokens of calls that did not run.
     ReturnTokens(ShareKey, u32),
+    /// New crash reports.
+    CrashReportBatch(CrashReportBatch),
+    /// Fingerprints of all crash records of the sender; the answer contains the differences.
+    CompareCrashFingerprints(Vec<u64>),
 }
 
 /// An answer to a [`PeerRequest`].
@@ -276,7 +291,7 @@
     Noted,
     /// Whether the last read of the platform, if there was one, succeeded.
     CanRead(bool),
-    /// The crash reports that the requesting node lacks.
+    /// The crash reports for a node of an earlier build.
     Crashes(Vec<CrashReport>),
     /// The corrections since the last restore of the platform.
     #[serde(rename = "Carried")]
@@ -285,4 +300,6 @@
     Tokens(Option<Grant>),
     /// The request was rejected for this reason.
     Refused(Refusal),
+    /// The differences between the crash records of two nodes.
+    CrashDifferences(CrashDifferences),
 }
--- a/crates/laurelstall_peer/src/replicator/crash_reports.rs
+++ b/crates/laurelstall_peer/src/replicator/crash_reports.rs
@@ -6,14 +6,15 @@
 use super::Replicator;
 use crate::{
     client::PeerError,
+    crash_registry::ROUND_PAUSE_MS,
     message::{PeerAnswer, PeerRequest},
 };
 use futures_util::stream::{FuturesUnordered, StreamExt};
-use laurelstall_crash::crash_record::CrashReport;
+use laurelstall_crash::{crash_record::CrashReport, report_batch::CrashReportBatch};
 use std::{net::SocketAddr, sync::Arc};
 use tokio::{
     task::JoinSet,
-    time::{Duration, timeout},
+    time::{Duration, sleep, timeout},
 };
 
 /// Time to wait for a partner before a substitute is contacted.
@@ -23,7 +24,7 @@
 const REMOTE_RECIPIENTS: usize = 2;
 
 impl Replicator {
-    /// Sends each crash report to the partners as soon as this node has it. Rounds run concurrently.
+    /// Sends new crash reports to the partners, at once after a pause without any. Rounds run concurrently.
     pub(super) async fn crash_report_loop(self: &Arc<Self>) {
         let mut rounds = JoinSet::new();
         loop {
@@ -31,20 +32,19 @@
             while rounds.try_join_next().is_some() {}
             let this = self.clone();
             rounds.spawn(async move { this.send_crash_reports(reports).await });
+            sleep(Duration::from_millis(ROUND_PAUSE_MS)).await;
         }
     }
 
-    /// Merges another node's crash reports and answers with those that it lacks.
+    /// Merges the crash reports of a node of an earlier build and answers with those of this node.
     pub fn answer_crashes(&self, theirs: &[CrashReport]) -> PeerAnswer {
         self.crashes.merge_reports(theirs);
-        let is_known = |report: &CrashReport| {
-            theirs.iter().any(|known| known.digest == report.digest && known.ends.len() >= report.ends.len())
-        };
-        let mut ours = self.crashes.all_reports();
-        ours.retain(|report| {
-            !is_known(report) || report.good_run_age_ms.is_some() || report.release_age_ms.is_some()
-        });
-        PeerAnswer::Crashes(ours)
+        PeerAnswer::Crashes(self.crashes.all_reports())
+    }
+
+    /// Answers a node, whose crash records have these fingerprints, with the differences.
+    pub fn answer_crash_fingerprints(&self, theirs: &[u64]) -> PeerAnswer {
+        PeerAnswer::CrashDifferences(self.crashes.answer_comparison(theirs))
     }
 
     /// Exchanges crash reports with a node unless `their_hash` shows that both have the same.
@@ -56,19 +56,25 @@
         if their_hash == self.crashes.hash() {
             return Ok(());
         }
-        let request = PeerRequest::CompareCrashes(self.crashes.all_reports());
+        let request = PeerRequest::CompareCrashFingerprints(self.crashes.comparison());
         match self.client.request(address, &request).await? {
-            PeerAnswer::Crashes(theirs) => self.crashes.merge_reports(&theirs),
-            _ => return Err(PeerError::Unexpected),
+            PeerAnswer::CrashDifferences(theirs) => {
+                let lacking = self.crashes.finish_comparison(&theirs);
+                if !lacking.is_empty() {
+                    let lacking = CrashReportBatch::pack(&lacking);
+                    self.client.request(address, &PeerRequest::CrashReportBatch(lacking)).await?;
+                }
+                Ok(())
+            }
+            _ => Err(PeerError::Unexpected),
         }
-        Ok(())
     }
 
     async fn send_crash_reports(&self, reports: Vec<CrashReport>) {
         let mut partners = self.partners();
         partners.extend(self.remote_nodes(REMOTE_RECIPIENTS));
         let mut substitutes = self.substitutes(&partners, partners.len()).into_iter();
-        let request = PeerRequest::CrashReports(reports);
+        let request = PeerRequest::CrashReportBatch(CrashReportBatch::pack(&reports));
         let send = |address| self.try_send_crash_reports(address, &request);
         let mut sending = partners.into_iter().map(send).collect::<FuturesUnordered<_>>();
         while let Some(is_sent) = sending.next().await {
