A stopping node takes calls until the runs at its target have ended

A run at the target of a stopping node failed when it made a call of its own: its caller got 502, 'a call further down failed'.

Cause: the entry stopped to accept connections in the same instant in which the guard began to drain, while admitted runs still needed it. Found in review of the stops that cut off answers; class: work counts as finished when it is admitted no more.

The entry closes when the guard has no running or queued calls any more, or after half of the time that is left, so that callers' last calls keep the other half.

--- a/crates/laurelstall_node/src/node/stop.rs
+++ b/crates/laurelstall_node/src/node/stop.rs
@@ -12,8 +12,8 @@
     /// Stops gracefully. Returns whether all requests ended within the time limit.
     ///
     /// For the linger time, the node still accepts calls, but reports that it is not ready and asks callers to close their
-    /// connections. Then the guard accepts no new calls, the entry accepts no connections, running requests finish, and all
-    /// answers to callers and other nodes are sent.
+    /// connections. Then the guard accepts no new calls, and running requests at the local target finish, which may make calls
+    /// through this node. At last the entry accepts no connections, and all answers to callers and other nodes are sent.
     pub async fn stop(mut self) -> bool {
         let started = Instant::now();
         log::info!("stopping: {}", self.unfinished_work());
@@ -23,6 +23,8 @@
         let stopped = timeout(limit, async {
             sleep(linger).await;
             self.guard.start_final_drain();
+            // Runs at the local target make calls through this node. The rest of the time is for callers' last calls.
+            let _ = timeout(limit.saturating_sub(linger) / 2, self.guard.guard().drained()).await;
             self.shutdown.send_replace(true);
             // A task that panicked needs no waiting.
             let callers = join_all(&mut self.listener_tasks);
--- a/crates/laurelstall_standin/tests/planned_stops.rs
+++ b/crates/laurelstall_standin/tests/planned_stops.rs
@@ -6,14 +6,19 @@
 use futures_util::future::join_all;
 use http::{Method, StatusCode};
 use laurelstall_standin::{
-    call_uri::CALLER_HOST, harness::Harness, node_thread::NodeThread, target::pattern_byte,
+    call_uri::CALLER_HOST, harness::Harness, harness_plan::HarnessPlan, node_thread::NodeThread,
+    target::pattern_byte,
 };
 use std::{
     sync::{Arc, atomic::Ordering},
     time::{Duration, Instant},
 };
 use support::{Answer, entry, plan, send_request, start};
-use tokio::{io::AsyncWriteExt, net::TcpStream, time::sleep};
+use tokio::{
+    io::AsyncWriteExt,
+    net::TcpStream,
+    time::{sleep, timeout},
+};
 
 /// Bandwidth of the links in Mbit/s.
 const LINK_MBPS: f64 = 14.0;
@@ -22,6 +27,11 @@
 /// Number of downloads, which take 2.2 s of the link: longer than the nodes work on after they are told to stop.
 const DOWNLOADS: usize = 16;
 
+/// Time for which a stopping node works on, as the harness sets it.
+const LINGER: Duration = Duration::from_secs(1);
+/// Maximum time to wait for an event.
+const WAIT_MAX: Duration = Duration::from_secs(20);
+
 /// Starts two hosts. Calls through the first one run at the target of the second one, so that their answers pass a link.
 async fn start_hosts(link_mbps: f64) -> Harness {
     let mut plan = plan(2);
@@ -32,9 +42,6 @@
     harness
 }
 
-/// Time for which a stopping node works on, as the harness sets it.
-const LINGER: Duration = Duration::from_secs(1);
-
 /// Stops the node of the second host. Returns whether the stop was graceful, and how long it took.
 async fn timed_stop(harness: &Harness) -> (bool, Duration) {
     let node = harness.nodes()[1].1.clone();
@@ -143,3 +150,37 @@
     assert!(open() <= 1, "{} open connections", open());
     stop.await.expect("no panic");
 }
+
+/// Guards against runs that fail because the stopping node beside their target takes none of the calls that they make.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_run_beside_a_stopping_node_can_make_its_calls() {
+    let mut plan = HarnessPlan::deployment("faltgard", 1, 20.0).expect("the deployment is known");
+    plan.services[0].targets = 2;
+    let harness = start(plan).await;
+    harness.nodes()[0].1.guard.set_operator_drain(true);
+    let set_speed = |speed: f64| {
+        harness
+            .targets
+            .all()
+            .iter()
+            .for_each(|target| target.update_behaviour(|change| change.speed = speed));
+    };
+    set_speed(0.0);
+    let entry = entry(&harness, 0);
+    let call = tokio::spawn(async move {
+        let headers = [("standin-chain", "market-board"), ("laurelstall-budget-ms", "10000")];
+        send_request(entry, Method::GET, "/market-board/x", &headers, Bytes::new()).await
+    });
+    sleep(Duration::from_millis(300)).await;
+    let node = harness.nodes()[1].1.clone();
+    let stop = tokio::spawn(async move { node.stop().await });
+    // The nested call runs at the target of the first host.
+    sleep(LINGER + Duration::from_millis(500)).await;
+    harness.nodes()[0].1.guard.set_operator_drain(false);
+    sleep(Duration::from_millis(1_500)).await;
+    set_speed(1.0);
+    let answer = timeout(WAIT_MAX, call).await.expect("an answer in time").expect("no panic");
+    let answer = answer.expect("a complete answer");
+    assert_eq!(answer.status, StatusCode::OK, "{:?}", answer.body);
+    assert!(timeout(WAIT_MAX, stop).await.expect("the stop ends").expect("no panic"), "a graceful stop");
+}
