Exchanges with nodes of earlier builds go on without a comparison of crash records

An earlier build refuses the new comparison, and the exchange ended there: while both builds run and crashes are known, a node would not have pulled newer documents in that exchange. Read in the code before the landing, without a test of mixed builds.

A refused comparison is now passed over.

--- a/crates/laurelstall_peer/src/replicator/crash_reports.rs
+++ b/crates/laurelstall_peer/src/replicator/crash_reports.rs
@@ -66,6 +66,8 @@
                 }
                 Ok(())
             }
+            // A node of an earlier build does not know the message. The rest of the exchange goes on.
+            PeerAnswer::Refused(_) => Ok(()),
             _ => Err(PeerError::Unexpected),
         }
     }
