Rejected versions: reason, size and age in logs, metrics and the administration API

What operators saw: a version that the store had acknowledged and that exceeds a node's limits left one log line, 'the document is too large, or there are too many documents', which does not tell the two apart and has no figure. Such a version was not noted as rejected: it was requested again at each exchange and read, and no gauge or status named it.

Change: one typed reason (invalid, too large with both sizes, too many), noted for each cause alike; gauges documents_rejected and documents_rejected_age_ms; `rejections` in /v1/config with version, reason and age. No decision on what is activated changes.

Both new tests of the store fail before: the outcome had no size, and rejected() did not list an oversized version.

--- a/crates/laurelstall_node/src/admin.rs
+++ b/crates/laurelstall_node/src/admin.rs
@@ -248,7 +248,7 @@
     }
 
     fn metrics(&self) -> Answer {
-        let gauges = gauges(&self.guard, &self.entry);
+        let gauges = gauges(&self.guard, &self.entry, &self.replicator);
         let text = metrics::encode_metrics(
             self.counters.clone(),
             &self.entry.context.latencies,
@@ -359,11 +359,21 @@
         // Called before `store` is locked, because it locks the store itself.
         let platform_era = self.replicator.platform_era();
         let store = self.replicator.store();
-        let rejected = store.rejected().map(|(name, version)| (name.to_string(), version.to_string().into()));
+        let refused =
+            store.rejected().map(|(name, rejected)| (name.to_string(), rejected.version.to_string().into()));
+        let rejections = store.rejected().map(|(name, rejected)| {
+            value!({
+                "document": name.to_string(),
+                "version": rejected.version.to_string(),
+                "reason": rejected.reason.to_string(),
+                "age_ms": rejected.age_ms(),
+            })
+        });
         let conflicts = snapshot.configuration.caller_host_conflicts();
         value!({
             "versions": serde_json::Map::from_iter(versions),
-            "refused": serde_json::Map::from_iter(rejected),
+            "refused": serde_json::Map::from_iter(refused),
+            "rejections": rejections.collect::<Vec<_>>(),
             "version_conflicts": store.conflicts(),
             "caller_host_conflicts": conflicts,
             "is_reader": self.replicator.is_reader(),
--- a/crates/laurelstall_node/src/background.rs
+++ b/crates/laurelstall_node/src/background.rs
@@ -81,16 +81,17 @@
     counters: Arc<Counters>,
     guard: TargetGuard,
     entry: Arc<Entry>,
+    replicator: Arc<Replicator>,
 ) {
     loop {
         sleep(interval).await;
-        let gauges = gauges(&guard, &entry);
+        let gauges = gauges(&guard, &entry, &replicator);
         sender.send(&counters, &gauges);
     }
 }
 
 /// Returns the current values of the gauges.
-pub fn gauges(guard: &TargetGuard, entry: &Entry) -> Gauges {
+pub fn gauges(guard: &TargetGuard, entry: &Entry, replicator: &Replicator) -> Gauges {
     let load = guard.guard().load();
     let (meter, active) = (entry.context.client.pool().meter(), &entry.active);
     let fleet_version = active.load().configuration.version(&DocumentName::Fleet);
@@ -120,6 +121,7 @@
     .into_iter()
     .chain(traffic_gauges(meter))
     .chain(crash_report_gauges(guard.crashes()))
+    .chain(rejection_gauges(replicator))
     .collect()
 }
 
@@ -145,3 +147,13 @@
         ("crash_records_taken_again", counts.taken_again),
     ]
 }
+
+/// Returns the number of documents whose newest known version is not active here, and the longest time since when.
+fn rejection_gauges(replicator: &Replicator) -> Gauges {
+    let store = replicator.store();
+    let ages_ms = store.rejected().map(|(_, rejected)| rejected.age_ms()).collect::<Vec<_>>();
+    vec![
+        ("documents_rejected", ages_ms.len() as u64),
+        ("documents_rejected_age_ms", ages_ms.into_iter().max().unwrap_or(0)),
+    ]
+}
--- a/crates/laurelstall_node/src/node.rs
+++ b/crates/laurelstall_node/src/node.rs
@@ -378,7 +378,15 @@
         background.spawn(async move { watched.run_load_queries().await });
         let sender = MetricSender::new(log.statsd_address, &host);
         let interval = Duration::from_millis(log.metrics_interval_ms);
-        background.spawn(send_metrics(sender, interval, counters.clone(), guard.clone(), entry.clone()));
+        let metrics = send_metrics(
+            sender,
+            interval,
+            counters.clone(),
+            guard.clone(),
+            entry.clone(),
+            replicator.clone(),
+        );
+        background.spawn(metrics);
 
         let (shutdown, shutdown_receiver) = watch::channel(false);
         let admin = Arc::new(Admin {
--- a/crates/laurelstall_peer/src/lib.rs
+++ b/crates/laurelstall_peer/src/lib.rs
@@ -21,6 +21,7 @@
 pub mod platform;
 pub mod pool;
 pub mod read_span;
+pub mod rejection;
 pub mod replication_state;
 pub mod replicator;
 pub mod server;
--- a/crates/laurelstall_peer/src/replicator.rs
+++ b/crates/laurelstall_peer/src/replicator.rs
@@ -305,9 +305,6 @@
             ApplyOutcome::Conflict => log::error!(
                 "{name} version {version} differs from the held text of this version; it is ignored"
             ),
-            ApplyOutcome::TooLarge => log::error!(
-                "{name} version {version} is rejected: the document is too large, or there are too many documents"
-            ),
             ApplyOutcome::NotNewer => {}
         }
         false
--- a/crates/laurelstall_peer/src/store.rs
+++ b/crates/laurelstall_peer/src/store.rs
@@ -4,6 +4,7 @@
     delta::{DeltaError, pack_delta, pack_whole, unpack_delta, unpack_whole},
     fleet_corrections::FleetCorrections,
     message::{PullItem, Transfer, TransferText},
+    rejection::{RejectedVersion, RejectionReason},
 };
 use laurelstall_config::{
     document::{DOCUMENT_BYTES_MAX, DOCUMENTS_MAX, Document, DocumentName, Version},
@@ -14,6 +15,7 @@
     fmt,
     hash::Hasher,
 };
+use tokio::time::Instant;
 use xxhash_rust::xxh3::Xxh3;
 
 /// Number of older versions kept of each document as bases for deltas.
@@ -59,10 +61,8 @@
     NotNewer,
     /// The held document has the same version but another text; it stays.
     Conflict,
-    /// The document has faults; the held one stays.
-    Rejected(ConfigError),
-    /// The document is too large, or there are too many documents.
-    TooLarge,
+    /// The document cannot be activated; the held one stays.
+    Rejected(RejectionReason),
 }
 
 #[derive(Debug)]
@@ -79,7 +79,8 @@
 #[derive(Debug, Default)]
 pub struct DocumentStore {
     entries: BTreeMap<DocumentName, Entry>,
-    rejected: BTreeMap<DocumentName, Version>,
+    /// The newest version of each document that was not activated.
+    rejected: BTreeMap<DocumentName, RejectedVersion>,
     /// Versions of documents that are active but not held; see [`DocumentStore::apply_inconsistent`].
     inconsistent: BTreeMap<DocumentName, Version>,
     conflicts: u64,
@@ -97,19 +98,46 @@
         if document.version == held {
             return self.check_conflict(&document);
         }
-        let is_new_name = !self.entries.contains_key(&document.name);
-        if document.text.len() > DOCUMENT_BYTES_MAX || (is_new_name && self.entries.len() >= DOCUMENTS_MAX) {
-            return ApplyOutcome::TooLarge;
-        }
-        if let Err(error) = acceptor.accept(&document) {
-            let rejected = self.rejected.entry(document.name).or_default();
-            *rejected = document.version.max(*rejected);
-            return ApplyOutcome::Rejected(error);
+        if let Err(reason) = self.activate(&document, acceptor) {
+            self.reject(document.name, document.version, reason.clone());
+            return ApplyOutcome::Rejected(reason);
         }
         self.insert(document);
         ApplyOutcome::Accepted
     }
 
+    fn activate(&self, document: &Document, acceptor: &dyn Acceptor) -> Result<(), RejectionReason> {
+        self.check_bytes(document.text.len())?;
+        let is_new_name = !self.entries.contains_key(&document.name);
+        if is_new_name && self.entries.len() >= DOCUMENTS_MAX {
+            return Err(RejectionReason::TooMany(DOCUMENTS_MAX));
+        }
+        Ok(acceptor.accept(document)?)
+    }
+
+    /// Checks the size of a document's text.
+    ///
+    /// # Errors
+    ///
+    /// [`RejectionReason::TooLarge`] if the text exceeds the maximum size.
+    pub fn check_bytes(&self, bytes: usize) -> Result<(), RejectionReason> {
+        if bytes > DOCUMENT_BYTES_MAX {
+            return Err(RejectionReason::TooLarge(bytes, DOCUMENT_BYTES_MAX));
+        }
+        Ok(())
+    }
+
+    /// Records a version that is not activated, so that it is not requested again.
+    pub fn reject(&mut self, name: DocumentName, version: Version, reason: RejectionReason) {
+        let held = self.version(&name);
+        let before = self.rejected.get(&name).filter(|rejected| rejected.version > held);
+        if before.is_some_and(|before| before.version > version) {
+            return;
+        }
+        let since = before.map_or_else(Instant::now, |before| before.since);
+        self.rejected.insert(name, RejectedVersion { version, reason, since });
+    }
+
     /// Activates a document whose parts may be from different moments, until a consistent one arrives.
     ///
     /// It is not held, compared or sent to other nodes, since their text of this version may differ. A
@@ -121,7 +149,7 @@
             return ApplyOutcome::NotNewer;
         }
         if let Err(error) = acceptor.accept(document) {
-            return ApplyOutcome::Rejected(error);
+            return ApplyOutcome::Rejected(error.into());
         }
         self.inconsistent.insert(document.name.clone(), document.version);
         ApplyOutcome::Accepted
@@ -159,9 +187,8 @@
     }
 
     /// Returns the rejected versions that are newer than the held ones.
-    pub fn rejected(&self) -> impl Iterator<Item = (&DocumentName, Version)> {
-        let newer = |(name, version): &(&DocumentName, Version)| *version > self.version(name);
-        self.rejected.iter().map(|(name, version)| (name, *version)).filter(newer)
+    pub fn rejected(&self) -> impl Iterator<Item = (&DocumentName, &RejectedVersion)> {
+        self.rejected.iter().filter(|(name, rejected)| rejected.version > self.version(name))
     }
 
     /// Number of applied documents that had a held version with another text.
@@ -171,7 +198,7 @@
 
     /// Whether `version` is worth pulling: newer than the held one and not rejected before.
     pub fn wants(&self, name: &DocumentName, version: Version) -> bool {
-        let rejected = self.rejected.get(name).copied().unwrap_or_default();
+        let rejected = self.rejected.get(name).map(|rejected| rejected.version).unwrap_or_default();
         version > self.version(name) && version >= self.inconsistent_version(name) && version != rejected
     }
 
--- a/crates/laurelstall_peer/tests/store.rs
+++ b/crates/laurelstall_peer/tests/store.rs
@@ -1,7 +1,7 @@
 //! The store accepts only newer documents, in any order of arrival, and never in part.
 
 use laurelstall_config::{
-    document::{Document, DocumentName, Version},
+    document::{DOCUMENT_BYTES_MAX, Document, DocumentName, Version},
     problem::{Checker, ConfigError},
 };
 use laurelstall_peer::{
@@ -10,6 +10,7 @@
 };
 use rand::{RngExt, SeedableRng, rngs::SmallRng};
 use std::sync::Mutex;
+use tokio::time::{Duration, sleep};
 
 /// Accepts any text but "bad".
 #[derive(Debug, Default)]
@@ -54,6 +55,35 @@
     assert_eq!(store.rejected().count(), 0);
 }
 
+// An oversized version was requested again at each exchange, and no status named it.
+#[test]
+fn an_oversized_version_is_reported_and_not_requested_again() {
+    let (mut store, acceptor) = (DocumentStore::default(), AcceptAllButBad::default());
+    store.apply(document(1, "one"), &acceptor);
+    let oversized = " ".repeat(DOCUMENT_BYTES_MAX + 1);
+    assert!(matches!(store.apply(document(2, &oversized), &acceptor), ApplyOutcome::Rejected(_)));
+    assert!(!store.wants(&DocumentName::System, Version::new(2)));
+    let (name, rejected) = store.rejected().next().expect("a version is rejected");
+    assert_eq!((name, rejected.version), (&DocumentName::System, Version::new(2)));
+    let reason = rejected.reason.to_string();
+    assert!(reason.contains(&oversized.len().to_string()), "{reason}");
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_rejection_lasts_since_the_first_version_that_was_not_activated() {
+    let (mut store, acceptor) = (DocumentStore::default(), AcceptAllButBad::default());
+    store.apply(document(1, "one"), &acceptor);
+    store.apply(document(2, "bad"), &acceptor);
+    sleep(Duration::from_secs(3)).await;
+    store.apply(document(3, "bad"), &acceptor);
+    let ages_ms =
+        |store: &DocumentStore| store.rejected().map(|(_, rejected)| rejected.age_ms()).collect::<Vec<_>>();
+    assert_eq!(ages_ms(&store), [3_000]);
+    store.apply(document(4, "four"), &acceptor);
+    store.apply(document(5, "bad"), &acceptor);
+    assert_eq!(ages_ms(&store), [0]);
+}
+
 #[test]
 fn the_same_version_with_another_text_is_a_conflict_and_changes_nothing() {
     let (mut store, acceptor) = (DocumentStore::default(), AcceptAllButBad::default());
