A document's maximum size follows from the platform's settings

Cause: a node compared the text of the translated document with a constant of 1,000,000 bytes, 'the platform's limit for a value'. The platform states its limit in its settings (1,048,576) and for its own text, which the translation makes a third longer; a list of hosts is made of many values and has no such limit at all. What exceeded ours was dropped whole.

Change: platform.value_bytes_max comes from the settings; a document has at most 16 such values. The store of documents takes this maximum; a reload applies it and lets versions that were too large before be requested again. Older versions kept for deltas have 4 MiB at most, so that large documents don't cost five times their size.

--- a/crates/laurelstall_config/src/document.rs
+++ b/crates/laurelstall_config/src/document.rs
@@ -5,9 +5,6 @@
 use std::fmt;
 use xxhash_rust::xxh3::xxh3_64;
 
-/// Maximum size of a document's text in bytes, which is the platform's limit for a value.
-pub const DOCUMENT_BYTES_MAX: usize = 1_000_000;
-
 /// Maximum number of documents that a node stores; it rejects further ones.
 pub const DOCUMENTS_MAX: usize = 256;
 
--- a/crates/laurelstall_config/src/settings.rs
+++ b/crates/laurelstall_config/src/settings.rs
@@ -121,6 +121,9 @@
     /// Time in ms for which a watch waits for a change.
     #[serde(default = "watch_wait_ms_default")]
     pub watch_wait_ms: u64,
+    /// Maximum size of one of the platform's values in bytes.
+    #[serde(default = "value_bytes_max_default")]
+    pub value_bytes_max: usize,
     /// Limit on retries, hedges and other repeated requests, summed over all nodes.
     #[serde(default)]
     pub repeats: RepeatLimits,
@@ -140,6 +143,15 @@
     pub regions: BTreeMap<String, String>,
 }
 
+/// Maximum of `value_bytes_max`.
+const VALUE_BYTES_LIMIT: usize = 16 * 1024 * 1024;
+
+/// Maximum size of a document's text, in values of the maximum size.
+pub const VALUES_PER_DOCUMENT_MAX: usize = 16;
+
+/// Maximum size of a document's text in bytes, for any valid settings.
+pub const DOCUMENT_BYTES_LIMIT: usize = VALUE_BYTES_LIMIT * VALUES_PER_DOCUMENT_MAX;
+
 /// Number of watches within `keys_age_max_ms`. A node's keys may be as old as the time for which a watch waits.
 const WATCHES_PER_KEYS_AGE: u64 = 5;
 
@@ -150,6 +162,7 @@
             address,
             read_timeout_ms: read_timeout_ms_default(),
             watch_wait_ms: watch_wait_ms_default(),
+            value_bytes_max: value_bytes_max_default(),
             repeats: RepeatLimits::default(),
             cold: ColdLimits::default(),
             quota: QuotaLimits::default(),
@@ -158,6 +171,14 @@
         }
     }
 
+    /// Returns the maximum size of a document's text in bytes.
+    ///
+    /// A document may be larger than a value: an adapter translates a value into a longer text, and the list of hosts may
+    /// consist of many values.
+    pub fn document_bytes_max(&self) -> usize {
+        self.value_bytes_max.saturating_mul(VALUES_PER_DOCUMENT_MAX)
+    }
+
     /// Returns the time in ms for which a watch waits for a change: `watch_wait_ms`, or less if `keys_age_max_ms` needs it.
     pub fn effective_watch_wait_ms(&self) -> u64 {
         match self.keys_age_max_ms {
@@ -246,6 +267,10 @@
     30_000
 }
 
+fn value_bytes_max_default() -> usize {
+    1024 * 1024
+}
+
 /// Limits on callers.
 #[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields, default)]
@@ -418,6 +443,7 @@
         }
         check.range("platform.read_timeout_ms", self.platform.read_timeout_ms, 10..=60_000);
         check.range("platform.watch_wait_ms", self.platform.watch_wait_ms, 100..=300_000);
+        check.range("platform.value_bytes_max", self.platform.value_bytes_max, 1_024..=VALUE_BYTES_LIMIT);
         check.range("platform.repeats.share", self.platform.repeats.share, 0.0..=2.0);
         check.range("platform.repeats.reserve", self.platform.repeats.reserve, 0.0..=10_000.0);
         check.range("platform.cold.overrun", self.platform.cold.overrun, 0.0..=100.0);
--- a/crates/laurelstall_node/src/node.rs
+++ b/crates/laurelstall_node/src/node.rs
@@ -274,6 +274,7 @@
             peer_address,
             seeds: settings.seeds.clone(),
             seed,
+            document_bytes_max: settings.platform.document_bytes_max(),
         };
         let platform = platform.unwrap_or_else(|| Arc::new(HttpPlatform::new(&settings.platform)));
         let replicator = Replicator::new(
@@ -457,6 +458,7 @@
         self.admin.tokens.store(Arc::new(new.tokens.clone()));
         self.replicator.set_seeds(new.seeds.clone());
         self.platform.set_settings(&new.platform);
+        self.replicator.store().set_document_bytes_max(new.platform.document_bytes_max());
         if old.log.level != new.log.level {
             logging::set_level(&new.log.level);
         }
--- a/crates/laurelstall_node/src/platform_http.rs
+++ b/crates/laurelstall_node/src/platform_http.rs
@@ -16,7 +16,7 @@
     rt::TokioExecutor,
 };
 use laurelstall_config::{
-    document::{DOCUMENT_BYTES_MAX, Document, DocumentName, Version},
+    document::{Document, DocumentName, Version},
     settings::PlatformSettings,
 };
 use laurelstall_peer::platform::{Listing, PlatformError, PlatformSource};
@@ -94,7 +94,12 @@
         Self { settings: settings.clone(), client, era: AtomicU64::new(0) }
     }
 
-    async fn get(&self, path: &str, wait_ms: u64) -> Result<(HeaderMap, Bytes), PlatformError> {
+    async fn get(
+        &self,
+        path: &str,
+        wait_ms: u64,
+        bytes_max: usize,
+    ) -> Result<(HeaderMap, Bytes), PlatformError> {
         let uri = format!("http://{}{path}", self.settings.address);
         let uri: Uri = uri.parse().map_err(platform_error)?;
         let request = Request::get(uri).body(Empty::new()).map_err(platform_error)?;
@@ -105,7 +110,7 @@
                 return Err(platform_error(format!("{path}: status {}", response.status())));
             }
             let headers = response.headers().clone();
-            let body = Limited::new(response.into_body(), DOCUMENT_BYTES_MAX);
+            let body = Limited::new(response.into_body(), bytes_max);
             let bytes = body.collect().await.map_err(platform_error)?.to_bytes();
             Ok((headers, bytes))
         };
@@ -140,7 +145,9 @@
                 }
                 None => ("/v1/values".to_owned(), 0),
             };
-            let (_, bytes) = self.get(&path, wait_ms).await?;
+            // A list has no limit of its own; it may be as long as the list of hosts.
+            let bytes_max = self.settings.document_bytes_max();
+            let (_, bytes) = self.get(&path, wait_ms, bytes_max).await?;
             let wire: WireListing = serde_json::from_slice(&bytes).map_err(platform_error)?;
             self.era.store(wire.era, Ordering::Relaxed);
             // Keys that do not name documents belong to other systems and are ignored.
@@ -160,7 +167,8 @@
 
     fn read(&self, name: DocumentName) -> BoxFuture<'_, Result<Document, PlatformError>> {
         async move {
-            let (headers, bytes) = self.get(&format!("/v1/values/{name}"), 0).await?;
+            let (headers, bytes) =
+                self.get(&format!("/v1/values/{name}"), 0, self.settings.value_bytes_max).await?;
             let number = number_in(&headers, &VERSION_HEADER);
             let number = number.ok_or_else(|| platform_error("the answer has no version header"))?;
             let version = version_of(&name, number_in(&headers, &ERA_HEADER).unwrap_or(0), number);
--- a/crates/laurelstall_peer/examples/pack_cost.rs
+++ b/crates/laurelstall_peer/examples/pack_cost.rs
@@ -11,6 +11,9 @@
 };
 use std::{net::IpAddr, time::Instant};
 
+/// Maximum size of a document's text in bytes.
+const DOCUMENT_BYTES_MAX: usize = 16 * 1024 * 1024;
+
 const SIZES: [usize; 3] = [100, 1_000, 2_000];
 /// Number of nodes that pull the document: the usual number of partners.
 const ASKERS: usize = 6;
@@ -44,7 +47,7 @@
 
 fn main() {
     for hosts in SIZES {
-        let mut store = DocumentStore::default();
+        let mut store = DocumentStore::new(DOCUMENT_BYTES_MAX);
         let (old, new) = (list(hosts, 1), list(hosts, 2));
         let known_checksum = old.checksum();
         store.apply(old, &AcceptAll);
--- a/crates/laurelstall_peer/src/replicator.rs
+++ b/crates/laurelstall_peer/src/replicator.rs
@@ -61,6 +61,8 @@
     pub seeds: Vec<SocketAddr>,
     /// Seed of the random number generator that picks partners and pauses.
     pub seed: u64,
+    /// Maximum size of a document's text in bytes.
+    pub document_bytes_max: usize,
 }
 
 /// Where a document came from.
@@ -148,6 +150,7 @@
         let partner_seed = AtomicU64::new(options.seed);
         let rng = Mutex::new(SmallRng::seed_from_u64(options.seed));
         let seeds = Mutex::new(options.seeds.clone());
+        let store = Mutex::new(DocumentStore::new(options.document_bytes_max));
         Arc::new(Self {
             options,
             clock,
@@ -155,7 +158,7 @@
             platform,
             acceptor,
             view,
-            store: Mutex::default(),
+            store,
             known_reads: Mutex::default(),
             up_to_date_us: AtomicU64::new(0),
             platform_era: AtomicU64::new(0),
--- a/crates/laurelstall_peer/src/store.rs
+++ b/crates/laurelstall_peer/src/store.rs
@@ -7,7 +7,7 @@
     rejection::{RejectedVersion, RejectionReason},
 };
 use laurelstall_config::{
-    document::{DOCUMENT_BYTES_MAX, DOCUMENTS_MAX, Document, DocumentName, Version},
+    document::{DOCUMENTS_MAX, Document, DocumentName, Version},
     problem::ConfigError,
 };
 use std::{
@@ -20,6 +20,8 @@
 
 /// Number of older versions kept of each document as bases for deltas.
 pub const HISTORY_LENGTH: usize = 4;
+/// Maximum size of the older versions kept of a document, in bytes; the latest is kept whatever its size.
+const HISTORY_BYTES_MAX: usize = 4 * 1024 * 1024;
 
 /// Validates documents and activates them.
 pub trait Acceptor: Send + Sync + fmt::Debug {
@@ -75,9 +77,20 @@
     packed: Vec<(Version, TransferText)>,
 }
 
+impl Entry {
+    fn trim_history(&mut self) {
+        let mut bytes = self.older.iter().map(|old| old.text.len()).sum::<usize>();
+        while self.older.len() > 1 && (self.older.len() > HISTORY_LENGTH || bytes > HISTORY_BYTES_MAX) {
+            bytes -= self.older.pop_front().map_or(0, |old| old.text.len());
+        }
+    }
+}
+
 /// Documents by name; the version of a document never decreases.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct DocumentStore {
+    /// Maximum size of a document's text in bytes.
+    document_bytes_max: usize,
     entries: BTreeMap<DocumentName, Entry>,
     /// The newest version of each document that was not activated.
     rejected: BTreeMap<DocumentName, RejectedVersion>,
@@ -87,6 +100,31 @@
 }
 
 impl DocumentStore {
+    /// Creates an empty store of documents whose texts have at most `document_bytes_max`.
+    pub fn new(document_bytes_max: usize) -> Self {
+        Self {
+            document_bytes_max,
+            entries: BTreeMap::new(),
+            rejected: BTreeMap::new(),
+            inconsistent: BTreeMap::new(),
+            conflicts: 0,
+        }
+    }
+
+    /// Returns the maximum size of a document's text in bytes.
+    pub fn document_bytes_max(&self) -> usize {
+        self.document_bytes_max
+    }
+
+    /// Changes the maximum size of a document's text. Versions that were rejected as too large may be requested again.
+    pub fn set_document_bytes_max(&mut self, document_bytes_max: usize) {
+        self.document_bytes_max = document_bytes_max;
+        self.rejected.retain(|_, rejected| match rejected.reason {
+            RejectionReason::TooLarge(bytes, _) => bytes > document_bytes_max,
+            _ => true,
+        });
+    }
+
     /// Holds and activates a document from any source if it is newer than the held one and valid.
     pub fn apply(&mut self, document: Document, acceptor: &dyn Acceptor) -> ApplyOutcome {
         let held = self.version(&document.name);
@@ -121,8 +159,8 @@
     ///
     /// [`RejectionReason::TooLarge`] if the text exceeds the maximum size.
     pub fn check_bytes(&self, bytes: usize) -> Result<(), RejectionReason> {
-        if bytes > DOCUMENT_BYTES_MAX {
-            return Err(RejectionReason::TooLarge(bytes, DOCUMENT_BYTES_MAX));
+        if bytes > self.document_bytes_max {
+            return Err(RejectionReason::TooLarge(bytes, self.document_bytes_max));
         }
         Ok(())
     }
@@ -255,7 +293,7 @@
     ///
     /// [`DeltaError`] if the text cannot be rebuilt; the caller then requests the whole text.
     pub fn unpack(&self, transfer: &Transfer) -> Result<Document, DeltaError> {
-        let text_bytes = (transfer.text_bytes as usize).min(DOCUMENT_BYTES_MAX);
+        let text_bytes = (transfer.text_bytes as usize).min(self.document_bytes_max);
         let text = match &transfer.text {
             TransferText::Whole(packed) => unpack_whole(packed, text_bytes)?,
             TransferText::Delta(packed) => {
@@ -304,8 +342,6 @@
         entry.checksum = checksum;
         entry.packed.clear();
         entry.older.push_back(old);
-        if entry.older.len() > HISTORY_LENGTH {
-            entry.older.pop_front();
-        }
+        entry.trim_history();
     }
 }
--- a/crates/laurelstall_peer/tests/removed_hosts.rs
+++ b/crates/laurelstall_peer/tests/removed_hosts.rs
@@ -28,6 +28,9 @@
     time::{Duration, Instant, sleep},
 };
 
+/// Maximum size of a document's text in bytes.
+const DOCUMENT_BYTES_MAX: usize = 16 * 1024 * 1024;
+
 /// Interval between exchanges that exceeds a test, in ms, so that only offers distribute versions.
 const NO_EXCHANGES_MS: u64 = 60_000;
 /// Maximum time to wait for a version.
@@ -122,6 +125,7 @@
         peer_address,
         seeds: Vec::new(),
         seed,
+        document_bytes_max: DOCUMENT_BYTES_MAX,
     };
     let unreachable = Arc::<HostSet>::default();
     let link = Arc::new(HostLink::new(peer_address, unreachable.clone()));
--- a/crates/laurelstall_peer/tests/replication.rs
+++ b/crates/laurelstall_peer/tests/replication.rs
@@ -30,6 +30,9 @@
     time::{Duration, Instant, sleep},
 };
 
+/// Maximum size of a document's text in bytes.
+const DOCUMENT_BYTES_MAX: usize = 16 * 1024 * 1024;
+
 const HOUR: Duration = Duration::from_secs(3_600);
 
 #[derive(Debug)]
@@ -165,6 +168,7 @@
         peer_address: ([127, 0, 0, 1], 1_000 + number as u16).into(),
         seeds,
         seed: number as u64,
+        document_bytes_max: DOCUMENT_BYTES_MAX,
     };
     let clock = Clock::new();
     let client = PeerClient::new(Arc::new(Pool::new(clock, Arc::new(Meter::default()), link)));
--- a/crates/laurelstall_peer/tests/support/mesh.rs
+++ b/crates/laurelstall_peer/tests/support/mesh.rs
@@ -37,6 +37,9 @@
     time::{Duration, Instant, sleep, timeout},
 };
 
+/// Maximum size of a document's text in bytes.
+const DOCUMENT_BYTES_MAX: usize = 16 * 1024 * 1024;
+
 /// Maximum time that the platform lets a watch wait.
 const WATCH_WAIT: Duration = Duration::from_millis(2_500);
 /// Time limit of a read from an unreachable platform.
@@ -311,6 +314,7 @@
         peer_address: host.node_address,
         seeds: Vec::new(),
         seed: seed * 1_000 + number as u64,
+        document_bytes_max: DOCUMENT_BYTES_MAX,
     };
     let clock = Clock::new();
     let client = PeerClient::new(Arc::new(Pool::new(clock, Arc::new(Meter::default()), link)));
