A pull of several large documents takes as many answers as it needs

What happened: a node that lacks several large documents never got any of them. The answering node packed all requested documents into one answer without looking at its length; the asking node refused any answer above 4 MiB and asked the same again at each exchange, for ever.

Change: an answer ends with the document that makes it reach 1 MiB; the asking node requests the rest again as long as answers bring some. Its limit follows from the maximum size of a document. A document that exceeds it is noted as rejected, so that it is not requested again. Nodes of earlier builds get the rest with their next exchanges.

Test: seven documents of 999,000 incompressible bytes at one of three nodes; before, none of the others has any after 20 s; now all have all.

--- a/crates/laurelstall_peer/src/client.rs
+++ b/crates/laurelstall_peer/src/client.rs
@@ -4,8 +4,8 @@
     attempt::{Attempt, AttemptAnswer, AttemptBody, AttemptOutcome, UnknownCause},
     body::{BodyError, BoxedBody, StreamBody, send_body, send_data},
     control_kind::ControlKind,
-    frame::{DOCUMENTS_BYTES_MAX, FrameError, FrameReader, HEAD_BYTES_MAX, encode},
-    message::{AttemptHead, BodyKind, PeerAnswer, PeerRequest},
+    frame::{ANSWER_BYTES_MAX, FrameError, FrameReader, HEAD_BYTES_MAX, encode},
+    message::{AttemptHead, BodyKind, PeerAnswer, PeerRequest, PullItem, Transfer},
     meter::InFlight,
     pool::{ConnectError, PeerSender, Pool},
 };
@@ -88,10 +88,30 @@
     ///
     /// [`PeerError`] if there is no valid answer in time.
     pub async fn request(&self, address: SocketAddr, request: &PeerRequest) -> Result<PeerAnswer, PeerError> {
-        let answered = timeout(CONTROL_TIMEOUT, self.request_untimed(address, request)).await;
+        let answered =
+            timeout(CONTROL_TIMEOUT, self.request_untimed(address, request, ANSWER_BYTES_MAX)).await;
         answered.map_err(|_| PeerError::TimedOut)?
     }
 
+    /// Requests documents; the answer has at most `bytes_max` bytes and may lack some of them.
+    ///
+    /// # Errors
+    ///
+    /// [`PeerError`] if there is no valid answer in time.
+    pub async fn pull(
+        &self,
+        address: SocketAddr,
+        items: &[PullItem],
+        bytes_max: usize,
+    ) -> Result<Vec<Transfer>, PeerError> {
+        let request = PeerRequest::Pull(items.to_vec());
+        let answered = timeout(CONTROL_TIMEOUT, self.request_untimed(address, &request, bytes_max)).await;
+        match answered.map_err(|_| PeerError::TimedOut)?? {
+            PeerAnswer::Documents(transfers) => Ok(transfers),
+            _ => Err(PeerError::Unexpected),
+        }
+    }
+
     /// Runs an attempt at another node's target.
     ///
     /// Dropping the future, or the body of the answer, cancels the attempt.
@@ -147,6 +167,7 @@
         &self,
         address: SocketAddr,
         request: &PeerRequest,
+        answer_bytes_max: usize,
     ) -> Result<PeerAnswer, PeerError> {
         let sender = self.pool.sender(address).await?;
         let monitor = RequestMonitor::new(sender.monitor());
@@ -157,7 +178,7 @@
         stream.send_data(frame, true)?;
         let response = response.await?;
         let mut reader = FrameReader::new(response.into_body());
-        let answer = reader.read(DOCUMENTS_BYTES_MAX).await?;
+        let answer = reader.read(answer_bytes_max).await?;
         self.pool.meter().note_control(kind, encoded_length(&answer));
         monitor.end();
         Ok(answer)
--- a/crates/laurelstall_peer/src/frame.rs
+++ b/crates/laurelstall_peer/src/frame.rs
@@ -3,6 +3,7 @@
 use bincode::config;
 use bytes::{Buf, BufMut, Bytes, BytesMut};
 use h2::RecvStream;
+use laurelstall_config::settings::DOCUMENT_BYTES_LIMIT;
 use quick_error::quick_error;
 use serde::{Serialize, de::DeserializeOwned};
 
@@ -12,10 +13,23 @@
 pub const MESSAGE_VERSION: u8 = 6;
 /// Maximum length of the head of an attempt or answer in bytes.
 pub const HEAD_BYTES_MAX: usize = 256 * 1024;
-/// Maximum length of a message with documents in bytes.
-pub const DOCUMENTS_BYTES_MAX: usize = 4 * 1024 * 1024;
+/// Maximum length of an answer to a control message in bytes, except answers with documents.
+pub const ANSWER_BYTES_MAX: usize = 4 * 1024 * 1024;
+/// Maximum length of any message in bytes.
+const MESSAGE_BYTES_MAX: usize = transfer_bytes_max(DOCUMENT_BYTES_LIMIT);
+/// Length in bytes of compressed documents from which an answer contains no further document.
+pub const DOCUMENTS_ANSWER_BYTES: usize = 1024 * 1024;
+/// Maximum growth of an incompressible text, as a divisor of its length.
+const COMPRESSION_GROWTH_DIVISOR: usize = 128;
 const PREFIX_BYTES: usize = 5;
 
+/// Returns the maximum length in bytes of an answer with documents whose texts have at most `document_bytes_max`: one of
+/// this size after others that do not reach [`DOCUMENTS_ANSWER_BYTES`].
+pub const fn transfer_bytes_max(document_bytes_max: usize) -> usize {
+    let growth = document_bytes_max / COMPRESSION_GROWTH_DIVISOR;
+    DOCUMENTS_ANSWER_BYTES + document_bytes_max + growth + HEAD_BYTES_MAX
+}
+
 quick_error! {
     /// A stream with invalid content.
     #[derive(Debug)]
@@ -62,7 +76,7 @@
 ///
 /// [`FrameError::Malformed`] if it cannot be decoded, or has trailing bytes.
 pub fn decode<T: DeserializeOwned>(payload: &[u8]) -> Result<T, FrameError> {
-    let config = config::standard().with_limit::<DOCUMENTS_BYTES_MAX>();
+    let config = config::standard().with_limit::<MESSAGE_BYTES_MAX>();
     let decoded = bincode::serde::decode_from_slice(payload, config);
     let (message, read) = decoded.map_err(|error| FrameError::Malformed(error.to_string()))?;
     if read != payload.len() {
--- a/crates/laurelstall_peer/src/message.rs
+++ b/crates/laurelstall_peer/src/message.rs
@@ -152,6 +152,15 @@
     Delta(Vec<u8>),
 }
 
+impl TransferText {
+    /// Returns the compressed text.
+    pub fn packed(&self) -> &[u8] {
+        match self {
+            Self::Whole(packed) | Self::Delta(packed) => packed,
+        }
+    }
+}
+
 /// A document in transfer.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Transfer {
--- a/crates/laurelstall_peer/src/replicator/pulls.rs
+++ b/crates/laurelstall_peer/src/replicator/pulls.rs
@@ -3,10 +3,12 @@
 use super::{Origin, Replicator};
 use crate::{
     client::PeerError,
-    message::{PeerAnswer, PeerRequest, PullItem, Transfer},
+    frame::{DOCUMENTS_ANSWER_BYTES, transfer_bytes_max},
+    message::{PeerAnswer, PullItem, Transfer},
+    rejection::RejectionReason,
 };
 use laurelstall_config::document::{DocumentName, Version};
-use std::{net::SocketAddr, pin::pin, sync::atomic::Ordering};
+use std::{collections::HashSet, net::SocketAddr, pin::pin, sync::atomic::Ordering};
 use tokio::time::{Duration, timeout};
 
 /// Maximum number of documents in one pull.
@@ -21,12 +23,18 @@
     /// Answers a pull with the requested documents that are newer here.
     pub fn answer_pull(&self, items: &[PullItem]) -> PeerAnswer {
         let mut store = self.store();
-        let packed = items.iter().take(PULL_ITEMS_MAX).filter_map(|item| store.pack(item));
-        let transfers = packed.map(|transfer| {
+        let mut transfers = Vec::new();
+        let mut bytes = 0;
+        for item in items.iter().take(PULL_ITEMS_MAX) {
+            if bytes >= DOCUMENTS_ANSWER_BYTES {
+                break;
+            }
+            let Some(transfer) = store.pack(item) else { continue };
+            bytes += transfer.text.packed().len();
             let read_age_ms = self.read_age_us(&transfer.name) / 1_000;
-            Transfer { read_age_ms, ..transfer }
-        });
-        PeerAnswer::Documents(transfers.collect())
+            transfers.push(Transfer { read_age_ms, ..transfer });
+        }
+        PeerAnswer::Documents(transfers)
     }
 
     /// Pulls the documents that are newer at `address`. Pulls run one after the other, so that concurrent
@@ -47,46 +55,63 @@
         pulled.await
     }
 
-    async fn pull_all(&self, address: SocketAddr, mut items: Vec<PullItem>) -> Result<(), PeerError> {
-        while !items.is_empty() {
-            let rest = items.split_off(items.len().min(PULL_ITEMS_MAX));
-            let failed = self.pull_items(address, items).await?;
-            if !failed.is_empty() {
-                self.pull_items(address, failed).await?;
-            }
-            items = rest;
-        }
+    /// Pulls documents, and those whose delta could not be applied once more as whole texts.
+    async fn pull_all(&self, address: SocketAddr, items: Vec<PullItem>) -> Result<(), PeerError> {
+        let failed = self.pull_items(address, items).await?;
+        self.pull_items(address, failed).await?;
         Ok(())
     }
 
-    /// Pulls documents; returns those whose delta could not be applied, to be requested as whole texts.
+    /// Pulls documents; returns those that could not be rebuilt, to be requested as whole texts.
+    ///
+    /// An answer may lack documents that make it too long. They are requested again, as long as each answer has some.
     async fn pull_items(
         &self,
         address: SocketAddr,
-        items: Vec<PullItem>,
+        mut items: Vec<PullItem>,
     ) -> Result<Vec<PullItem>, PeerError> {
-        let answer = self.client.request(address, &PeerRequest::Pull(items)).await?;
-        let PeerAnswer::Documents(transfers) = answer else { return Err(PeerError::Unexpected) };
         let mut failed = Vec::new();
-        for transfer in transfers {
-            let unpacked = self.store().unpack(&transfer);
-            match unpacked {
-                Ok(document) => {
-                    let read_us =
-                        self.clock.now_us().saturating_sub(transfer.read_age_ms.saturating_mul(1_000));
-                    self.apply_from(document, Origin { peer: Some(address), is_stale: false, read_us });
-                }
-                Err(error) => {
-                    log::debug!("{} from {address} could not be rebuilt: {error}", transfer.name);
-                    self.counts.deltas_failed.fetch_add(1, Ordering::Relaxed);
-                    failed.push(PullItem {
-                        name: transfer.name,
-                        known_version: Version::NONE,
-                        known_checksum: 0,
-                    });
-                }
+        while !items.is_empty() {
+            let requested = items.len().min(PULL_ITEMS_MAX);
+            let bytes_max = transfer_bytes_max(self.store().document_bytes_max());
+            let transfers = self.client.pull(address, &items[..requested], bytes_max).await?;
+            let received = transfers.iter().map(|transfer| transfer.name.clone()).collect::<HashSet<_>>();
+            failed
+                .extend(transfers.into_iter().filter_map(|transfer| self.apply_transfer(address, transfer)));
+            let count = items.len();
+            items.retain(|item| !received.contains(&item.name));
+            if items.len() == count {
+                items.drain(..requested);
             }
         }
         Ok(failed)
     }
+
+    /// Applies a received document. Returns the document if it could not be rebuilt, to be requested as a whole text.
+    fn apply_transfer(&self, address: SocketAddr, transfer: Transfer) -> Option<PullItem> {
+        let checked = self.store().check_bytes(transfer.text_bytes as usize);
+        if let Err(reason) = checked {
+            self.reject(transfer.name, transfer.version, reason);
+            return None;
+        }
+        let unpacked = self.store().unpack(&transfer);
+        match unpacked {
+            Ok(document) => {
+                let read_us = self.clock.now_us().saturating_sub(transfer.read_age_ms.saturating_mul(1_000));
+                self.apply_from(document, Origin { peer: Some(address), is_stale: false, read_us });
+                None
+            }
+            Err(error) => {
+                log::debug!("{} from {address} could not be rebuilt: {error}", transfer.name);
+                self.counts.deltas_failed.fetch_add(1, Ordering::Relaxed);
+                Some(PullItem { name: transfer.name, known_version: Version::NONE, known_checksum: 0 })
+            }
+        }
+    }
+
+    fn reject(&self, name: DocumentName, version: Version, reason: RejectionReason) {
+        self.counts.rejected.fetch_add(1, Ordering::Relaxed);
+        log::error!("{name} version {version} is rejected, the active version stays: {reason}");
+        self.store().reject(name, version, reason);
+    }
 }
