--- a/crates/laurelstall_peer/src/platform.rs
+++ b/crates/laurelstall_peer/src/platform.rs
@@ -40,6 +40,10 @@
         ReadFailed(message: String) {
             display("{message}")
         }
+        /// The answer exceeds the maximum size.
+        AnswerTooLarge(bytes_max: usize) {
+            display("the answer exceeds {bytes_max} bytes")
+        }
     }
 }
 
