The administration API checks documents as large as the platform takes

A document of more than about 0.55 to 1.1 MB, by its escape sequences, could not be checked at /v1/check (413) although the platform takes it. The bound follows from platform.value_bytes_max now; requests of the API without a document have 64 KiB. By reading; the tests of the API pass as before.

--- a/crates/laurelstall_node/src/admin.rs
+++ b/crates/laurelstall_node/src/admin.rs
@@ -36,8 +36,10 @@
 use subtle::ConstantTimeEq;
 use tokio::time::Duration;
 
-/// Maximum body of an administration request, in bytes.
-const BODY_BYTES_MAX: usize = 1_100_000;
+/// Maximum size of the other fields of an administration request in bytes.
+const FIELDS_BYTES_MAX: usize = 64 * 1024;
+/// Maximum growth of a document by the escape sequences of a JSON string.
+const ESCAPED_GROWTH: usize = 2;
 /// Maximum time to read the body of an administration request.
 const BODY_TIMEOUT: Duration = Duration::from_secs(5);
 /// Content type of the metrics.
@@ -60,6 +62,8 @@
     pub counters: Arc<Counters>,
     /// Bearer tokens. Without any, only clients on loopback have access, and only to read.
     pub tokens: ArcSwap<Vec<TokenSettings>>,
+    /// Maximum size of a document to check in bytes.
+    pub checked_bytes_max: usize,
     /// Whether the API listens on a loopback address.
     pub is_loopback: bool,
     /// Name of the host.
@@ -221,7 +225,7 @@
             (&Method::GET, "/v1/decisions") => json(StatusCode::OK, &self.decisions(&client)),
             (&Method::GET, "/v1/workspaces") => json(StatusCode::OK, &self.workspaces(&client)),
             (&Method::GET, "/v1/held") => json(StatusCode::OK, &self.suspects(&client)),
-            (&Method::POST, "/v1/check") => check(body).await,
+            (&Method::POST, "/v1/check") => check(body, self.checked_bytes_max).await,
             (&Method::POST, "/v1/drain") => self.drain(&client, true),
             (&Method::POST, "/v1/undrain") => self.drain(&client, false),
             (&Method::POST, "/v1/release") => self.release(&client, body).await,
@@ -428,7 +432,7 @@
 
     /// Releases a quarantined request at all nodes.
     async fn release(&self, client: &Client, body: BoxedBody) -> Answer {
-        let request = match read_json::<ReleaseRequest>(body).await {
+        let request = match read_json::<ReleaseRequest>(body, FIELDS_BYTES_MAX).await {
             Ok(request) => request,
             Err(answer) => return answer,
         };
@@ -462,15 +466,16 @@
     if client.role < Role::Operate {
         return problem(StatusCode::FORBIDDEN, "this needs the role 'operate'");
     }
-    match read_json::<LevelRequest>(body).await {
+    match read_json::<LevelRequest>(body, FIELDS_BYTES_MAX).await {
         Ok(request) if set_level(&request.level) => json(StatusCode::OK, &value!({ "level": request.level })),
         Ok(_) => problem(StatusCode::BAD_REQUEST, "no such level"),
         Err(answer) => answer,
     }
 }
 
-async fn check(body: BoxedBody) -> Answer {
-    let request = match read_json::<CheckRequest>(body).await {
+async fn check(body: BoxedBody, document_bytes_max: usize) -> Answer {
+    let bytes_max = document_bytes_max * ESCAPED_GROWTH + FIELDS_BYTES_MAX;
+    let request = match read_json::<CheckRequest>(body, bytes_max).await {
         Ok(request) => request,
         Err(answer) => return answer,
     };
@@ -485,8 +490,8 @@
     json(StatusCode::OK, &value!({ "is_right": problems.is_empty(), "problems": problems }))
 }
 
-async fn read_json<T: for<'de> Deserialize<'de>>(body: BoxedBody) -> Result<T, Answer> {
-    match collect(body, BODY_BYTES_MAX, BODY_TIMEOUT).await {
+async fn read_json<T: for<'de> Deserialize<'de>>(body: BoxedBody, bytes_max: usize) -> Result<T, Answer> {
+    match collect(body, bytes_max, BODY_TIMEOUT).await {
         Ok(Collected::Complete(bytes)) => serde_json::from_slice(&bytes)
             .map_err(|error| problem(StatusCode::BAD_REQUEST, &error.to_string())),
         Ok(Collected::Partial(_)) => Err(problem(StatusCode::PAYLOAD_TOO_LARGE, "body too large or slow")),
--- a/crates/laurelstall_node/src/node.rs
+++ b/crates/laurelstall_node/src/node.rs
@@ -397,6 +397,7 @@
             replicator: replicator.clone(),
             counters: counters.clone(),
             tokens: ArcSwap::from_pointee(settings.tokens.clone()),
+            checked_bytes_max: settings.platform.value_bytes_max,
             is_loopback: admin_listener.1.ip().is_loopback(),
             host,
             data_centre,
