One invalid part of a team's document no longer costs all others

What callers saw: a node that does not take one route of an acknowledged configuration (a number out of range, a field of another type, a service that is not listed), or that counts more than 10,000 routes, 64 services, 1,000 targets, 5,000 hosts or 10,000 workspaces, rejected the whole version: routes that were taken out went on to run, new ones were answered 404, and a node that starts then served nothing. So did a configuration from which the last route or service was taken.

Cause, the same as of the size: bounds and checks of our own that the platform does not state, whose breach drops the whole version although the store has acknowledged it.

Change: the counts are gone, since the size of the text bounds them. An invalid route is withheld: it stays in the table without a service and its requests are refused at once (503, not run); a shorter prefix does not get them. Invalid services are left out. Withheld parts are logged, in /v1/config and in the gauge withheld_parts. laurelstall-check and /v1/check still report them as problems.

Weighed: staying at the version before costs every later change, and a node that starts has no such version, so that nodes would differ by their history; refusing to start costs all calls. Workspaces stay all or nothing: with an ambiguous key it is unclear whose calls are accepted, and the existing test asks for the version before. A routing program that does not compile rejects the document as before.

Also: at most 64 problems of a text are kept, each of which searched the text for its line; a retry reserve above 10,000 (a fleet of some 10,000 hosts has one) no longer makes a node refuse its settings.

--- a/crates/laurelstall_cli/src/check.rs
+++ b/crates/laurelstall_cli/src/check.rs
@@ -100,6 +100,7 @@
 pub fn decide(team: &Team, description: &str, headers: &HeaderMap) -> Result<Plan, String> {
     let (method, host, path) = parse_description(team, description)?;
     if let Some((rule, service)) = RouteTable::new(&team.routes, 0).find(host, path) {
+        let service = service.ok_or("the route has no service")?;
         return Ok(Plan::Route(route_of(rule, service)));
     }
     let program = Program::compile(&team.program).map_err(|error| error.to_string())?;
--- a/crates/laurelstall_config/src/configuration.rs
+++ b/crates/laurelstall_config/src/configuration.rs
@@ -31,13 +31,25 @@
     ///
     /// Returns all problems found in the document.
     pub fn from_document(document: &Document) -> Result<Self, ConfigError> {
+        match Self::usable_from_document(document)? {
+            Self::Team(team) if !team.withheld.is_empty() => Err(ConfigError::Invalid(team.withheld)),
+            checked => Ok(checked),
+        }
+    }
+
+    /// Parses a document and withholds the invalid parts of a team's document; see [`Team::usable_from_text`].
+    ///
+    /// # Errors
+    ///
+    /// Returns all problems if the document as a whole is not valid.
+    pub fn usable_from_document(document: &Document) -> Result<Self, ConfigError> {
         let file = document.name.to_string();
         let text = &document.text;
         match &document.name {
             DocumentName::Fleet => Fleet::from_text(&file, text).map(|fleet| Self::Fleet(Arc::new(fleet))),
             DocumentName::System => SystemLimits::from_text(&file, text).map(Self::System),
             DocumentName::Team(name) => {
-                let team = Team::from_text(&file, text)?;
+                let team = Team::usable_from_text(&file, text)?;
                 let mut check = crate::problem::Checker::new(&file, text);
                 let message =
                     format!("'{}' must be '{name}', for which the document is published", team.team);
--- a/crates/laurelstall_config/src/fleet.rs
+++ b/crates/laurelstall_config/src/fleet.rs
@@ -10,8 +10,6 @@
     net::{IpAddr, SocketAddr},
 };
 
-/// Maximum number of hosts in a fleet document.
-pub const HOSTS_MAX: usize = 5_000;
 /// Maximum number of evacuated data centres in a fleet document.
 pub const EVACUATED_MAX: usize = 256;
 /// Maximum remaining time of a target's cold start in the list, in ms.
@@ -97,7 +95,6 @@
     pub fn from_text(file: &str, text: &str) -> Result<Self, ConfigError> {
         let mut check = Checker::new(file, text);
         let fleet: Self = check.parse().unwrap_or_default();
-        check.ensure(fleet.hosts.len() <= HOSTS_MAX, "host", "too many hosts");
         check.ensure(fleet.evacuated.len() <= EVACUATED_MAX, "evacuated", "too many data centres");
         let mut evacuated = HashSet::new();
         for name in &fleet.evacuated {
@@ -106,29 +103,27 @@
         }
         let mut names = HashSet::new();
         for host in &fleet.hosts {
-            check.ensure(
-                is_name(&host.name),
-                "name",
-                &format!("'{}' is not 1 to 63 of a-z, 0-9 and '-'", host.name),
-            );
+            check.ensure_with(is_name(&host.name), "name", || {
+                format!("'{}' is not 1 to 63 of a-z, 0-9 and '-'", host.name)
+            });
             check.ensure(is_name(&host.data_centre), "data_centre", "must be 1 to 63 of a-z, 0-9 and '-'");
-            let message = format!("host '{}' is listed twice", host.name);
-            check.ensure(names.insert(&host.name), "name", &message);
+            check.ensure_with(names.insert(&host.name), "name", || {
+                format!("host '{}' is listed twice", host.name)
+            });
         }
         let mut target_hosts = HashSet::new();
         for target in &fleet.targets {
             let is_full_name = target.service.split_once('/').is_some_and(|(t, s)| is_name(t) && is_name(s));
             check.ensure(is_full_name, "target.service", "must be 'team/service'");
-            check.ensure(
-                is_name(&target.name),
-                "target.name",
-                &format!("'{}' is not 1 to 63 of a-z, 0-9 and '-'", target.name),
-            );
+            check.ensure_with(is_name(&target.name), "target.name", || {
+                format!("'{}' is not 1 to 63 of a-z, 0-9 and '-'", target.name)
+            });
             check.range("target.slots", target.slots, 1..=SLOTS_MAX);
             check.range("target.cold_ms", target.cold_ms, 0..=COLD_MS_MAX);
             check.ensure(names.contains(&target.host), "target.host", "is not a host of the fleet");
-            let message = format!("host '{}' has two targets", target.host);
-            check.ensure(target_hosts.insert(&target.host), "target.host", &message);
+            check.ensure_with(target_hosts.insert(&target.host), "target.host", || {
+                format!("host '{}' has two targets", target.host)
+            });
         }
         check.finish().map(|()| fleet)
     }
--- a/crates/laurelstall_config/src/problem.rs
+++ b/crates/laurelstall_config/src/problem.rs
@@ -4,6 +4,8 @@
 use serde::de::DeserializeOwned;
 use std::{fmt, ops::RangeInclusive};
 
+/// Maximum number of problems that are reported of one text; the number of further ones is reported.
+const PROBLEMS_MAX: usize = 64;
 /// First character of a JSON text; no TOML text starts with it.
 const JSON_START: char = '{';
 
@@ -55,12 +57,14 @@
     file: &'a str,
     text: &'a str,
     problems: Vec<Problem>,
+    /// Number of problems beyond [`PROBLEMS_MAX`].
+    further: usize,
 }
 
 impl<'a> Checker<'a> {
     /// Starts a check of `text`, the content of `file`.
     pub fn new(file: &'a str, text: &'a str) -> Self {
-        Self { file, text, problems: Vec::new() }
+        Self { file, text, problems: Vec::new(), further: 0 }
     }
 
     /// Parses the text. If that fails, adds the reason to the problems and returns `None`.
@@ -90,6 +94,17 @@
         }
     }
 
+    /// Runs a check of a part of the text and returns whether it added no problem.
+    pub fn is_valid(&mut self, check_part: impl FnOnce(&mut Self)) -> bool {
+        let before = self.count();
+        check_part(self);
+        self.count() == before
+    }
+
+    fn count(&self) -> usize {
+        self.problems.len() + self.further
+    }
+
     /// Adds a problem of `field` unless `value` is in `range`.
     pub fn range<T>(&mut self, field: &str, value: T, range: RangeInclusive<T>)
     where
@@ -109,14 +124,29 @@
         }
     }
 
+    /// Adds a problem of `field` unless `is_valid` holds; for checks of long lists, which mostly need no message.
+    pub fn ensure_with(&mut self, is_valid: bool, field: &str, message: impl FnOnce() -> String) {
+        if !is_valid {
+            self.add_problem(field, &message());
+        }
+    }
+
     /// Adds a problem of `field`, at the first line that sets a key with the last part of the field's name.
     pub fn add_problem(&mut self, field: &str, message: &str) {
+        if self.problems.len() >= PROBLEMS_MAX {
+            self.further += 1;
+            return;
+        }
         let key = field.rsplit('.').next().unwrap_or(field);
         self.add_problem_at_line(self.line_of_key(key), field, message);
     }
 
     /// Adds a problem of `field` at the last line that contains `text`.
     pub fn add_problem_at_text(&mut self, text: &str, field: &str, message: &str) {
+        if self.problems.len() >= PROBLEMS_MAX {
+            self.further += 1;
+            return;
+        }
         let line = self.text.rfind(text).map_or(0, |offset| self.line_of_offset(offset));
         self.add_problem_at_line(line, field, message);
     }
@@ -137,10 +167,19 @@
     ///
     /// Returns all problems that were added, if there are any.
     pub fn finish(self) -> Result<(), ConfigError> {
-        if self.problems.is_empty() {
-            return Ok(());
+        match self.into_problems() {
+            problems if problems.is_empty() => Ok(()),
+            problems => Err(ConfigError::Invalid(problems)),
+        }
+    }
+
+    /// Ends the check and returns all problems, or the first ones and the number of further ones.
+    pub fn into_problems(mut self) -> Vec<Problem> {
+        if self.further > 0 {
+            let message = format!("{} further problems", self.further);
+            self.add_problem_at_line(0, "", &message);
         }
-        Err(ConfigError::Invalid(self.problems))
+        self.problems
     }
 
     fn line_of_offset(&self, offset: usize) -> usize {
--- a/crates/laurelstall_config/src/route.rs
+++ b/crates/laurelstall_config/src/route.rs
@@ -1,22 +1,25 @@
 //! Routes: which service handles a request, and with which limits.
 
-use crate::{
-    problem::{Checker, is_name},
-    workspace::check_data_centres,
-};
+use crate::{problem::Checker, workspace::check_data_centres};
 use serde::{Deserialize, Serialize};
 use std::{
-    collections::HashMap,
+    collections::{HashMap, HashSet},
     sync::{
         Arc,
         atomic::{AtomicU32, Ordering},
     },
 };
 
-/// Maximum number of routes of one team.
-pub const ROUTES_MAX: usize = 10_000;
 /// Maximum importance of a route.
 pub const ROUTE_IMPORTANCE_MAX: u8 = 9;
+/// Maximum time limit and latency objective of a route in ms.
+pub const ROUTE_TIME_MAX_MS: u64 = 3_600_000;
+/// Maximum number of targets to which one request is sent.
+pub const ROUTE_TRIES_MAX: u32 = 10;
+/// Maximum length of a host name in bytes, from the domain name system (RFC 1035).
+pub const HOST_NAME_BYTES_MAX: usize = 253;
+/// Maximum length of a route's name in bytes.
+const ROUTE_NAME_BYTES_MAX: usize = 255;
 /// Step of the low-discrepancy sequence that splits requests among services: 2^32 divided by the golden ratio.
 ///
 /// Its multiples modulo 2^32 are spread evenly, so that each service gets its share after few requests.
@@ -59,37 +62,46 @@
     pub tries: u32,
     /// Importance, 0 to 9; calls of higher importance leave a queue first.
     pub importance: u8,
-    /// The services that handle the requests, with their weights.
+    /// The services that handle the requests, with their weights. Requests of a route without services are refused.
     #[serde(rename = "share")]
     pub shares: Vec<RouteShare>,
 }
 
 impl RouteRule {
-    /// Reports all problems of the route; `services` are the names of the team's services.
-    pub fn check(&self, check: &mut Checker<'_>, services: &[&str]) {
-        let name = &self.name;
-        check.ensure(is_name(name), "route.name", &format!("'{name}' is not 1 to 63 of a-z, 0-9 and '-'"));
-        let is_host = !self.host.is_empty() && !self.host.contains([':', '/', ' ']);
-        check.ensure(is_host, "route.host", &format!("'{}' must be a host name without a port", self.host));
-        let prefix = &self.path_prefix;
-        let is_prefix = prefix.starts_with('/') && prefix.ends_with('/');
-        check.ensure(is_prefix, "route.path_prefix", &format!("'{prefix}' must start and end with '/'"));
-        check.range("route.timeout_ms", self.timeout_ms, 1..=3_600_000);
-        check.range("route.latency_objective_ms", self.latency_objective_ms, 1..=3_600_000);
-        check.range("route.tries", self.tries, 1..=10);
+    /// Reports the problems of the route's name, limits and services; `services` are the names of the team's services.
+    pub fn check_run(&self, check: &mut Checker<'_>, services: &HashSet<&str>) {
+        let is_name = (1..=ROUTE_NAME_BYTES_MAX).contains(&self.name.len());
+        check.ensure(is_name, "route.name", "must be 1 to 255 bytes");
+        check.range("route.timeout_ms", self.timeout_ms, 1..=ROUTE_TIME_MAX_MS);
+        check.range("route.latency_objective_ms", self.latency_objective_ms, 1..=ROUTE_TIME_MAX_MS);
+        check.range("route.tries", self.tries, 1..=ROUTE_TRIES_MAX);
         check.range("route.importance", self.importance, 0..=ROUTE_IMPORTANCE_MAX);
         check_data_centres(&self.data_centres, "route.data_centres", check);
         let total_weight = self.shares.iter().map(|share| u64::from(share.weight)).sum::<u64>();
-        check.range("route.share", total_weight, 1..=1_000_000);
+        check.range("route.share", total_weight, 1..=u64::from(u32::MAX));
         for share in &self.shares {
-            let is_known = services.contains(&share.service.as_str());
-            check.ensure(
-                is_known,
-                "route.share",
-                &format!("'{}' is not a service of the team", share.service),
-            );
+            let is_known = services.contains(share.service.as_str());
+            check.ensure_with(is_known, "route.share", || {
+                format!("'{}' is not a service of the team", share.service)
+            });
         }
     }
+
+    /// Reports the problems of host and path prefix, without which no request matches the route.
+    pub fn check_match(&self, check: &mut Checker<'_>) {
+        check_host_name(&self.host, "route.host", check);
+        let prefix = &self.path_prefix;
+        let is_prefix = prefix.starts_with('/') && prefix.ends_with('/');
+        check.ensure_with(is_prefix, "route.path_prefix", || {
+            format!("'{prefix}' must start and end with '/'")
+        });
+    }
+}
+
+/// Reports a host name of callers that is not valid.
+pub(crate) fn check_host_name(host: &str, field: &str, check: &mut Checker<'_>) {
+    let is_host = (1..=HOST_NAME_BYTES_MAX).contains(&host.len()) && !host.contains([':', '/', ' ']);
+    check.ensure_with(is_host, field, || format!("'{host}' must be a host name without a port"));
 }
 
 /// A route with the state of its split.
@@ -129,10 +141,11 @@
         self.by_host.is_empty()
     }
 
-    /// Finds the route of a request and chooses the service that handles it; `None` if no route matches.
+    /// Finds the route of a request and chooses the service that handles it; `None` if no route matches. The service is
+    /// `None` if the route has none, and its requests are refused.
     ///
     /// The time depends on the number of slashes in the path, not on the number of routes.
-    pub fn find(&self, host: &str, path: &str) -> Option<(&Arc<RouteRule>, &str)> {
+    pub fn find(&self, host: &str, path: &str) -> Option<(&Arc<RouteRule>, Option<&str>)> {
         let entry = self.entries(host, path).next()?;
         Some((&entry.rule, entry.next_service()))
     }
@@ -156,20 +169,20 @@
 
 impl RouteEntry {
     /// Chooses the service of the next request, by weight.
-    fn next_service(&self) -> &str {
+    fn next_service(&self) -> Option<&str> {
         let shares = &self.rule.shares;
         if let [only] = shares.as_slice() {
-            return &only.service;
+            return Some(&only.service);
         }
         let point = self.next.fetch_add(SPLIT_STEP, Ordering::Relaxed);
         let mut remainder = (u64::from(point) * self.total_weight) >> u32::BITS;
         for share in shares {
             let weight = u64::from(share.weight);
             if remainder < weight {
-                return &share.service;
+                return Some(&share.service);
             }
             remainder -= weight;
         }
-        unreachable!("the point is below the sum of all weights")
+        None
     }
 }
--- a/crates/laurelstall_config/src/settings.rs
+++ b/crates/laurelstall_config/src/settings.rs
@@ -143,6 +143,9 @@
     pub regions: BTreeMap<String, String>,
 }
 
+/// Maximum of `repeats.reserve`, in repeated requests.
+const RETRY_RESERVE_MAX: f64 = 1_000_000.0;
+
 /// Maximum of `value_bytes_max`.
 const VALUE_BYTES_LIMIT: usize = 16 * 1024 * 1024;
 
@@ -445,7 +448,7 @@
         check.range("platform.watch_wait_ms", self.platform.watch_wait_ms, 100..=300_000);
         check.range("platform.value_bytes_max", self.platform.value_bytes_max, 1_024..=VALUE_BYTES_LIMIT);
         check.range("platform.repeats.share", self.platform.repeats.share, 0.0..=2.0);
-        check.range("platform.repeats.reserve", self.platform.repeats.reserve, 0.0..=10_000.0);
+        check.range("platform.repeats.reserve", self.platform.repeats.reserve, 0.0..=RETRY_RESERVE_MAX);
         check.range("platform.cold.overrun", self.platform.cold.overrun, 0.0..=100.0);
         check.range("platform.cold.slack", self.platform.cold.slack, 0.0..=10_000.0);
         check.range("platform.quota.window_s", self.platform.quota.window_s, 0.1..=3_600.0);
--- a/crates/laurelstall_config/src/team.rs
+++ b/crates/laurelstall_config/src/team.rs
@@ -1,20 +1,19 @@
 //! A team's document: host names of its callers, routes, routing program, services, targets and workspaces.
 
 use crate::{
+    fleet::COLD_MS_MAX,
     load_control::LoadControl,
-    problem::{Checker, ConfigError, is_name},
-    route::{ROUTES_MAX, RouteRule},
+    problem::{Checker, ConfigError, Problem, is_name},
+    route::{RouteRule, check_host_name},
     workspace::Workspace,
 };
 use serde::{Deserialize, Serialize};
 use std::collections::HashSet;
 
-/// Maximum number of services in a team's document.
-pub const SERVICES_MAX: usize = 64;
-/// Maximum number of targets of one service.
-pub const TARGETS_MAX: usize = 1_000;
 /// Maximum number of concurrent requests that a target may declare.
 pub const SLOTS_MAX: u32 = 100_000;
+/// Maximum number of calls per second that a cold target may get.
+pub const COLD_CALLS_PER_S_MAX: u32 = 1_000_000;
 /// Maximum length of a routing program in bytes.
 pub const PROGRAM_BYTES_MAX: usize = 64 * 1024;
 
@@ -102,10 +101,10 @@
         check.range("limits.ejected_max_percent", self.ejected_max_percent, 0..=80);
         check.range("limits.ejection_ms", self.ejection_ms, 10..=600_000);
         check.range("limits.slow_start_ms", self.slow_start_ms, 0..=600_000);
-        check.range("limits.cold_calls_per_s", self.cold_calls_per_s, 0..=1_000_000);
-        check.range("limits.cold_start_ms", self.cold_start_ms, 0..=3_600_000);
+        check.range("limits.cold_calls_per_s", self.cold_calls_per_s, 0..=COLD_CALLS_PER_S_MAX);
+        check.range("limits.cold_start_ms", self.cold_start_ms, 0..=COLD_MS_MAX);
         check.range("limits.retry_percent", self.retry_percent, 0..=100);
-        check.range("limits.retry_reserve", self.retry_reserve, 0..=10_000);
+        check.range("limits.retry_reserve", self.retry_reserve, 0..=1_000_000);
         check.range("limits.hedge_percent", self.hedge_percent, 0..=50);
         let is_status = self.shed_status == 0 || (400..=599).contains(&self.shed_status);
         check.ensure(is_status, "limits.shed_status", "must be 0 or 400 to 599");
@@ -161,7 +160,6 @@
             "service.name",
             &format!("'{}' is not 1 to 63 of a-z, 0-9 and '-'", self.name),
         );
-        check.ensure(self.targets.len() <= TARGETS_MAX, "target", "too many targets");
         let is_path = self.load_path.is_empty() || self.load_path.starts_with('/');
         check.ensure(is_path, "service.load_path", "must start with a slash");
         self.limits.check(check);
@@ -207,6 +205,9 @@
     /// The team's workspaces.
     #[serde(default, rename = "workspace", skip_serializing_if = "Vec::is_empty")]
     pub workspaces: Vec<Workspace>,
+    /// Problems of the parts that were withheld; see [`Team::usable_from_text`].
+    #[serde(skip)]
+    pub withheld: Vec<Problem>,
 }
 
 impl Team {
@@ -216,37 +217,71 @@
     ///
     /// Returns all problems found in `text`.
     pub fn from_text(file: &str, text: &str) -> Result<Self, ConfigError> {
+        let team = Self::usable_from_text(file, text)?;
+        match team.withheld.is_empty() {
+            true => Ok(team),
+            false => Err(ConfigError::Invalid(team.withheld)),
+        }
+    }
+
+    /// Parses a team's document and withholds its invalid parts, so that all others take effect.
+    ///
+    /// Invalid services are removed. An invalid route keeps its host and path prefix, but no service: its requests are
+    /// refused, rather than handled by the route with the next shorter prefix. An invalid workspace makes the whole document
+    /// invalid, since it is then unclear whose keys are accepted.
+    ///
+    /// # Errors
+    ///
+    /// Returns all problems if the document as a whole is not valid.
+    pub fn usable_from_text(file: &str, text: &str) -> Result<Self, ConfigError> {
         let mut check = Checker::new(file, text);
-        let Some(team) = check.parse::<Self>() else {
+        let Some(mut team) = check.parse::<Self>() else {
             return Err(check.finish().expect_err("parsing added a problem"));
         };
+        team.check_whole(&mut check);
+        let mut parts = Checker::new(file, text);
+        team.withhold_invalid_parts(&mut parts);
+        team.withheld = parts.into_problems();
+        let mut problems = check.into_problems();
+        if problems.is_empty() {
+            return Ok(team);
+        }
+        problems.append(&mut team.withheld);
+        Err(ConfigError::Invalid(problems))
+    }
+
+    fn check_whole(&self, check: &mut Checker<'_>) {
         check.ensure(
-            is_name(&team.team),
+            is_name(&self.team),
             "team",
-            &format!("'{}' is not 1 to 63 of a-z, 0-9 and '-'", team.team),
+            &format!("'{}' is not 1 to 63 of a-z, 0-9 and '-'", self.team),
         );
-        let has_hosts = !team.caller_hosts.is_empty() || !team.routes.is_empty();
-        check.ensure(has_hosts, "caller_hosts", "must name at least one host");
-        for host in &team.caller_hosts {
-            let is_host = !host.is_empty() && !host.contains([':', '/', ' ']);
-            check.ensure(is_host, "caller_hosts", &format!("'{host}' must be a host name without a port"));
+        for host in &self.caller_hosts {
+            check_host_name(host, "caller_hosts", check);
         }
-        let program_bytes_min = usize::from(team.routes.is_empty());
-        check.range("program", team.program.len(), program_bytes_min..=PROGRAM_BYTES_MAX);
-        check.range("route", team.routes.len(), 0..=ROUTES_MAX);
-        check.range("service", team.services.len(), 1..=SERVICES_MAX);
+        let needs_program = !self.caller_hosts.is_empty() && self.routes.is_empty();
+        check.range("program", self.program.len(), usize::from(needs_program)..=PROGRAM_BYTES_MAX);
+        Workspace::check_all(&self.workspaces, check);
+    }
+
+    fn withhold_invalid_parts(&mut self, check: &mut Checker<'_>) {
         let mut names = HashSet::new();
-        for service in &team.services {
-            let message = format!("'{}' is listed twice", service.name);
-            check.ensure(names.insert(&service.name), "service.name", &message);
-            service.check(&mut check);
-        }
-        Workspace::check_all(&team.workspaces, &mut check);
-        let services = team.services.iter().map(|service| service.name.as_str()).collect::<Vec<_>>();
-        for route in &team.routes {
-            route.check(&mut check, &services);
-        }
-        check.finish().map(|()| team)
+        self.services.retain(|service| {
+            check.is_valid(|check| {
+                let message = format!("'{}' is listed twice", service.name);
+                check.ensure(names.insert(service.name.clone()), "service.name", &message);
+                service.check(check);
+            })
+        });
+        let services = self.services.iter().map(|service| service.name.as_str()).collect();
+        self.routes.retain_mut(|route| {
+            let can_match = check.is_valid(|check| route.check_match(check));
+            let can_run = check.is_valid(|check| route.check_run(check, &services));
+            if !can_run {
+                route.shares.clear();
+            }
+            can_match
+        });
     }
 
     /// Finds a service by name.
--- a/crates/laurelstall_config/src/workspace.rs
+++ b/crates/laurelstall_config/src/workspace.rs
@@ -8,8 +8,6 @@
 use serde::{Deserialize, Serialize};
 use std::collections::HashSet;
 
-/// Maximum number of workspaces of one team; about as many fit into the largest document.
-pub const WORKSPACES_MAX: usize = 10_000;
 /// Maximum length of a workspace's name in bytes; the name is sent in a header field of each call.
 pub const WORKSPACE_NAME_BYTES_MAX: usize = 200;
 /// Maximum rate of a quota in calls per second, and maximum burst in calls.
@@ -70,19 +68,24 @@
 
     /// Reports all problems of a team's workspaces, including keys that two of them share.
     pub fn check_all(workspaces: &[Self], check: &mut Checker<'_>) {
-        check.range("workspace", workspaces.len(), 0..=WORKSPACES_MAX);
         let mut names = HashSet::new();
         let mut keys = HashSet::new();
         for workspace in workspaces {
             let name = &workspace.name;
-            check.ensure(names.insert(name), "workspace.name", &format!("'{name}' is listed twice"));
+            check.ensure_with(names.insert(name), "workspace.name", || format!("'{name}' is listed twice"));
             workspace.check(check);
-            for key in &workspace.keys {
+            workspace.check_keys(&mut keys, check);
+        }
+    }
+
+    /// Reports the workspace's keys that are among `known`, and adds them to it.
+    fn check_keys<'a>(&'a self, known: &mut HashSet<&'a KeyDigest>, check: &mut Checker<'_>) {
+        let name = &self.name;
+        for key in &self.keys {
+            if !known.insert(key) {
                 let message =
                     format!("a key of '{name}' is listed twice, in this workspace or in another one");
-                if !keys.insert(key) {
-                    check.add_problem_at_text(&key.to_string(), "workspace.keys", &message);
-                }
+                check.add_problem_at_text(&key.to_string(), "workspace.keys", &message);
             }
         }
     }
@@ -106,6 +109,6 @@
 /// Reports the names in `data_centres` that are not valid.
 pub(crate) fn check_data_centres(data_centres: &[String], field: &str, check: &mut Checker<'_>) {
     for name in data_centres {
-        check.ensure(is_name(name), field, &format!("'{name}' is not 1 to 63 of a-z, 0-9 and '-'"));
+        check.ensure_with(is_name(name), field, || format!("'{name}' is not 1 to 63 of a-z, 0-9 and '-'"));
     }
 }
--- a/crates/laurelstall_node/src/active_config.rs
+++ b/crates/laurelstall_node/src/active_config.rs
@@ -47,6 +47,8 @@
 
 /// Maximum number of target names in one log line. A list may lack hundreds of targets.
 const LOGGED_NAMES_MAX: usize = 8;
+/// Maximum number of problems of one document that are logged.
+const LOGGED_PROBLEMS_MAX: usize = 8;
 
 /// Holds the current configuration and applies new documents to it.
 #[derive(Debug)]
@@ -189,13 +191,19 @@
     names.collect::<Vec<_>>().join(", ")
 }
 
-/// Checks a document and compiles its program, as a node does before it applies the document.
+/// Checks a document and compiles its program.
 ///
 /// # Errors
 ///
-/// Returns all problems found.
+/// Returns all problems found, including those of parts that a node would withhold.
 pub fn check_document(document: &Document) -> Result<(CheckedDocument, Option<Program>), ConfigError> {
-    let checked = CheckedDocument::from_document(document)?;
+    compile_checked(document, CheckedDocument::from_document(document)?)
+}
+
+fn compile_checked(
+    document: &Document,
+    checked: CheckedDocument,
+) -> Result<(CheckedDocument, Option<Program>), ConfigError> {
     let CheckedDocument::Team(team) = &checked else { return Ok((checked, None)) };
     if team.program.is_empty() {
         return Ok((checked, None));
@@ -204,6 +212,15 @@
     Ok((checked, Some(program)))
 }
 
+/// Logs the invalid parts of a team's document that do not take effect.
+fn log_withheld(document: &Document, checked: &CheckedDocument) {
+    let CheckedDocument::Team(team) = checked else { return };
+    let (name, version) = (&document.name, document.version);
+    for problem in team.withheld.iter().take(LOGGED_PROBLEMS_MAX) {
+        log::error!("{name} version {version} is active without a part: {problem}");
+    }
+}
+
 fn compile(document: &Document, team: &Team) -> Result<Program, ConfigError> {
     let file = document.name.to_string();
     let mut check = Checker::new(&file, &document.text);
@@ -225,7 +242,9 @@
 
 impl Acceptor for ActiveConfig {
     fn accept(&self, document: &Document) -> Result<(), ConfigError> {
-        let (checked, program) = check_document(document)?;
+        let usable = CheckedDocument::usable_from_document(document)?;
+        let (checked, program) = compile_checked(document, usable)?;
+        log_withheld(document, &checked);
         let _guard = self.update_lock();
         let old = self.snapshot.load_full();
         let checked = match checked {
--- a/crates/laurelstall_node/src/admin.rs
+++ b/crates/laurelstall_node/src/admin.rs
@@ -373,10 +373,12 @@
                 "age_ms": rejected.age_ms(),
             })
         });
+        let withheld = snapshot.configuration.teams.values().flat_map(|team| &team.withheld);
         let conflicts = snapshot.configuration.caller_host_conflicts();
         value!({
             "versions": serde_json::Map::from_iter(versions),
             "refused": serde_json::Map::from_iter(refused),
+            "withheld": withheld.map(Problem::to_string).collect::<Vec<_>>(),
             "rejections": rejections.collect::<Vec<_>>(),
             "version_conflicts": store.conflicts(),
             "caller_host_conflicts": conflicts,
--- a/crates/laurelstall_node/src/background.rs
+++ b/crates/laurelstall_node/src/background.rs
@@ -94,7 +94,9 @@
 pub fn gauges(guard: &TargetGuard, entry: &Entry, replicator: &Replicator) -> Gauges {
     let load = guard.guard().load();
     let (meter, active) = (entry.context.client.pool().meter(), &entry.active);
-    let fleet_version = active.load().configuration.version(&DocumentName::Fleet);
+    let snapshot = active.load();
+    let fleet_version = snapshot.configuration.version(&DocumentName::Fleet);
+    let withheld = snapshot.configuration.teams.values().map(|team| team.withheld.len()).sum::<usize>();
     let overload = guard.guard().overload_state();
     let threshold = overload.map_or(CallLevel::LOWEST, |overload| overload.threshold);
     vec![
@@ -115,6 +117,7 @@
         ("unanswered_nodes", meter.unanswered.value()),
         ("link_waiting_bytes", guard.link().map_or(0, |link| link.waiting_bytes())),
         ("link_held_bytes", guard.link().map_or(0, |link| link.held_bytes())),
+        ("withheld_parts", withheld as u64),
         ("platform_era", fleet_version.era),
         ("platform_returns", active.restores.load(Ordering::Relaxed)),
     ]
@@ -153,6 +156,7 @@
     let store = replicator.store();
     let ages_ms = store.rejected().map(|(_, rejected)| rejected.age_ms()).collect::<Vec<_>>();
     vec![
+        ("documents_unreadable", replicator.unreadable_documents()),
         ("documents_rejected", ages_ms.len() as u64),
         ("documents_rejected_age_ms", ages_ms.into_iter().max().unwrap_or(0)),
     ]
--- a/crates/laurelstall_node/src/entry.rs
+++ b/crates/laurelstall_node/src/entry.rs
@@ -312,7 +312,10 @@
     ) -> Result<Plan, Rejection> {
         let found = snapshot.configuration.routes(&team.team);
         if let Some((rule, service)) = found.and_then(|table| table.find(host, parts.uri.path())) {
-            return Ok(Plan::Route(route_of(rule, service)));
+            return match service {
+                Some(service) => Ok(Plan::Route(route_of(rule, service))),
+                None => Err(Rejection::new(StatusCode::SERVICE_UNAVAILABLE, "the route is invalid")),
+            };
         }
         let program = snapshot.programs.get(&team.team);
         let program = program.ok_or_else(|| Rejection::new(StatusCode::NOT_FOUND, "no such route"))?;
--- a/crates/laurelstall_peer/src/platform.rs
+++ b/crates/laurelstall_peer/src/platform.rs
@@ -59,6 +59,11 @@
         async { Ok(None) }.boxed()
     }
 
+    /// Number of values that should be documents and cannot be read at all, as of the last read.
+    fn unreadable_documents(&self) -> u64 {
+        0
+    }
+
     /// Called with the latest known era of the platform, for sources whose answers may lack it.
     fn note_era(&self, _era: u64) {}
 
--- a/crates/laurelstall_peer/src/replicator.rs
+++ b/crates/laurelstall_peer/src/replicator.rs
@@ -197,6 +197,11 @@
         &self.crashes
     }
 
+    /// Number of documents that this node could not read from the platform.
+    pub fn unreadable_documents(&self) -> u64 {
+        self.platform.unreadable_documents()
+    }
+
     /// Whether this node watches the platform at present.
     pub fn is_reader(&self) -> bool {
         self.reader_role() != ReaderRole::None
