A node without any team's configuration is not ready

What callers saw: a node that started and could use no configuration said that it is ready, since it had the list of hosts; the platform sent it clients, and each call was refused.

Change: /v1/ready asks for a team's configuration.

--- a/crates/laurelstall_node/src/admin.rs
+++ b/crates/laurelstall_node/src/admin.rs
@@ -267,9 +267,8 @@
 
     fn ready(&self) -> Answer {
         let is_stopping = self.entry.is_stopping.load(Ordering::Relaxed);
-        let is_ready = self.replicator.is_joined()
-            && !self.active.load().configuration.versions.is_empty()
-            && !is_stopping;
+        let is_ready =
+            self.replicator.is_joined() && !self.active.load().configuration.teams.is_empty() && !is_stopping;
         let status = if is_ready { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE };
         json(status, &value!({ "ready": is_ready }))
     }
@@ -373,13 +372,13 @@
                 "age_ms": rejected.age_ms(),
             })
         });
-        let withheld = snapshot.configuration.teams.values().flat_map(|team| &team.withheld);
         let conflicts = snapshot.configuration.caller_host_conflicts();
+        let withheld = snapshot.configuration.teams.values().flat_map(|team| &team.withheld);
         value!({
             "versions": serde_json::Map::from_iter(versions),
             "refused": serde_json::Map::from_iter(refused),
-            "withheld": withheld.map(Problem::to_string).collect::<Vec<_>>(),
             "rejections": rejections.collect::<Vec<_>>(),
+            "withheld": withheld.map(Problem::to_string).collect::<Vec<_>>(),
             "version_conflicts": store.conflicts(),
             "caller_host_conflicts": conflicts,
             "is_reader": self.replicator.is_reader(),
