The delta of a small change to a large document covers the whole base

It indexes eight bytes of a dictionary for each entry of its hash table, which has 2^17 entries at our level.

Change: hash table and window follow from the base's length, within what decompressors of earlier builds accept. Ruled out by a trial: the window alone changes nothing.

--- a/crates/laurelstall_peer/src/delta.rs
+++ b/crates/laurelstall_peer/src/delta.rs
@@ -6,10 +6,23 @@
 
 use quick_error::quick_error;
 use std::io;
-use zstd::bulk::{Compressor, Decompressor};
+use zstd::{
+    bulk::{Compressor, Decompressor},
+    zstd_safe::CParameter,
+};
 
 /// zstd compression level. Higher levels save less than 3 % of the size of published documents.
 pub const ZSTD_LEVEL: i32 = 3;
+/// Number of bytes of a dictionary that zstd indexes for each entry of its hash table.
+const DICTIONARY_BYTES_PER_HASH: usize = 8;
+/// Logarithm of the size of the hash table at [`ZSTD_LEVEL`].
+const HASH_LOG_MIN: u32 = 17;
+/// Maximum logarithm of the size of the hash table, which then has 16 MiB.
+const HASH_LOG_MAX: u32 = 22;
+/// Minimum logarithm of the compression window.
+const WINDOW_LOG_MIN: u32 = 17;
+/// Maximum logarithm of a window that decompressors accept by default.
+const WINDOW_LOG_MAX: u32 = 27;
 
 quick_error! {
     /// A text that could not be rebuilt.
@@ -39,9 +52,27 @@
 
 /// Compresses `text` as a delta to `base`.
 pub fn pack_delta(base: &str, text: &str) -> Vec<u8> {
-    let compressor = Compressor::with_dictionary(ZSTD_LEVEL, base.as_bytes());
-    let packed = compressor.and_then(|mut compressor| compressor.compress(text.as_bytes()));
-    packed.expect("compressing in memory")
+    try_pack_delta(base, text).expect("compressing in memory")
+}
+
+fn try_pack_delta(base: &str, text: &str) -> io::Result<Vec<u8>> {
+    let mut compressor = Compressor::with_dictionary(ZSTD_LEVEL, base.as_bytes())?;
+    let (window_log, hash_log) = logs_for(base.len(), text.len());
+    compressor.set_parameter(CParameter::WindowLog(window_log))?;
+    compressor.set_parameter(CParameter::HashLog(hash_log))?;
+    compressor.compress(text.as_bytes())
+}
+
+/// Returns the logarithms of a window and of a hash table that cover the whole base. zstd does not refer to the rest, so
+/// that the delta of a small change would be as large as that rest.
+fn logs_for(base_bytes: usize, text_bytes: usize) -> (u32, u32) {
+    let window_log = bits(base_bytes + text_bytes).clamp(WINDOW_LOG_MIN, WINDOW_LOG_MAX);
+    let hash_log = bits(base_bytes / DICTIONARY_BYTES_PER_HASH).clamp(HASH_LOG_MIN, HASH_LOG_MAX);
+    (window_log, hash_log)
+}
+
+fn bits(number: usize) -> u32 {
+    usize::BITS - number.leading_zeros()
 }
 
 /// Rebuilds a whole text of at most `text_bytes`.
--- a/crates/laurelstall_peer/tests/large_documents.rs
+++ b/crates/laurelstall_peer/tests/large_documents.rs
@@ -3,6 +3,7 @@
 mod support;
 
 use laurelstall_config::document::{Document, DocumentName, Version};
+use laurelstall_peer::delta::{pack_delta, unpack_delta};
 use rand::{RngExt, SeedableRng, rngs::SmallRng};
 use support::mesh::Mesh;
 use tokio::time::{Duration, Instant, sleep};
@@ -17,11 +18,14 @@
     DocumentName::Team(format!("t-{number}"))
 }
 
-/// Returns a document of random letters and digits, which compress to about three quarters.
+/// Returns random letters and digits, which compress to about three quarters.
+fn random_text(seed: usize, bytes: usize) -> String {
+    let mut rng = SmallRng::seed_from_u64(seed as u64);
+    (0..bytes).map(|_| char::from(rng.random_range(b'0'..=b'o'))).collect()
+}
+
 fn document(number: usize) -> Document {
-    let mut rng = SmallRng::seed_from_u64(number as u64);
-    let text = (0..DOCUMENT_BYTES).map(|_| char::from(rng.random_range(b'0'..=b'o'))).collect();
-    Document { name: name(number), version: Version::new(2), text }
+    Document { name: name(number), version: Version::new(2), text: random_text(number, DOCUMENT_BYTES) }
 }
 
 // A pull of several documents failed for ever, since their sum exceeded the limit of one answer.
@@ -41,3 +45,15 @@
     }
     assert_eq!(missing(), 0, "documents are missing at some nodes");
 }
+
+// The delta of a small change to a document above a megabyte contained the part that the dictionary did not cover.
+#[test]
+fn the_delta_of_a_small_change_is_small_whatever_the_size_of_the_document() {
+    for bytes in [1_000, 500_000, 2_000_000, 16_000_000] {
+        let base = random_text(bytes, bytes);
+        let text = format!("{}changed{}", &base[..bytes / 3], &base[bytes / 3 + 7..]);
+        let delta = pack_delta(&base, &text);
+        assert!(delta.len() < 2_000, "{} bytes for a document of {bytes}", delta.len());
+        assert_eq!(unpack_delta(&base, &delta, text.len()).expect("the delta applies"), text);
+    }
+}
