A guard that waits for a silent target notices that its caller has left

Cause: while the node beside the target sends an answer to another node, it waits for the next piece from the target and looks at nothing else. The stream that the entry has reset is noticed with the next piece, which never comes. A local entry drops the body at once.

Change: whoever sends a body watches the stream for a reset while the source sends nothing.

Ruled out: a silent entry (its reset arrives, the guard reads no more of the stream).

--- a/crates/laurelstall_peer/src/body.rs
+++ b/crates/laurelstall_peer/src/body.rs
@@ -3,7 +3,7 @@
 use bytes::Bytes;
 use h2::{Reason, RecvStream, SendStream};
 use http_body::{Body, Frame};
-use http_body_util::{BodyExt, combinators::UnsyncBoxBody};
+use http_body_util::combinators::UnsyncBoxBody;
 use std::{
     error::Error,
     future::poll_fn,
@@ -78,7 +78,7 @@
 ///
 /// The error of the body or the stream.
 pub async fn send_body(mut body: BoxedBody, stream: &mut SendStream<Bytes>) -> Result<(), BodyError> {
-    while let Some(frame) = body.frame().await {
+    while let Some(frame) = next_frame(&mut body, stream).await? {
         let frame = frame.inspect_err(|_| stream.send_reset(Reason::INTERNAL_ERROR))?;
         match frame.into_data() {
             Ok(data) if body.is_end_stream() => return send_last_data(data, stream).await,
@@ -95,6 +95,22 @@
     Ok(())
 }
 
+/// Waits for the next frame of `body`, or until the receiver resets the stream: a source that sends nothing more would
+/// otherwise be held for a receiver that is gone.
+async fn next_frame(
+    body: &mut BoxedBody,
+    stream: &mut SendStream<Bytes>,
+) -> Result<Option<Result<Frame<Bytes>, BodyError>>, BodyError> {
+    poll_fn(|cx| {
+        if let Poll::Ready(frame) = Pin::new(&mut *body).poll_frame(cx) {
+            return Poll::Ready(Ok(frame));
+        }
+        let reason = ready!(stream.poll_reset(cx))?;
+        Poll::Ready(Err(format!("the receiver has reset the stream: {reason:?}").into()))
+    })
+    .await
+}
+
 /// Sends data without ending the stream.
 ///
 /// # Errors
