An answer whose target is silent ends after the time limit of its call

Cause: the deadline of a call covers an attempt until the head of the answer. Nothing bounds the body in time.

Time in which nobody reads does not count, so a slow link or a slow reader ends nothing; an answer that advances goes on whatever the deadline. After a suspension of the node the body is looked at once more before it ends.

--- a/crates/laurelstall_node/src/body.rs
+++ b/crates/laurelstall_node/src/body.rs
@@ -7,9 +7,9 @@
 use std::{
     future::Future,
     pin::Pin,
-    task::{Context, Poll},
+    task::{Context, Poll, ready},
 };
-use tokio::time::{Duration, Instant, Sleep, sleep, timeout_at};
+use tokio::time::{Duration, Instant, Sleep, sleep, sleep_until, timeout_at};
 
 /// Creates a body from bytes that are complete.
 pub fn full_body(bytes: Bytes) -> BoxedBody {
@@ -169,18 +169,44 @@
     }
 }
 
+/// Time for which a body is polled again after its idle timeout. What arrived while this process was suspended is then read.
+const LAST_POLL_TIME: Duration = Duration::from_millis(20);
+
 /// Wraps a body so that it fails when no frame arrives for `limit`.
 pub fn with_idle_timeout(body: BoxedBody, limit: Duration) -> BoxedBody {
-    if body.is_end_stream() {
-        return body;
-    }
-    IdleBody { inner: body, limit, idle_timer: None }.boxed_unsync()
+    IdleBody::wrap(body, limit, None)
+}
+
+/// Wraps a body so that it fails when no frame arrives for `limit`, but not before `from`.
+///
+/// Time in which nobody reads the body does not count, so that a slow reader is no reason to end it.
+pub fn with_idle_timeout_from(body: BoxedBody, limit: Duration, from: Instant) -> BoxedBody {
+    IdleBody::wrap(body, limit, Some(from))
 }
 
 struct IdleBody {
     inner: BoxedBody,
     limit: Duration,
+    /// The earliest time at which the body may fail; `None` for any time.
+    from: Option<Instant>,
     idle_timer: Option<Pin<Box<Sleep>>>,
+    /// Whether the idle timeout has passed, and the body is polled for the last time.
+    is_last_poll: bool,
+}
+
+impl IdleBody {
+    fn wrap(inner: BoxedBody, limit: Duration, from: Option<Instant>) -> BoxedBody {
+        if inner.is_end_stream() {
+            return inner;
+        }
+        Self { inner, limit, from, idle_timer: None, is_last_poll: false }.boxed_unsync()
+    }
+
+    /// Returns when the body fails unless a frame arrives.
+    fn idle_end(&self) -> Instant {
+        let idle_end = Instant::now() + self.limit;
+        self.from.map_or(idle_end, |from| idle_end.max(from))
+    }
 }
 
 impl Body for IdleBody {
@@ -194,14 +220,21 @@
         let polled = Pin::new(&mut self.inner).poll_frame(cx);
         if polled.is_ready() {
             self.idle_timer = None;
+            self.is_last_poll = false;
             return polled;
         }
-        let limit = self.limit;
-        let idle_timer = self.idle_timer.get_or_insert_with(|| Box::pin(sleep(limit)));
-        match idle_timer.as_mut().poll(cx) {
-            Poll::Ready(()) => Poll::Ready(Some(Err("the caller sent nothing for too long".into()))),
-            Poll::Pending => Poll::Pending,
+        let idle_end = self.idle_end();
+        let idle_timer = self.idle_timer.get_or_insert_with(|| Box::pin(sleep_until(idle_end)));
+        ready!(idle_timer.as_mut().poll(cx));
+        if self.is_last_poll {
+            return Poll::Ready(Some(Err("nothing was sent for too long".into())));
         }
+        self.is_last_poll = true;
+        let mut last_timer = Box::pin(sleep(LAST_POLL_TIME));
+        // Registers the waker; the timer has just started.
+        let _ = last_timer.as_mut().poll(cx);
+        self.idle_timer = Some(last_timer);
+        Poll::Pending
     }
 
     fn is_end_stream(&self) -> bool {
--- a/crates/laurelstall_node/src/target_guard.rs
+++ b/crates/laurelstall_node/src/target_guard.rs
@@ -39,7 +39,7 @@
     Arc, Mutex, MutexGuard, PoisonError,
     atomic::{AtomicBool, Ordering},
 };
-use tokio::sync::Mutex as AsyncMutex;
+use tokio::{sync::Mutex as AsyncMutex, time::Instant};
 
 mod admission;
 mod answers;
@@ -404,4 +404,6 @@
     connection: Option<UsedConnection>,
     permit: Permit,
     watched_run: WatchedRun,
+    /// When the time budget of the call ends.
+    deadline: Instant,
 }
--- a/crates/laurelstall_node/src/target_guard/forwarding.rs
+++ b/crates/laurelstall_node/src/target_guard/forwarding.rs
@@ -175,6 +175,7 @@
                     connection,
                     permit,
                     watched_run,
+                    deadline,
                 };
                 let read = timeout_at(deadline, self.read_response(received, &limits)).await;
                 read.unwrap_or_else(|_| unknown("time budget spent at the target"))
