--- a/crates/laurelstall_node/src/admin.rs
+++ b/crates/laurelstall_node/src/admin.rs
@@ -7,9 +7,9 @@
     counters::Counters,
     decision_log::Decision,
     entry::{Entry, json},
-    listener::Responder,
     logging::set_level,
     metrics,
+    responder::Responder,
     target_guard::TargetGuard,
 };
 use arc_swap::ArcSwap;
@@ -19,15 +19,13 @@
     header::{AUTHORIZATION, CONTENT_TYPE},
     request::Parts,
 };
-use laurelstall_balance::hint::Hint;
 use laurelstall_config::{
     document::{Document, DocumentName, Version},
     problem::Problem,
     settings::{Role, TokenSettings},
 };
-use laurelstall_crash::crash_table::{RequestStatus, SuspectState};
 use laurelstall_peer::{body::BoxedBody, replicator::Replicator};
-use serde::{Deserialize, Serialize};
+use serde::Deserialize;
 use serde_json::{Value, json as value};
 use std::{
     collections::HashMap,
@@ -36,6 +34,10 @@
 use subtle::ConstantTimeEq;
 use tokio::time::Duration;
 
+mod rows;
+
+use rows::{RejectionRow, SuspectRow, TargetRow, WorkspaceRow};
+
 /// Maximum size of the other fields of an administration request in bytes.
 const FIELDS_BYTES_MAX: usize = 64 * 1024;
 /// Maximum growth of a document by the escape sequences of a JSON string.
@@ -107,95 +109,6 @@
     digest: String,
 }
 
-/// A workspace, as this node sees it.
-#[derive(Debug, Serialize)]
-struct WorkspaceRow {
-    /// Full name, `team/workspace`.
-    workspace: String,
-    /// Quota in calls per second. `None` when calls are unlimited.
-    calls_per_s: Option<f64>,
-    burst: Option<f64>,
-    /// Calls at this node that got a token since its start.
-    taken: u64,
-    /// Calls at this node that were refused because the quota was exhausted.
-    spent: u64,
-    /// Calls at this node that were refused because no owner of a quota share answered.
-    unanswered: u64,
-    /// Remaining tokens of each quota share that this node owns.
-    owned_tokens: Vec<f64>,
-}
-
-/// A request that was running when targets crashed.
-#[derive(Debug, Serialize)]
-struct SuspectRow {
-    digest: String,
-    service: String,
-    state: &'static str,
-    ends: usize,
-    last_end_age_ms: u64,
-    /// `None` while the request is not quarantined.
-    retry_after_ms: Option<u64>,
-}
-
-impl From<SuspectState> for SuspectRow {
-    fn from(state: SuspectState) -> Self {
-        let (state_name, retry_after_ms) = match state.request_status {
-            RequestStatus::Harmless => ("harmless", None),
-            RequestStatus::Suspected(_) => ("suspected", None),
-            RequestStatus::Quarantined { retry_after_ms } => ("held", Some(retry_after_ms)),
-            RequestStatus::HalfOpen => ("trial", None),
-        };
-        Self {
-            digest: state.digest.to_string(),
-            service: state.service,
-            state: state_name,
-            ends: state.crashes,
-            last_end_age_ms: state.last_crash_age_ms,
-            retry_after_ms,
-        }
-    }
-}
-
-#[derive(Debug, Serialize)]
-struct TargetRow {
-    service: String,
-    target: String,
-    host: String,
-    is_live: bool,
-    /// Whether it has stated to this entry that it is leaving.
-    is_leaving: bool,
-    /// Rate limit that it stated last to this entry; `None` without one.
-    rate_limit_per_s: Option<f64>,
-    is_eligible: bool,
-    in_flight: u32,
-    error_rate: f64,
-    latency_us: u64,
-    ejections: u32,
-    hint_age_ms: Option<u64>,
-    hint: Option<HintRow>,
-}
-
-#[derive(Debug, Serialize)]
-struct HintRow {
-    in_flight: u32,
-    queued: u32,
-    limit: u32,
-    service_us: u32,
-    state: String,
-}
-
-impl From<Hint> for HintRow {
-    fn from(hint: Hint) -> Self {
-        Self {
-            in_flight: hint.in_flight,
-            queued: hint.queued,
-            limit: hint.limit,
-            service_us: hint.service_us,
-            state: format!("{:?}", hint.state).to_lowercase(),
-        }
-    }
-}
-
 type Answer = Response<BoxedBody>;
 
 impl Responder for Admin {
@@ -364,14 +277,7 @@
         let store = self.replicator.store();
         let refused =
             store.rejected().map(|(name, rejected)| (name.to_string(), rejected.version.to_string().into()));
-        let rejections = store.rejected().map(|(name, rejected)| {
-            value!({
-                "document": name.to_string(),
-                "version": rejected.version.to_string(),
-                "reason": rejected.reason.to_string(),
-                "age_ms": rejected.age_ms(),
-            })
-        });
+        let rejections = store.rejected().map(|(name, rejected)| RejectionRow::new(name, rejected));
         let conflicts = snapshot.configuration.caller_host_conflicts();
         let withheld = snapshot.configuration.teams.values().flat_map(|team| &team.withheld);
         value!({
--- a/crates/laurelstall_node/src/caller_link.rs
+++ b/crates/laurelstall_node/src/caller_link.rs
@@ -3,8 +3,8 @@
 use crate::{
     call_request::{CallOutcome, CallRequest},
     link_pacer::LinkPacer,
-    listener::Responder,
     paced_body::{READ_AHEAD_BYTES, Sending, pace},
+    responder::Responder,
     services::ServiceState,
 };
 use futures_util::future::BoxFuture;
--- a/crates/laurelstall_node/src/entry.rs
+++ b/crates/laurelstall_node/src/entry.rs
@@ -9,16 +9,17 @@
     caller_link::{CallerLink, is_remote_caller},
     chains::Chains,
     counters::count,
-    decision_log::{CallEnd, Decision},
-    dialect::FailureInfo,
+    decision_log::Decision,
     headers::{TICKET, host_of},
     metrics::record_us,
     milestones::{Milestone, Milestones},
     quotas::Quotas,
+    responder::Responder,
     running_requests::RunningRequests,
     services::Services,
 };
 use bytes::Bytes;
+use futures_util::future::BoxFuture;
 use http::{HeaderValue, Method, Request, Response, StatusCode, request::Parts};
 use laurelstall_balance::{service_balancer::ChoiceRequest, typical_budgets::TypicalBudgets};
 use laurelstall_config::{document::DocumentName, route::RouteRule, team::Team};
@@ -42,9 +43,11 @@
 };
 
 mod authorization;
+mod replies;
 mod request_reader;
 
 use authorization::Authorization;
+use replies::{FailedCall, LoggedRequest, Reply, refused};
 use request_reader::AcceptedHead;
 
 /// Path at which callers request tickets: `POST /laurelstall/tickets?service=NAME&count=N`.
@@ -101,45 +104,6 @@
     }
 }
 
-/// Parts of a request that the decision log records.
-struct LoggedRequest {
-    method: Method,
-    host: String,
-    path: String,
-}
-
-impl LoggedRequest {
-    fn new(request: &Request<BoxedBody>) -> Self {
-        Self {
-            method: request.method().clone(),
-            host: host_of(request.uri(), request.headers()).unwrap_or_default(),
-            path: request.uri().path().to_owned(),
-        }
-    }
-}
-
-/// The reply to a caller.
-enum Reply {
-    /// A target's answer, or the node's own to a request for tickets.
-    Answered(Response<BoxedBody>),
-    /// A call that no target answered.
-    Failed(FailedCall),
-}
-
-/// How a call without an answer is reported to its caller.
-struct FailedCall {
-    status: StatusCode,
-    outcome: &'static str,
-    reason: String,
-    retry_after_ms: Option<u64>,
-}
-
-impl FailedCall {
-    fn not_run(status: StatusCode, reason: &str, retry_after_ms: Option<u64>) -> Self {
-        Self { status, outcome: "not-run", reason: reason.to_owned(), retry_after_ms }
-    }
-}
-
 /// JSON body of the answer to a request for tickets.
 #[derive(Debug, Serialize)]
 struct TicketsAnswer {
@@ -179,60 +143,6 @@
         response
     }
 
-    /// Writes the end of a call to the decision log.
-    fn log_call_end(
-        &self,
-        call: u64,
-        request_id: Option<&str>,
-        logged: LoggedRequest,
-        reply: &Reply,
-        took_us: u64,
-    ) {
-        let (status, outcome, reason) = match reply {
-            Reply::Answered(response) => (response.status(), "answered", ""),
-            Reply::Failed(failed) => (failed.status, failed.outcome, failed.reason.as_str()),
-        };
-        let configuration = &self.active.load().configuration;
-        let team = configuration.team_of_caller_host(&logged.host);
-        let name = team.map(|team| DocumentName::Team(team.team.clone()));
-        self.context.decisions.write_call_end(CallEnd {
-            call,
-            request_id: request_id.unwrap_or_default().to_owned(),
-            method: logged.method.to_string(),
-            host: logged.host,
-            path: logged.path,
-            version: name.map(|name| configuration.version(&name)).unwrap_or_default(),
-            status: status.as_u16(),
-            outcome,
-            reason: reason.to_owned(),
-            took_us,
-        });
-    }
-
-    /// Builds the response of a reply, with the header fields that callers expect.
-    fn build_response(&self, reply: Reply, id: u64, request_id: Option<&str>) -> Response<BoxedBody> {
-        let dialect = &self.context.dialect;
-        match reply {
-            Reply::Answered(mut response) => {
-                dialect.mark_answer(response.headers_mut(), id);
-                response
-            }
-            Reply::Failed(failed) => {
-                let FailedCall { status, outcome, reason, retry_after_ms } = failed;
-                let mut response = Response::new(full_body(Bytes::from(format!("{outcome}: {reason}\n"))));
-                *response.status_mut() = status;
-                let headers = response.headers_mut();
-                headers.insert(http::header::CONTENT_TYPE, HeaderValue::from_static("text/plain"));
-                if status == StatusCode::UNAUTHORIZED {
-                    headers.insert(http::header::WWW_AUTHENTICATE, HeaderValue::from_static("Bearer"));
-                }
-                let failure = FailureInfo { outcome, reason: &reason, retry_after_ms };
-                dialect.mark_failure(headers, id, request_id, &failure);
-                response
-            }
-        }
-    }
-
     async fn serve(&self, id: u64, request: Request<BoxedBody>) -> Result<Reply, Rejection> {
         let (parts, body) = request.into_parts();
         let snapshot = self.active.load();
@@ -343,30 +253,6 @@
         rule.is_some_and(|rule| rule.may_repeat)
     }
 
-    fn reply(&self, outcome: CallOutcome) -> Reply {
-        let counters = &self.context.counters;
-        let is_late = outcome.is_out_of_time();
-        match outcome {
-            CallOutcome::Answered { status, headers, body } => {
-                count(&counters.answered);
-                let mut response = Response::new(body);
-                *response.status_mut() = status;
-                *response.headers_mut() = headers;
-                Reply::Answered(response)
-            }
-            CallOutcome::NotRun(refusal) => {
-                count(&counters.not_run);
-                Reply::Failed(refused(&refusal))
-            }
-            CallOutcome::Unknown(why) => {
-                count(&counters.unknown);
-                let status = if is_late { StatusCode::GATEWAY_TIMEOUT } else { StatusCode::BAD_GATEWAY };
-                let reason = why.to_owned();
-                Reply::Failed(FailedCall { status, outcome: "unknown", reason, retry_after_ms: None })
-            }
-        }
-    }
-
     /// Reports a call that the routing program refused and writes it to the decision log.
     fn refused_by_program(&self, id: u64, snapshot: &ConfigSnapshot, team: &Team, reason: &str) -> Reply {
         count(&self.context.counters.not_run);
@@ -492,10 +378,14 @@
     Rejection::new(StatusCode::BAD_REQUEST, format!("{name} is not one number"))
 }
 
-/// Reports a refused call: it ran on no target and may be retried after the refusal's delay.
-fn refused(refusal: &Refusal) -> FailedCall {
-    let retry_after_ms = u64::from(refusal.retry_after_ms.max(1));
-    FailedCall::not_run(StatusCode::SERVICE_UNAVAILABLE, refusal.reason.name(), Some(retry_after_ms))
+impl Responder for Entry {
+    fn may_run_concurrently(&self, head: &Parts) -> bool {
+        self.may_repeat(head)
+    }
+
+    fn respond(&self, request: Request<BoxedBody>) -> BoxFuture<'_, Response<BoxedBody>> {
+        Box::pin(self.handle(request))
+    }
 }
 
 /// Converts a rule of the route table into the route of a request to `service`.
--- a/crates/laurelstall_node/src/lib.rs
+++ b/crates/laurelstall_node/src/lib.rs
@@ -29,6 +29,7 @@
 pub mod process;
 pub mod quotas;
 pub mod request_head;
+pub mod responder;
 pub mod retry_loans;
 pub mod running_requests;
 pub mod services;
--- a/crates/laurelstall_node/src/listener.rs
+++ b/crates/laurelstall_node/src/listener.rs
@@ -5,21 +5,20 @@
     caller_limits::ActiveCallerLimits,
     caller_link::responder_of,
     counters::{Counters, count},
-    entry::Entry,
     pipelined_connection::{ConnectionOptions, serve_pipelined},
+    responder::Responder,
     write_timeout_stream::WriteTimeoutStream,
 };
 use bytes::Bytes;
-use futures_util::future::BoxFuture;
-use http::{HeaderValue, Request, Response, StatusCode, header::CONNECTION, request::Parts};
+use http::{HeaderValue, Request, Response, StatusCode, header::CONNECTION};
 use hyper::{body::Incoming, service::service_fn};
 use hyper_util::{
     rt::{TokioExecutor, TokioIo, TokioTimer},
     server::conn::auto::Builder,
 };
 use laurelstall_config::settings::CallerLimits;
-use laurelstall_peer::{body::BoxedBody, gauge::Gauge, lingering_stream::LingeringStream};
-use std::{convert::Infallible, fmt, sync::Arc};
+use laurelstall_peer::{gauge::Gauge, lingering_stream::LingeringStream};
+use std::{convert::Infallible, sync::Arc};
 use tokio::{
     net::{TcpListener, TcpStream},
     sync::{Semaphore, watch},
@@ -36,28 +35,6 @@
 /// not close their connections would hold up a stop for longer.
 const CLOSE_SILENCE_MAX: Duration = Duration::from_millis(500);
 
-/// Answers HTTP requests.
-pub trait Responder: Send + Sync + fmt::Debug {
-    /// Answers a request.
-    fn respond(&self, request: Request<BoxedBody>) -> BoxFuture<'_, Response<BoxedBody>>;
-
-    /// Returns whether a pipelined request may run before earlier requests of its connection are answered. It must be safe to
-    /// repeat: when an earlier answer closes the connection, the caller sends it again.
-    fn may_run_concurrently(&self, _head: &Parts) -> bool {
-        false
-    }
-}
-
-impl Responder for Entry {
-    fn may_run_concurrently(&self, head: &Parts) -> bool {
-        self.may_repeat(head)
-    }
-
-    fn respond(&self, request: Request<BoxedBody>) -> BoxFuture<'_, Response<BoxedBody>> {
-        Box::pin(self.handle(request))
-    }
-}
-
 /// Serves HTTP/1.1 and HTTP/2 on an address.
 #[derive(Debug)]
 pub struct HttpListener {
--- a/crates/laurelstall_node/src/pipelined_connection.rs
+++ b/crates/laurelstall_node/src/pipelined_connection.rs
@@ -8,8 +8,9 @@
 use crate::{
     body::WatchedBody,
     caller_limits::ActiveCallerLimits,
-    listener::{Responder, builder},
+    listener::builder,
     request_head::{ReadHead, read_head},
+    responder::Responder,
     write_timeout_stream::WriteTimeoutStream,
 };
 use bytes::{Bytes, BytesMut};
--- a/crates/laurelstall_node/tests/closing_connections.rs
+++ b/crates/laurelstall_node/tests/closing_connections.rs
@@ -6,9 +6,7 @@
 use http_body_util::BodyExt;
 use laurelstall_config::settings::CallerLimits;
 use laurelstall_node::{
-    body::full_body,
-    caller_limits::ActiveCallerLimits,
-    listener::{HttpListener, Responder},
+    body::full_body, caller_limits::ActiveCallerLimits, listener::HttpListener, responder::Responder,
 };
 use laurelstall_peer::body::BoxedBody;
 use std::{net::SocketAddr, sync::Arc};
--- a/crates/laurelstall_standin/tests/links.rs
+++ b/crates/laurelstall_standin/tests/links.rs
@@ -6,7 +6,7 @@
 use futures_util::future::join_all;
 use http::{Method, Request, StatusCode};
 use http_body_util::BodyExt;
-use laurelstall_node::{body::empty_body, caller_link::responder_of, listener::Responder};
+use laurelstall_node::{body::empty_body, caller_link::responder_of, responder::Responder};
 use laurelstall_standin::{call_uri::CALLER_HOST, harness::Harness, target::pattern_byte};
 use serde_json::Value;
 use std::{
