--- a/crates/laurelstall_config/src/problem.rs
+++ b/crates/laurelstall_config/src/problem.rs
@@ -6,6 +6,8 @@
 
 /// Maximum number of problems that are reported of one text; the number of further ones is reported.
 const PROBLEMS_MAX: usize = 64;
+/// Maximum length of a problem's message in bytes; it may quote a value of any length.
+const MESSAGE_BYTES_MAX: usize = 512;
 /// First character of a JSON text; no TOML text starts with it.
 const JSON_START: char = '{';
 
@@ -157,7 +159,7 @@
             file: self.file.to_owned(),
             line,
             field: field.to_owned(),
-            message: message.to_owned(),
+            message: shortened(message).to_owned(),
         });
     }
 
@@ -195,6 +197,15 @@
     }
 }
 
+/// Returns the start of a message that is to be logged or reported.
+pub fn shortened(message: &str) -> &str {
+    let mut end = message.len().min(MESSAGE_BYTES_MAX);
+    while !message.is_char_boundary(end) {
+        end -= 1;
+    }
+    &message[..end]
+}
+
 /// Whether `name` is a valid name of a team, service, target, host or data centre.
 ///
 /// Names consist of 1 to 63 lower-case letters, digits and `-`, so that `team/service` is unambiguous.
--- a/crates/laurelstall_config/tests/withheld_parts.rs
+++ b/crates/laurelstall_config/tests/withheld_parts.rs
@@ -107,3 +107,10 @@
     assert_eq!(team.withheld.last().expect("a problem").message, "936 further problems");
     assert_eq!(team.withheld.len(), 65);
 }
+
+#[test]
+fn a_message_does_not_quote_a_long_value_as_a_whole() {
+    let prefix = "ä".repeat(100_000);
+    let team = usable(&[SERVICE.to_owned(), route(&prefix, 1, "s")]);
+    assert!(team.withheld[0].message.len() <= 512, "{} bytes", team.withheld[0].message.len());
+}
