Readers notice a silent connection to the store in time

Cause: a watch on such a connection was given up after its wait time and the whole time limit of a read, 3.5 s, and the pause of a failed read came on top. All readers begin to wait at the same change, so none is sooner. Ruled out: a version that arrives and isn't applied; a second silent connection from the pool (by reading).

--- a/crates/laurelstall_config/src/settings.rs
+++ b/crates/laurelstall_config/src/settings.rs
@@ -115,7 +115,7 @@
 pub struct PlatformSettings {
     /// Address at which the configuration service listens.
     pub address: SocketAddr,
-    /// Time limit of a read in ms; a watch may take `watch_wait_ms` longer.
+    /// Time limit of a read in ms. A watch may take `watch_wait_ms`, and then at most a part of this time.
     #[serde(default = "read_timeout_ms_default")]
     pub read_timeout_ms: u64,
     /// Time in ms for which a watch waits for a change.
--- a/crates/laurelstall_node/src/platform_http.rs
+++ b/crates/laurelstall_node/src/platform_http.rs
@@ -63,6 +63,21 @@
 /// Number of unanswered probes after which the connection is closed.
 const KEEP_ALIVE_RETRIES: u32 = 1;
 
+/// Time after its wait time in which a watch is answered, unless the platform's time limit is shorter.
+///
+/// A connection that went silent without a reset shows only in this: the later a watch is given up, the longer a reader knows
+/// of no change.
+const WATCH_LATE_MAX: Duration = Duration::from_millis(400);
+
+/// Returns the time limit for the head of an answer that the platform may delay by `wait_ms`.
+pub fn head_timeout(settings: &PlatformSettings, wait_ms: u64) -> Duration {
+    let read_timeout = Duration::from_millis(settings.read_timeout_ms);
+    match wait_ms {
+        0 => read_timeout,
+        wait_ms => Duration::from_millis(wait_ms) + read_timeout.min(WATCH_LATE_MAX),
+    }
+}
+
 /// Creates a connector whose connections to the platform fail soon after the network does.
 pub fn platform_connector(settings: &PlatformSettings) -> HttpConnector {
     let answer_max = Duration::from_millis(settings.read_timeout_ms);
@@ -103,18 +118,17 @@
         let uri = format!("http://{}{path}", self.settings.address);
         let uri: Uri = uri.parse().map_err(platform_error)?;
         let request = Request::get(uri).body(Empty::new()).map_err(platform_error)?;
-        let time_limit = Duration::from_millis(self.settings.read_timeout_ms + wait_ms);
-        let read = async {
-            let response = self.client.request(request).await.map_err(platform_error)?;
-            if !response.status().is_success() {
-                return Err(platform_error(format!("{path}: status {}", response.status())));
-            }
-            let headers = response.headers().clone();
-            let body = Limited::new(response.into_body(), bytes_max);
-            let bytes = body.collect().await.map_err(platform_error)?.to_bytes();
-            Ok((headers, bytes))
-        };
-        timeout(time_limit, read).await.map_err(|_| platform_error(format!("{path}: timed out")))?
+        let is_late = |_| platform_error(format!("{path}: timed out"));
+        let head = timeout(head_timeout(&self.settings, wait_ms), self.client.request(request));
+        let response = head.await.map_err(is_late)?.map_err(platform_error)?;
+        if !response.status().is_success() {
+            return Err(platform_error(format!("{path}: status {}", response.status())));
+        }
+        let headers = response.headers().clone();
+        let body = Limited::new(response.into_body(), bytes_max).collect();
+        let body =
+            timeout(Duration::from_millis(self.settings.read_timeout_ms), body).await.map_err(is_late)?;
+        Ok((headers, body.map_err(platform_error)?.to_bytes()))
     }
 }
 
--- a/crates/laurelstall_peer/src/replicator/platform_reads.rs
+++ b/crates/laurelstall_peer/src/replicator/platform_reads.rs
@@ -10,7 +10,7 @@
 use std::sync::atomic::Ordering;
 use tokio::time::sleep;
 
-/// First pause after a failed platform read, in ms; doubles up to the configured limit.
+/// First pause after a second failed platform read in a row, in ms; doubles up to the configured limit.
 const READ_PAUSE_FIRST_MS: u64 = 200;
 /// Factor on the maximum pause of a substitute reader, which keeps the load of all retries on the platform
 /// low. The regular readers notice when the platform is back.
@@ -44,7 +44,7 @@
             match self.read_platform(after).await {
                 Ok(sequence) => {
                     after = Some(sequence);
-                    if failures > 0 {
+                    if failures > 1 {
                         log::info!("platform: reachable again after {failures} failed reads");
                     }
                     failures = 0;
@@ -59,15 +59,20 @@
                 }
                 Err(error) => {
                     self.is_read_failing.store(true, Ordering::Relaxed);
-                    if failures == 0 {
+                    after = None;
+                    failures += 1;
+                    if failures == 1 {
+                        // Perhaps only the connection failed. The next read opens a new one.
+                        log::info!("platform: a read failed, reading again: {error}");
+                        continue;
+                    }
+                    if failures == 2 {
                         log::warn!("platform: unreachable, documents stay as they are: {error}");
                     }
-                    failures += 1;
-                    after = None;
                     let is_substitute = self.reader_role() == ReaderRole::Substitute;
                     let factor = if is_substitute { SUBSTITUTE_PAUSE_FACTOR } else { 1 };
                     let longest_ms = self.view.replication_settings().read_pause_max_ms * factor;
-                    sleep(self.jittered(read_pause_ms(failures, longest_ms))).await;
+                    sleep(self.jittered(read_pause_ms(failures - 1, longest_ms))).await;
                 }
             }
         }
--- a/crates/laurelstall_peer/tests/replication.rs
+++ b/crates/laurelstall_peer/tests/replication.rs
@@ -93,15 +93,26 @@
     answers_at_once: AtomicBool,
     supports_stale_reads: AtomicBool,
     stale_reads: AtomicUsize,
+    /// Number of further reads that fail, as those over a silent connection do.
+    failing_reads: AtomicUsize,
 }
 
 impl OneDocument {
     fn check(&self) -> Result<(), PlatformError> {
-        match self.is_unavailable.load(Ordering::Relaxed) {
+        let next = |left: usize| left.checked_sub(1);
+        let is_failing = self.failing_reads.fetch_update(Ordering::Relaxed, Ordering::Relaxed, next).is_ok();
+        match is_failing || self.is_unavailable.load(Ordering::Relaxed) {
             true => Err(PlatformError::ReadFailed("unavailable".to_owned())),
             false => Ok(()),
         }
     }
+
+    /// Waits until all reads that should fail have failed.
+    async fn all_have_failed(&self) {
+        while self.failing_reads.load(Ordering::Relaxed) > 0 {
+            sleep(Duration::from_millis(1)).await;
+        }
+    }
 }
 
 impl PlatformSource for OneDocument {
@@ -214,6 +225,20 @@
     assert!((50..220).contains(&calls(&node)), "{} calls in 100 s", calls(&node));
 }
 
+/// Guards against readers that learn of a change late, because they pause before they read over a new connection.
+#[tokio::test(start_paused = true)]
+async fn a_reader_whose_connection_failed_reads_again_at_once() {
+    let (fleet, platform) = (fleet(2), Arc::new(OneDocument::default()));
+    let node = node(&fleet, 0, &platform);
+    node.join().await;
+    tokio::spawn(node.clone().run());
+    sleep(Duration::from_secs(45)).await;
+    platform.failing_reads.store(1, Ordering::Relaxed);
+    platform.all_have_failed().await;
+    sleep(Duration::from_millis(1)).await;
+    assert!(node.platform_read_age_ms() < 10, "{} ms", node.platform_read_age_ms());
+}
+
 #[tokio::test(start_paused = true)]
 async fn platform_calls_do_not_grow_with_the_fleet() {
     let mut spent = Vec::new();
