A connection that went silent is no outage of the platform

Cause: a reader whose read had failed and that had read nothing for 3.5 s reported the end of an outage, and targets that are missing after an outage are kept for 2 s. The store was never away.

Change: a failed read counts only if the next one, which opens a new connection, fails too, or takes over 0.5 s, as when an outage ends just then.

--- a/crates/laurelstall_peer/src/replicator.rs
+++ b/crates/laurelstall_peer/src/replicator.rs
@@ -114,6 +114,8 @@
     outage_end_us: Mutex<Option<i64>>,
     /// Whether this node's last read of the platform failed.
     is_read_failing: AtomicBool,
+    /// Whether the read after a failed one, which opens a new connection, has failed as well.
+    is_platform_failing: AtomicBool,
     pending_offers: Mutex<HashMap<DocumentName, Change>>,
     /// When the held versions were read from the platform by any node, in µs of this node's clock.
     read_us: Mutex<HashMap<DocumentName, u64>>,
@@ -164,6 +166,7 @@
             platform_era: AtomicU64::new(0),
             outage_end_us: Mutex::default(),
             is_read_failing: AtomicBool::new(false),
+            is_platform_failing: AtomicBool::new(false),
             pending_offers: Mutex::default(),
             read_us: Mutex::default(),
             removed_nodes: Mutex::default(),
--- a/crates/laurelstall_peer/src/replicator/platform_reads.rs
+++ b/crates/laurelstall_peer/src/replicator/platform_reads.rs
@@ -66,6 +66,7 @@
                         log::info!("platform: a read failed, reading again: {error}");
                         continue;
                     }
+                    self.is_platform_failing.store(true, Ordering::Relaxed);
                     if failures == 2 {
                         log::warn!("platform: unreachable, documents stay as they are: {error}");
                     }
@@ -138,7 +139,7 @@
         self.platform.note_era(self.platform_era());
         let listing: Listing = self.platform.watch(after).await?;
         self.note_platform_era(listing.era);
-        self.note_platform_read();
+        self.note_platform_read(requested_us);
         let wanted = {
             let store = self.store();
             let wants = |(name, version): &&(DocumentName, Version)| store.wants(name, *version);
--- a/crates/laurelstall_peer/src/replicator/platform_status.rs
+++ b/crates/laurelstall_peer/src/replicator/platform_status.rs
@@ -11,6 +11,9 @@
 /// Reported ends of outages within this time of each other count as the same one, in µs.
 const SAME_OUTAGE_END_US: i64 = 3_000_000;
 
+/// Maximum time of a prompt read, in µs. The platform answers within some ms.
+const PROMPT_READ_MAX_US: i64 = 500_000;
+
 /// Age that stands for "never", in ms.
 const NEVER_MS: u64 = u32::MAX as u64;
 
@@ -89,10 +92,17 @@
         }
     }
 
-    /// Records a platform read by this node, and the end of an outage if no node could read for long.
-    pub(super) fn note_platform_read(&self) {
+    /// Records a platform read by this node that was requested at `requested_us`, and the end of an outage if no node could
+    /// read for long.
+    ///
+    /// A single failed read is no sign of an outage if the next one, on a new connection, is answered promptly: the
+    /// connection may have gone silent alone.
+    pub(super) fn note_platform_read(&self, requested_us: u64) {
         let now_us = self.now_us();
-        let was_failing = self.is_read_failing.swap(false, Ordering::Relaxed);
+        let is_prompt = now_us - requested_us as i64 <= PROMPT_READ_MAX_US;
+        let was_read_failing = self.is_read_failing.swap(false, Ordering::Relaxed);
+        let was_platform_failing = self.is_platform_failing.swap(false, Ordering::Relaxed);
+        let was_failing = was_platform_failing || (was_read_failing && !is_prompt);
         let unread_for_ms = self.platform_read_age_ms();
         self.note_reads(ReadSpan::new(now_us));
         if was_failing && unread_for_ms > OUTAGE_MIN_US as u64 / 1_000 {
--- a/crates/laurelstall_peer/tests/replication.rs
+++ b/crates/laurelstall_peer/tests/replication.rs
@@ -22,7 +22,7 @@
     net::SocketAddr,
     sync::{
         Arc,
-        atomic::{AtomicBool, AtomicUsize, Ordering},
+        atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering},
     },
 };
 use tokio::{
@@ -95,6 +95,8 @@
     stale_reads: AtomicUsize,
     /// Number of further reads that fail, as those over a silent connection do.
     failing_reads: AtomicUsize,
+    /// Time in ms that reads without a wait take.
+    first_read_ms: AtomicU64,
 }
 
 impl OneDocument {
@@ -119,6 +121,9 @@
     fn watch(&self, after: Option<u64>) -> BoxFuture<'_, Result<Listing, PlatformError>> {
         async move {
             self.check()?;
+            if after.is_none() {
+                sleep(Duration::from_millis(self.first_read_ms.load(Ordering::Relaxed))).await;
+            }
             if after.is_some() && !self.answers_at_once.load(Ordering::Relaxed) {
                 sleep(Duration::from_secs(30)).await;
                 self.check()?;
@@ -402,6 +407,39 @@
     assert_eq!(expiries(), 2, "another node's report of a later end");
 }
 
+/// Guards against targets that are kept after their removal, because a connection to the platform that went silent passes for an
+/// outage of the platform.
+#[tokio::test(start_paused = true)]
+async fn a_failed_connection_is_no_outage_unless_a_new_one_fails_too() {
+    let (fleet, platform, acceptor) = (fleet(1), Arc::new(OneDocument::default()), Arc::default());
+    let node = node_with(&fleet, 0, &platform, Vec::new(), Arc::new(AllPartitioned), Arc::clone(&acceptor));
+    let expiries = || acceptor.expiries.load(Ordering::Relaxed);
+    node.join().await;
+    tokio::spawn(node.clone().run());
+    for (failing_reads, expected) in [(1, 0), (2, 1)] {
+        sleep(Duration::from_secs(45)).await;
+        platform.failing_reads.store(failing_reads, Ordering::Relaxed);
+        platform.all_have_failed().await;
+        sleep(Duration::from_secs(3)).await;
+        assert_eq!(expiries(), expected, "after {failing_reads} failed reads");
+    }
+}
+
+/// Guards against outages that end just when a reader reads again and that are missed, since that read succeeds.
+#[tokio::test(start_paused = true)]
+async fn a_slow_read_after_a_failed_one_is_an_outage() {
+    let (fleet, platform, acceptor) = (fleet(1), Arc::new(OneDocument::default()), Arc::default());
+    let node = node_with(&fleet, 0, &platform, Vec::new(), Arc::new(AllPartitioned), Arc::clone(&acceptor));
+    node.join().await;
+    tokio::spawn(node.clone().run());
+    sleep(Duration::from_secs(45)).await;
+    platform.first_read_ms.store(700, Ordering::Relaxed);
+    platform.failing_reads.store(1, Ordering::Relaxed);
+    platform.all_have_failed().await;
+    sleep(Duration::from_secs(3)).await;
+    assert_eq!(acceptor.expiries.load(Ordering::Relaxed), 1);
+}
+
 // A node that was partitioned mistakes its own outage for the platform's. Other nodes believed it although
 // they had read the platform all the time, and kept targets that had left.
 #[tokio::test(start_paused = true)]
