A stopping node refuses calls that it would cut off

Cause: a stop has a time limit and calls have time budgets, and the entry never compared the two. Ruled out: a stop that ends too early (it ends at its limit).

Change: from the end of the linger time on, calls whose time budget ends after the stop's limit get 503 at once (not run, with a time to come back). Calls of runs at the local target are taken as before.

--- a/crates/laurelstall_node/src/entry.rs
+++ b/crates/laurelstall_node/src/entry.rs
@@ -39,12 +39,13 @@
 use serde::Serialize;
 use std::sync::{
     Arc, Mutex,
-    atomic::{AtomicBool, Ordering},
+    atomic::{AtomicBool, AtomicU64, Ordering},
 };
 
 mod authorization;
 mod replies;
 mod request_reader;
+mod stopping;
 
 use authorization::Authorization;
 use replies::{FailedCall, LoggedRequest, Reply, refused};
@@ -82,6 +83,9 @@
     pub typical_budgets: Mutex<TypicalBudgets>,
     /// Whether the node is stopping; responses over HTTP/1 then carry `connection: close`.
     pub is_stopping: AtomicBool,
+    /// Time at which a stop ends at the latest, in µs of the node's clock: calls that may end later are refused. 0 while
+    /// all calls are accepted.
+    pub ends_at_us: AtomicU64,
     /// Callers' requests whose answers are not sent yet.
     pub unanswered: Arc<Gauge>,
     /// Times of the first call and the first answer.
@@ -174,6 +178,9 @@
             Authorization::Granted(caller) => caller,
             Authorization::Unavailable(failed) => return Ok(Reply::Failed(failed)),
         };
+        if let Some(failed) = self.refuse_while_stopping(&parts, &route, depth)? {
+            return Ok(Reply::Failed(failed));
+        }
         let token = match self.take_token(&snapshot, team, &caller).await {
             Ok(token) => token,
             Err(failed) => return Ok(Reply::Failed(failed)),
--- a/crates/laurelstall_node/src/entry/request_reader.rs
+++ b/crates/laurelstall_node/src/entry/request_reader.rs
@@ -142,7 +142,7 @@
     }
 
     /// Returns the time budget in ms: the caller's, limited by the route's and the configured maximum.
-    fn budget_ms(&self, parts: &Parts, route: &Route) -> Result<u64, Rejection> {
+    pub(super) fn budget_ms(&self, parts: &Parts, route: &Route) -> Result<u64, Rejection> {
         let requested = self.context.dialect.budget_ms(&parts.headers).map_err(bad_number)?;
         let limits = self.limits.current();
         let from_route = route.budget_ms.unwrap_or(limits.budget_default_ms);
--- /dev/null
+++ b/crates/laurelstall_node/src/entry/stopping.rs
@@ -0,0 +1,41 @@
+//! Refuses the calls that a stopping node could not answer any more.
+
+use super::{Entry, FailedCall, Rejection};
+use crate::counters::count;
+use http::{StatusCode, request::Parts};
+use laurelstall_policy::plan::Route;
+use std::sync::atomic::Ordering;
+
+/// Retry delay in ms for callers of a node that stops.
+const STOPPING_RETRY_MS: u64 = 200;
+
+impl Entry {
+    /// Makes the entry refuse calls that may end later than `ends_at_us`, in µs of the node's clock.
+    pub fn refuse_calls_beyond(&self, ends_at_us: u64) {
+        self.ends_at_us.store(ends_at_us, Ordering::Relaxed);
+    }
+
+    /// Returns the reply to a call whose time budget exceeds that of the stop, which would cut it off while it runs; `None`
+    /// if the call is accepted.
+    ///
+    /// A call that a run at the local target makes is accepted: the stop waits for that run, and its time budget says little
+    /// about how long the call takes.
+    pub(super) fn refuse_while_stopping(
+        &self,
+        parts: &Parts,
+        route: &Route,
+        depth: u64,
+    ) -> Result<Option<FailedCall>, Rejection> {
+        let ends_at_us = match self.ends_at_us.load(Ordering::Relaxed) {
+            0 => return Ok(None),
+            ends_at_us => ends_at_us,
+        };
+        let deadline_us = self.context.clock.now_us() + self.budget_ms(parts, route)? * 1_000;
+        if deadline_us <= ends_at_us || depth > 0 || self.parent(parts).is_some() {
+            return Ok(None);
+        }
+        count(&self.context.counters.not_run);
+        let status = StatusCode::SERVICE_UNAVAILABLE;
+        Ok(Some(FailedCall::not_run(status, "the node is stopping", Some(STOPPING_RETRY_MS))))
+    }
+}
--- a/crates/laurelstall_node/src/node.rs
+++ b/crates/laurelstall_node/src/node.rs
@@ -336,6 +336,7 @@
             limits: caller_limits.clone(),
             typical_budgets: Mutex::default(),
             is_stopping: false.into(),
+            ends_at_us: 0.into(),
             unanswered: Arc::default(),
             milestones: Milestones::default(),
             quotas: quotas.clone(),
--- a/crates/laurelstall_node/src/node/stop.rs
+++ b/crates/laurelstall_node/src/node/stop.rs
@@ -12,8 +12,8 @@
     /// Stops gracefully. Returns whether all requests ended within the time limit.
     ///
     /// For the linger time, the node still accepts calls, but reports that it is not ready and asks callers to close their
-    /// connections. Then the guard accepts no new calls, and running requests at the local target finish, which may make calls
-    /// through this node. At last the entry accepts no connections, and all answers to callers and other nodes are sent.
+    /// connections. Then the guard accepts no new calls, the entry none that may take longer than the stop, and running requests
+    /// at the local target finish, which may make calls through this node. At last the entry accepts no connections, and all answers to callers and other nodes are sent.
     pub async fn stop(mut self) -> bool {
         let started = Instant::now();
         log::info!("stopping: {}", self.unfinished_work());
@@ -22,6 +22,8 @@
         let linger = Duration::from_millis(self.settings.node.stop_linger_ms);
         let stopped = timeout(limit, async {
             sleep(linger).await;
+            let remaining = limit.saturating_sub(started.elapsed());
+            self.entry.refuse_calls_beyond(self.entry.context.clock.now_us() + remaining.as_micros() as u64);
             self.guard.start_final_drain();
             // Runs at the local target make calls through this node. The rest of the time is for callers' last calls.
             let _ = timeout(limit.saturating_sub(linger) / 2, self.guard.guard().drained()).await;
--- a/crates/laurelstall_standin/tests/planned_stops.rs
+++ b/crates/laurelstall_standin/tests/planned_stops.rs
@@ -184,3 +184,42 @@
     assert_eq!(answer.status, StatusCode::OK, "{:?}", answer.body);
     assert!(timeout(WAIT_MAX, stop).await.expect("the stop ends").expect("no panic"), "a graceful stop");
 }
+
+/// Guards against calls that a stopping node accepts late, while a run at its target ends, and cuts off at its time limit although
+/// their targets work on them.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_stopping_node_refuses_calls_that_it_would_cut_off() {
+    let mut plan = HarnessPlan::deployment("faltgard", 1, 20.0).expect("the deployment is known");
+    plan.services[0].targets = 2;
+    // The time budget of the route is 5 s.
+    plan.stop_max_ms = 4_000;
+    let harness = start(plan).await;
+    let targets = harness.targets.all();
+    targets.iter().for_each(|target| target.update_behaviour(|change| change.speed = 0.0));
+    let entry = entry(&harness, 1);
+    let call = move |budget_ms: &'static str| async move {
+        let headers = [("laurelstall-budget-ms", budget_ms)];
+        send_request(entry, Method::POST, "/market-board/x", &headers, Bytes::new()).await
+    };
+    // A run at the target beside the node keeps its entry open.
+    harness.nodes()[0].1.guard.set_operator_drain(true);
+    let early = tokio::spawn(call("5000"));
+    let node = harness.nodes()[1].1.clone();
+    while node.guard.guard().load().in_flight == 0 {
+        sleep(Duration::from_millis(1)).await;
+    }
+    let stop = tokio::spawn(async move { node.stop().await });
+    harness.nodes()[0].1.guard.set_operator_drain(false);
+    sleep(LINGER + Duration::from_millis(500)).await;
+    let (late, short) = tokio::join!(call("5000"), call("300"));
+    let late = late.expect("a call that the stop would cut off is refused");
+    assert_eq!(late.status, StatusCode::SERVICE_UNAVAILABLE, "{:?}", late.body);
+    assert_eq!(late.body, "not-run: the node is stopping\n");
+    let short = short.expect("a call that ends in time is answered");
+    assert_ne!(short.body, late.body, "it is not refused");
+    assert!(
+        !timeout(WAIT_MAX, stop).await.expect("the stop ends").expect("no panic"),
+        "the early call is cut off"
+    );
+    early.abort();
+}
