--- a/crates/laurelstall_node/src/platform_http.rs
+++ b/crates/laurelstall_node/src/platform_http.rs
@@ -67,7 +67,7 @@
 ///
 /// A connection that went silent without a reset shows only in this: the later a watch is given up, the longer a reader knows
 /// of no change.
-const WATCH_LATE_MAX: Duration = Duration::from_millis(400);
+const WATCH_LATE_MAX: Duration = Duration::from_millis(300);
 
 /// Returns the time limit for the head of an answer that the platform may delay by `wait_ms`.
 pub fn head_timeout(settings: &PlatformSettings, wait_ms: u64) -> Duration {
