An answer ends when its target does not finish it soon after the deadline

Callers saw: an answer in pieces, 1.8 s long on a route of 600 ms, had no end half a second after the limit; a body without end stayed open until its caller left, and held its slot and the connection to the target.

Cause: past the deadline only 400 ms without a byte ended an answer, counted from the last byte, so that any byte renewed it. Evidence, on with these tests: a_body_without_end_ends_by_the_time_limit_of_its_call failed after 20 s, an_answer_that_advances_ends_after_the_time_limit_of_its_route failed (whole after 1.8 s); heads, interim answers, chunk extensions and trailers without end passed.

Now the waits for the target past the deadline are added up, to 200 ms at most; an answer that states no length may then have 16 MiB at most. Time in which nobody reads does not count, so a slow caller, link or pacing ends nothing (tests with readers that pause, with and without a length). With time standing still, an answer whose target falls silent at any of 47 moments around the limit, or trickles, ends at most 250 ms after it.

an_answer_that_advances_is_whole_however_long_it_takes asked the opposite. It is replaced by one that asks for the end, and one that asks for a whole answer within the limit.

--- a/crates/laurelstall_node/src/body.rs
+++ b/crates/laurelstall_node/src/body.rs
@@ -9,7 +9,7 @@
     pin::Pin,
     task::{Context, Poll, ready},
 };
-use tokio::time::{Duration, Instant, Sleep, sleep, sleep_until, timeout_at};
+use tokio::time::{Duration, Instant, Sleep, sleep, timeout_at};
 
 /// Creates a body from bytes that are complete.
 pub fn full_body(bytes: Bytes) -> BoxedBody {
@@ -170,45 +170,26 @@
 }
 
 /// Time for which a body is polled again after its idle timeout. What arrived while this process was suspended is then read.
-const LAST_POLL_TIME: Duration = Duration::from_millis(20);
+pub(crate) const LAST_POLL_TIME: Duration = Duration::from_millis(20);
 
 /// Wraps a body so that it fails when no frame arrives for `limit`.
-pub fn with_idle_timeout(body: BoxedBody, limit: Duration) -> BoxedBody {
-    IdleBody::wrap(body, limit, None)
-}
-
-/// Wraps a body so that it fails when no frame arrives for `limit`, but not before `from`.
 ///
 /// Time in which nobody reads the body does not count, so that a slow reader is no reason to end it.
-pub fn with_idle_timeout_from(body: BoxedBody, limit: Duration, from: Instant) -> BoxedBody {
-    IdleBody::wrap(body, limit, Some(from))
+pub fn with_idle_timeout(body: BoxedBody, limit: Duration) -> BoxedBody {
+    if body.is_end_stream() {
+        return body;
+    }
+    IdleBody { inner: body, limit, idle_timer: None, is_last_poll: false }.boxed_unsync()
 }
 
 struct IdleBody {
     inner: BoxedBody,
     limit: Duration,
-    /// The earliest time at which the body may fail; `None` for any time.
-    from: Option<Instant>,
     idle_timer: Option<Pin<Box<Sleep>>>,
     /// Whether the idle timeout has passed, and the body is polled for the last time.
     is_last_poll: bool,
 }
 
-impl IdleBody {
-    fn wrap(inner: BoxedBody, limit: Duration, from: Option<Instant>) -> BoxedBody {
-        if inner.is_end_stream() {
-            return inner;
-        }
-        Self { inner, limit, from, idle_timer: None, is_last_poll: false }.boxed_unsync()
-    }
-
-    /// Returns when the body fails unless a frame arrives.
-    fn idle_end(&self) -> Instant {
-        let idle_end = Instant::now() + self.limit;
-        self.from.map_or(idle_end, |from| idle_end.max(from))
-    }
-}
-
 impl Body for IdleBody {
     type Data = Bytes;
     type Error = BodyError;
@@ -223,8 +204,8 @@
             self.is_last_poll = false;
             return polled;
         }
-        let idle_end = self.idle_end();
-        let idle_timer = self.idle_timer.get_or_insert_with(|| Box::pin(sleep_until(idle_end)));
+        let limit = self.limit;
+        let idle_timer = self.idle_timer.get_or_insert_with(|| Box::pin(sleep(limit)));
         ready!(idle_timer.as_mut().poll(cx));
         if self.is_last_poll {
             return Poll::Ready(Some(Err("nothing was sent for too long".into())));
--- a/crates/laurelstall_node/src/lib.rs
+++ b/crates/laurelstall_node/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod dialect;
 pub mod entry;
 pub mod headers;
+pub mod late_answer_body;
 pub mod link_pacer;
 pub mod listener;
 pub mod load_query;
--- a/crates/laurelstall_node/src/target_guard/responses.rs
+++ b/crates/laurelstall_node/src/target_guard/responses.rs
@@ -4,12 +4,14 @@
     Inner, ReceivedResponse, connection_lost, crash_detection::WatchedRun, notices::Silence, refused, unknown,
 };
 use crate::{
-    body::{Collected, WatchedBody, collect, full_body, with_idle_timeout_from},
+    body::{Collected, WatchedBody, collect, full_body},
     counters::count,
     dialect::AnswerKind,
     headers::{insert_leaving_instance, strip_hop_by_hop, take_admission_threshold, take_leaving_instance},
+    late_answer_body::limit_late_answer,
     target_pool::UsedConnection,
 };
+use http::header::CONTENT_LENGTH;
 use http_body_util::BodyExt;
 use laurelstall_config::team::ServiceLimits;
 use laurelstall_guard::{guard::Permit, refusal::RefusalReason, refusal_causes::RefusalKind};
@@ -25,10 +27,6 @@
 /// Time in which a buffered response must arrive completely; a slower one is streamed.
 const BUFFERING_TIMEOUT: Duration = Duration::from_millis(200);
 
-/// Time without a byte from the target after which an answer ends whose call is past its deadline. An answer that advances
-/// is never ended. Callers are told within half a second of the deadline.
-const TARGET_SILENCE_MAX: Duration = Duration::from_millis(400);
-
 impl Inner {
     /// Reads the target's response and classifies it.
     ///
@@ -107,7 +105,7 @@
                 AttemptOutcome::Answered { status, headers, body: full_body(bytes) }
             }
             Ok(Collected::Partial(body)) => {
-                let body = with_idle_timeout_from(body, TARGET_SILENCE_MAX, deadline);
+                let body = limit_late_answer(body, deadline, headers.contains_key(CONTENT_LENGTH));
                 let body = self.watched_body(body, permit, watched_run, connection);
                 AttemptOutcome::Answered { status, headers, body }
             }
