Versions arrive in time after the connections between nodes went silent

Cause: connections are pinged only while requests wait on them, each for itself, and an offer, a pull or an exchange lost on a silent connection was not repeated over a new one.

Now they are repeated when the connection has been without data for 0.2 to 0.3 s; one silent connection has all others of the node pinged, at most once a second; and silence is measured from the last byte.

--- a/crates/laurelstall_peer/src/lib.rs
+++ b/crates/laurelstall_peer/src/lib.rs
@@ -26,6 +26,7 @@
 pub mod replicator;
 pub mod server;
 pub mod store;
+mod suspicion;
 
 /// The most commonly used types.
 pub mod prelude {
--- a/crates/laurelstall_peer/src/meter.rs
+++ b/crates/laurelstall_peer/src/meter.rs
@@ -19,7 +19,7 @@
 use tokio::{
     io::{AsyncRead, AsyncWrite, ReadBuf},
     net::TcpStream,
-    time::{Duration, Sleep, sleep},
+    time::{Duration, Instant, Sleep, sleep},
 };
 
 /// Traffic counters of a node.
@@ -71,14 +71,39 @@
 }
 
 /// Activity of one connection, read by its monitor.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct Activity {
+    opened: Instant,
+    /// When data arrived last, in µs after the connection was opened.
+    received_at_us: AtomicU64,
     /// Bytes received on the connection.
     pub received_bytes: AtomicU64,
     /// Number of requests that wait for data on the connection.
     pub in_flight: AtomicU64,
 }
 
+impl Activity {
+    fn new(opened: Instant) -> Self {
+        Self {
+            opened,
+            received_at_us: AtomicU64::new(0),
+            received_bytes: AtomicU64::new(0),
+            in_flight: AtomicU64::new(0),
+        }
+    }
+
+    fn note_received(&self, bytes: usize) {
+        self.received_at_us.store(self.opened.elapsed().as_micros() as u64, Ordering::Relaxed);
+        self.received_bytes.fetch_add(bytes as u64, Ordering::Relaxed);
+    }
+
+    /// Time since data arrived last.
+    pub fn silence(&self) -> Duration {
+        let received_at = Duration::from_micros(self.received_at_us.load(Ordering::Relaxed));
+        self.opened.elapsed().saturating_sub(received_at)
+    }
+}
+
 /// Counts as a request that waits on a connection, until it is dropped.
 #[derive(Debug)]
 pub struct InFlight(Arc<Activity>);
@@ -118,7 +143,7 @@
         Self {
             inner,
             meter,
-            activity: Arc::default(),
+            activity: Arc::new(Activity::new(Instant::now())),
             link: None,
             was_partitioned: false,
             partition_check: None,
@@ -136,8 +161,13 @@
         self.activity.clone()
     }
 
-    fn is_partitioned(&mut self) -> io::Result<bool> {
-        let is_partitioned = self.link.as_ref().is_some_and(|(link, other)| link.is_partitioned(*other));
+    /// Whether nothing passes on the connection; an error if it is reset.
+    fn is_blocked(&mut self) -> io::Result<bool> {
+        let Some((link, other)) = &self.link else { return Ok(false) };
+        if link.is_silent(*other, self.activity.opened) {
+            return Ok(true);
+        }
+        let is_partitioned = link.is_partitioned(*other);
         if self.was_partitioned && !is_partitioned {
             return Err(io::ErrorKind::ConnectionReset.into());
         }
@@ -169,7 +199,7 @@
         cx: &mut Context<'_>,
         buf: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
-        if self.is_partitioned()? {
+        if self.is_blocked()? {
             self.poll_partition_check(cx);
             return Poll::Pending;
         }
@@ -177,14 +207,16 @@
         let polled = Pin::new(&mut self.inner).poll_read(cx, buf);
         let read = buf.filled().len() - before;
         self.meter.received_bytes.fetch_add(read as u64, Ordering::Relaxed);
-        self.activity.received_bytes.fetch_add(read as u64, Ordering::Relaxed);
+        if read > 0 {
+            self.activity.note_received(read);
+        }
         polled
     }
 }
 
 impl AsyncWrite for MeteredStream {
     fn poll_write(mut self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>> {
-        if self.is_partitioned()? {
+        if self.is_blocked()? {
             return Poll::Ready(Ok(buf.len()));
         }
         let polled = Pin::new(&mut self.inner).poll_write(cx, buf);
@@ -199,7 +231,7 @@
         cx: &mut Context<'_>,
         bufs: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        if self.is_partitioned()? {
+        if self.is_blocked()? {
             return Poll::Ready(Ok(bufs.iter().map(|buf| buf.len()).sum()));
         }
         let polled = Pin::new(&mut self.inner).poll_write_vectored(cx, bufs);
--- a/crates/laurelstall_peer/src/pool.rs
+++ b/crates/laurelstall_peer/src/pool.rs
@@ -4,6 +4,7 @@
     link::Link,
     liveness::monitor,
     meter::{Activity, InFlight, Meter, MeteredStream},
+    suspicion::Suspicion,
 };
 use bytes::Bytes;
 use h2::client::{self, SendRequest};
@@ -105,12 +106,13 @@
     meter: Arc<Meter>,
     link: Arc<dyn Link>,
     entries: Mutex<HashMap<SocketAddr, Arc<Entry>>>,
+    suspicion: Arc<Suspicion>,
 }
 
 impl Pool {
     /// Creates an empty pool that counts in `meter` and connects over `link`.
     pub fn new(clock: Clock, meter: Arc<Meter>, link: Arc<dyn Link>) -> Self {
-        Self { clock, meter, link, entries: Mutex::default() }
+        Self { clock, meter, link, entries: Mutex::default(), suspicion: Arc::default() }
     }
 
     /// Returns the counters.
@@ -162,6 +164,22 @@
         }
     }
 
+    /// Makes the next request to a node open a new connection if the present one has been silent for `silence_min`, and
+    /// returns whether it was.
+    ///
+    /// To be called after a request got no answer: the connection may have gone silent while new ones work. Its requests may
+    /// still be answered.
+    pub async fn renew(&self, address: SocketAddr, silence_min: Duration) -> bool {
+        let Some(entry) = self.lock().get(&address).cloned() else { return false };
+        let mut slot = entry.slot.lock().await;
+        let is_silent = slot.sender.as_ref().is_some_and(|sender| sender.activity.silence() >= silence_min);
+        if is_silent {
+            slot.sender = None;
+            self.suspicion.raise();
+        }
+        is_silent
+    }
+
     /// Closes connections that were unused for [`IDLE_TIMEOUT`]. Their streams may finish.
     pub fn close_idle(&self) {
         let idle_us = IDLE_TIMEOUT.as_micros() as u64;
@@ -214,7 +232,7 @@
             .await
             .map_err(|_| ConnectError::TimedOut)??;
         let pings = connection.ping_pong();
-        let monitored = activity.clone();
+        let (monitored, suspicion) = (activity.clone(), self.suspicion.clone());
         tokio::spawn(async move {
             tokio::select! {
                 ended = connection => {
@@ -222,7 +240,7 @@
                         log::debug!("connection to {address} failed: {error}");
                     }
                 }
-                () = monitor(pings, &monitored) => log::info!("node at {address}: unreachable: no answer to a ping"),
+                () = monitor(pings, &monitored, &suspicion) => log::info!("node at {address}: unreachable: no answer to a ping"),
             }
         });
         let stream = sender.ready().await?;
--- a/crates/laurelstall_peer/src/replicator/anti_entropy.rs
+++ b/crates/laurelstall_peer/src/replicator/anti_entropy.rs
@@ -89,8 +89,16 @@
         }
     }
 
-    /// Exchanges versions with one node and returns whether it answered in time.
+    /// Exchanges versions with one node and returns whether it answered in time, once more over a new connection if the old
+    /// one is silent.
     async fn try_exchange(&self, address: SocketAddr) -> bool {
+        if self.try_exchange_once(address).await {
+            return true;
+        }
+        self.client.pool().renew(address, EXCHANGE_TIMEOUT).await && self.try_exchange_once(address).await
+    }
+
+    async fn try_exchange_once(&self, address: SocketAddr) -> bool {
         self.counts.exchanges.fetch_add(1, Ordering::Relaxed);
         let is_done = self.exchange_within(address, EXCHANGE_TIMEOUT).await.is_ok();
         if !is_done {
--- a/crates/laurelstall_peer/src/replicator/offers.rs
+++ b/crates/laurelstall_peer/src/replicator/offers.rs
@@ -93,10 +93,18 @@
         let offer = |address| self.try_offer(address, versions);
         let removed_nodes = removed_nodes.into_iter().map(offer).collect::<FuturesUnordered<_>>();
         let mut offers = partners.into_iter().map(offer).collect::<FuturesUnordered<_>>();
+        let mut repeated = FuturesUnordered::new();
         let offered = async {
-            while let Some(is_answered) = offers.next().await {
-                if !is_answered {
-                    offers.extend(substitutes.next().map(offer));
+            loop {
+                tokio::select! {
+                    Some((address, is_answered)) = offers.next() => {
+                        if !is_answered {
+                            offers.extend(substitutes.next().map(offer));
+                            repeated.push(self.repeat_offer(address, versions));
+                        }
+                    }
+                    Some(()) = repeated.next() => {}
+                    else => return,
                 }
             }
         };
@@ -104,9 +112,20 @@
     }
 
     /// Offers versions to one node and returns whether it answered in time.
-    async fn try_offer(&self, address: SocketAddr, versions: &[(DocumentName, Version)]) -> bool {
+    async fn try_offer(
+        &self,
+        address: SocketAddr,
+        versions: &[(DocumentName, Version)],
+    ) -> (SocketAddr, bool) {
         let offered = timeout(OFFER_TIMEOUT, self.send_offer(address, versions.to_vec())).await;
-        offered.unwrap_or(false)
+        (address, offered.unwrap_or(false))
+    }
+
+    /// Offers versions to a node that did not answer once more, over a new connection, if the old one is silent.
+    async fn repeat_offer(&self, address: SocketAddr, versions: &[(DocumentName, Version)]) {
+        if self.client.pool().renew(address, OFFER_TIMEOUT).await {
+            self.try_offer(address, versions).await;
+        }
     }
 
     /// Offers versions to one node and returns whether it answered.
--- a/crates/laurelstall_peer/src/replicator/pulls.rs
+++ b/crates/laurelstall_peer/src/replicator/pulls.rs
@@ -19,6 +19,9 @@
 /// with it after 0.3 s.
 const PULL_LOCK_MAX: Duration = Duration::from_millis(300);
 
+/// Time without data from a node after which a pull from it is repeated over a new connection.
+const PULL_SILENCE_MAX: Duration = Duration::from_millis(200);
+
 impl Replicator {
     /// Answers a pull with the requested documents that are newer here.
     pub fn answer_pull(&self, items: &[PullItem]) -> PeerAnswer {
@@ -74,7 +77,7 @@
         while !items.is_empty() {
             let requested = items.len().min(PULL_ITEMS_MAX);
             let bytes_max = transfer_bytes_max(self.store().document_bytes_max());
-            let transfers = self.client.pull(address, &items[..requested], bytes_max).await?;
+            let transfers = self.request_documents(address, &items[..requested], bytes_max).await?;
             let received = transfers.iter().map(|transfer| transfer.name.clone()).collect::<HashSet<_>>();
             failed
                 .extend(transfers.into_iter().filter_map(|transfer| self.apply_transfer(address, transfer)));
@@ -87,6 +90,24 @@
         Ok(failed)
     }
 
+    /// Requests documents, once more over a new connection if the old one is silent: it may be the first request on it
+    /// since it went silent, although the other node's connection to this one works.
+    async fn request_documents(
+        &self,
+        address: SocketAddr,
+        items: &[PullItem],
+        bytes_max: usize,
+    ) -> Result<Vec<Transfer>, PeerError> {
+        let mut requested = pin!(self.client.pull(address, items, bytes_max));
+        if let Ok(transfers) = timeout(PULL_SILENCE_MAX, requested.as_mut()).await {
+            return transfers;
+        }
+        if self.client.pool().renew(address, PULL_SILENCE_MAX).await {
+            return self.client.pull(address, items, bytes_max).await;
+        }
+        requested.await
+    }
+
     /// Applies a received document. Returns the document if it could not be rebuilt, to be requested as a whole text.
     fn apply_transfer(&self, address: SocketAddr, transfer: Transfer) -> Option<PullItem> {
         let checked = self.store().check_bytes(transfer.text_bytes as usize);
--- a/crates/laurelstall_peer/tests/support/mesh.rs
+++ b/crates/laurelstall_peer/tests/support/mesh.rs
@@ -64,15 +64,39 @@
     }
 }
 
+/// The network as seen by one host.
 #[derive(Debug)]
 pub struct HostLink {
     own: SocketAddr,
     unreachable: Arc<HostSet>,
+    silence: Arc<Silence>,
 }
 
 impl HostLink {
     pub fn new(own: SocketAddr, unreachable: Arc<HostSet>) -> Self {
-        Self { own, unreachable }
+        Self { own, unreachable, silence: Arc::default() }
+    }
+
+    /// Adds the times at which open connections go silent.
+    pub fn with_silence(mut self, silence: Arc<Silence>) -> Self {
+        self.silence = silence;
+        self
+    }
+}
+
+/// When all connections that were open went silent last.
+#[derive(Debug, Default)]
+pub struct Silence(Mutex<Option<Instant>>);
+
+impl Silence {
+    /// Makes all open connections silent.
+    pub fn begin(&self) {
+        *self.0.lock().unwrap_or_else(PoisonError::into_inner) = Some(Instant::now());
+    }
+
+    fn includes(&self, opened: Instant) -> bool {
+        let began = *self.0.lock().unwrap_or_else(PoisonError::into_inner);
+        began.is_some_and(|began| opened < began)
     }
 }
 
@@ -80,6 +104,10 @@
     fn is_partitioned(&self, other: SocketAddr) -> bool {
         self.unreachable.contains(self.own) || self.unreachable.contains(other)
     }
+
+    fn is_silent(&self, _: SocketAddr, opened: Instant) -> bool {
+        self.silence.includes(opened)
+    }
 }
 
 #[derive(Debug)]
@@ -235,6 +263,8 @@
 pub struct Mesh {
     pub nodes: Vec<(SocketAddr, Arc<Replicator>)>,
     pub unreachable: Arc<HostSet>,
+    /// When the connections between nodes went silent.
+    pub silence: Arc<Silence>,
     pub fleet: Arc<Fleet>,
     pub platform: Arc<Platform>,
     /// Aborted when the mesh is dropped.
@@ -261,12 +291,14 @@
         let hosts = listeners.iter().enumerate().map(host).collect();
         let fleet = Arc::new(Fleet { hosts, ..Fleet::default() });
         let unreachable = Arc::<HostSet>::default();
+        let silence = Arc::<Silence>::default();
         let platform = Arc::<Platform>::default();
         let mut tasks = JoinSet::new();
         let mut nodes = Vec::new();
         for (number, listener) in listeners.into_iter().enumerate() {
             let own = address(&listener);
-            let link = Arc::new(HostLink::new(own, unreachable.clone()));
+            let link = HostLink::new(own, unreachable.clone()).with_silence(silence.clone());
+            let link = Arc::new(link);
             let host_platform = HostPlatform::new(own, platform.clone(), unreachable.clone());
             let replicator = node(&fleet, number, seed, link, Arc::new(host_platform));
             replicator.apply(version(1));
@@ -275,7 +307,7 @@
             tasks.spawn(replicator.clone().run());
             nodes.push((own, replicator));
         }
-        Self { nodes, unreachable, fleet, platform, _tasks: tasks }
+        Self { nodes, unreachable, silence, fleet, platform, _tasks: tasks }
     }
 
     /// Waits until all reachable nodes hold this version, and returns how long that took.
