An answer whose node is lost ends soon after its deadline

Callers saw, in a test: the node beside the target freezes 50 ms before the time limit of 1.0 s in the middle of an answer, and the caller's node, which is well, ends the answer 1.7 s after the call, 0.7 s after the limit.

Cause: only pings ended an answer that another node had begun, 0.75 to 0.8 s after that node's last byte, whatever the deadline. The new test failed before ("lost after 950 ms: ended after 1.7s").

Now an answer past its deadline ends once its connection has been without data for 400 ms. A live node answers the ping sent after 300 ms, so an answer that is paced or whose target is silent isn't touched; that is a test too.

--- a/crates/laurelstall_peer/src/client.rs
+++ b/crates/laurelstall_peer/src/client.rs
@@ -1,6 +1,7 @@
 //! Sends requests to other nodes.
 
 use crate::{
+    answer_body::{AnswerBody, AnswerResources, SendingTask},
     attempt::{Attempt, AttemptAnswer, AttemptBody, AttemptOutcome, UnknownCause},
     body::{BodyError, BoxedBody, StreamBody, send_body, send_data},
     control_kind::ControlKind,
@@ -12,21 +13,14 @@
 use bytes::Bytes;
 use h2::{Reason, RecvStream, SendStream, client::ResponseFuture};
 use http::{HeaderMap, HeaderName, HeaderValue, Method, Request, StatusCode, Uri};
-use http_body::{Body, Frame};
 use http_body_util::BodyExt;
 use laurelstall_balance::hint::Hint;
 use laurelstall_guard::refusal::{Refusal, RefusalReason};
 use quick_error::quick_error;
-use std::{
-    net::SocketAddr,
-    pin::Pin,
-    sync::Arc,
-    task::{Context, Poll},
-};
+use std::{net::SocketAddr, sync::Arc};
 use tokio::{
     runtime::Handle,
-    task::JoinHandle,
-    time::{Duration, sleep, timeout},
+    time::{Duration, Instant, sleep, timeout},
 };
 
 /// Time limit for a control message and its answer.
@@ -119,6 +113,7 @@
         let Attempt { head, body } = attempt;
         let call_id = head.call_id;
         let kind = head.body;
+        let deadline = Instant::now() + Duration::from_micros(head.budget_us);
         let sender = match self.pool.sender(address).await {
             Ok(sender) => sender,
             Err(error) => {
@@ -132,7 +127,8 @@
             Err(_) => return not_sent(body),
         };
         if kind == BodyKind::BufferedAfterAdmission {
-            return attempt_buffered(head, body, response, stream, in_flight).await;
+            let resources = AnswerResources::new(in_flight, deadline);
+            return attempt_buffered(head, body, response, stream, resources).await;
         }
         let frame = encode(&PeerRequest::Attempt(head));
         let unsent = match send_head(frame, body, kind, &mut stream).await {
@@ -143,11 +139,11 @@
             Ok(response) => FrameReader::new(response.into_body()),
             Err(error) => return stream_failure(&error, unsent),
         };
-        let mut resources = AnswerResources { sending: None, _in_flight: in_flight };
+        let mut resources = AnswerResources::new(in_flight, deadline);
         let answer = match (unsent, kind) {
             (Some(body), BodyKind::AfterAdmission) => match read_admission(&mut reader, body).await {
                 Ok(body) => {
-                    resources.sending = Some(SendingTask::start(body, stream));
+                    resources.set_sending(SendingTask::start(body, stream));
                     reader.read(HEAD_BYTES_MAX).await
                 }
                 Err((answer, body)) => {
@@ -233,13 +229,12 @@
     body: AttemptBody,
     response: ResponseFuture,
     mut stream: SendStream<Bytes>,
-    in_flight: InFlight,
+    resources: AnswerResources,
 ) -> AttemptAnswer {
     let call_id = head.call_id;
     let budget = Duration::from_micros(head.budget_us);
     let frame = encode(&PeerRequest::Attempt(head));
     let answered = timeout(budget, request_slot(frame, response, &mut stream)).await;
-    let resources = AnswerResources { sending: None, _in_flight: in_flight };
     let mut reader = match answered {
         Ok(Ok((PeerAnswer::Admitted, reader))) => reader,
         Ok(Ok((answer, reader))) => return read_answer(Ok(answer), reader, call_id, resources),
@@ -395,7 +390,7 @@
         return AttemptOutcome::Unknown(UnknownCause::AnswerLost("unreadable answer"));
     };
     let (first, stream): (Bytes, RecvStream) = reader.into_rest();
-    let body = TrackedBody { inner: StreamBody::new(first, stream), _resources: resources };
+    let body = AnswerBody::new(StreamBody::new(first, stream), resources);
     AttemptOutcome::Answered { status, headers, body: body.boxed_unsync() }
 }
 
@@ -415,50 +410,3 @@
     }
     Some(headers)
 }
-
-/// The task that sends a request body; aborted when dropped.
-struct SendingTask(JoinHandle<()>);
-
-impl SendingTask {
-    fn start(body: BoxedBody, mut stream: SendStream<Bytes>) -> Self {
-        Self(tokio::spawn(async move {
-            if let Err(error) = send_body(body, &mut stream).await {
-                log::debug!("sending a request body failed: {error}");
-            }
-        }))
-    }
-}
-
-/// Resources that live until the answer is complete or abandoned.
-struct AnswerResources {
-    sending: Option<SendingTask>,
-    _in_flight: InFlight,
-}
-
-impl Drop for SendingTask {
-    fn drop(&mut self) {
-        self.0.abort();
-    }
-}
-
-/// Body of an answer that holds its resources until it is read or dropped.
-struct TrackedBody {
-    inner: StreamBody,
-    _resources: AnswerResources,
-}
-
-impl Body for TrackedBody {
-    type Data = Bytes;
-    type Error = BodyError;
-
-    fn poll_frame(
-        mut self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-    ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
-        Pin::new(&mut self.inner).poll_frame(cx)
-    }
-
-    fn is_end_stream(&self) -> bool {
-        self.inner.is_end_stream()
-    }
-}
--- a/crates/laurelstall_peer/src/lib.rs
+++ b/crates/laurelstall_peer/src/lib.rs
@@ -1,6 +1,7 @@
 //! Communication between nodes: attempts at calls, probes, tickets and replication of the configuration, as
 //! `bincode` messages on `h2` streams.
 
+mod answer_body;
 pub mod attempt;
 pub mod body;
 pub mod client;
--- a/crates/laurelstall_peer/src/meter.rs
+++ b/crates/laurelstall_peer/src/meter.rs
@@ -114,6 +114,11 @@
         activity.in_flight.fetch_add(1, Ordering::Relaxed);
         Self(activity)
     }
+
+    /// Time since data arrived on the connection.
+    pub fn silence(&self) -> Duration {
+        self.0.silence()
+    }
 }
 
 impl Drop for InFlight {
