No two files of a crate import each other; the node's peer handler has a file

fleet and team, route and workspace, crash_table and standing, call_request and chains, listener and pipelined_connection, bench_fleet and reference_deployment imported each other. Nothing else changes.

--- a/crates/laurelstall_config/src/fleet.rs
+++ b/crates/laurelstall_config/src/fleet.rs
@@ -2,7 +2,7 @@
 
 use crate::{
     problem::{Checker, ConfigError, is_name},
-    team::SLOTS_MAX,
+    target_bounds::{COLD_MS_MAX, SLOTS_MAX},
 };
 use serde::{Deserialize, Serialize};
 use std::{
@@ -12,8 +12,6 @@
 
 /// Maximum number of evacuated data centres in a fleet document.
 pub const EVACUATED_MAX: usize = 256;
-/// Maximum remaining time of a target's cold start in the list, in ms.
-pub const COLD_MS_MAX: u64 = 3_600_000;
 
 /// The state of a host in the platform's list.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
--- a/crates/laurelstall_config/src/lib.rs
+++ b/crates/laurelstall_config/src/lib.rs
@@ -5,6 +5,7 @@
 //! TOML or JSON. `laurelstall-check` runs the same checks.
 
 pub mod configuration;
+mod data_centre_names;
 pub mod document;
 pub mod fleet;
 pub mod key_digest;
@@ -13,6 +14,7 @@
 pub mod route;
 pub mod settings;
 pub mod system;
+pub mod target_bounds;
 pub mod team;
 pub mod workspace;
 
--- a/crates/laurelstall_config/src/route.rs
+++ b/crates/laurelstall_config/src/route.rs
@@ -1,6 +1,6 @@
 //! Routes: which service handles a request, and with which limits.
 
-use crate::{problem::Checker, workspace::check_data_centres};
+use crate::{data_centre_names::check_data_centres, problem::Checker};
 use serde::{Deserialize, Serialize};
 use std::{
     collections::{HashMap, HashSet},
--- a/crates/laurelstall_config/src/team.rs
+++ b/crates/laurelstall_config/src/team.rs
@@ -1,17 +1,15 @@
 //! A team's document: host names of its callers, routes, routing program, services, targets and workspaces.
 
 use crate::{
-    fleet::COLD_MS_MAX,
     load_control::LoadControl,
     problem::{Checker, ConfigError, Problem, is_name},
     route::{RouteRule, check_host_name},
+    target_bounds::{COLD_MS_MAX, SLOTS_MAX},
     workspace::Workspace,
 };
 use serde::{Deserialize, Serialize};
 use std::collections::HashSet;
 
-/// Maximum number of concurrent requests that a target may declare.
-pub const SLOTS_MAX: u32 = 100_000;
 /// Maximum number of calls per second that a cold target may get.
 pub const COLD_CALLS_PER_S_MAX: u32 = 1_000_000;
 /// Maximum length of a routing program in bytes.
--- a/crates/laurelstall_config/src/workspace.rs
+++ b/crates/laurelstall_config/src/workspace.rs
@@ -1,8 +1,7 @@
 //! Workspaces: groups of a team's callers, identified by their keys, with an importance, a share and a rate limit.
 
 use crate::{
-    key_digest::KeyDigest,
-    problem::{Checker, is_name},
+    data_centre_names::check_data_centres, key_digest::KeyDigest, problem::Checker,
     route::ROUTE_IMPORTANCE_MAX,
 };
 use serde::{Deserialize, Serialize};
@@ -105,10 +104,3 @@
         }
     }
 }
-
-/// Reports the names in `data_centres` that are not valid.
-pub(crate) fn check_data_centres(data_centres: &[String], field: &str, check: &mut Checker<'_>) {
-    for name in data_centres {
-        check.ensure_with(is_name(name), field, || format!("'{name}' is not 1 to 63 of a-z, 0-9 and '-'"));
-    }
-}
--- a/crates/laurelstall_crash/src/lib.rs
+++ b/crates/laurelstall_crash/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod crash_record;
 pub mod crash_table;
 pub mod dropped_records;
+pub mod quarantine_thresholds;
 pub mod report_batch;
 pub mod request_digest;
 pub mod run_tracker;
--- a/crates/laurelstall_crash/src/standing.rs
+++ b/crates/laurelstall_crash/src/standing.rs
@@ -4,7 +4,7 @@
 
 use crate::{
     crash_record::CrashRecord,
-    crash_table::{QUARANTINE_CRASHES, QUARANTINE_CRASHES_AFTER_SUCCESS},
+    quarantine_thresholds::{QUARANTINE_CRASHES, QUARANTINE_CRASHES_AFTER_SUCCESS},
 };
 use std::{
     cmp::Reverse,
--- a/crates/laurelstall_node/src/call_request.rs
+++ b/crates/laurelstall_node/src/call_request.rs
@@ -1,6 +1,6 @@
 //! A call as received from its caller, and its outcome.
 
-use crate::chains::ChainRun;
+use crate::chain_run::ChainRun;
 use http::{HeaderMap, StatusCode};
 use laurelstall_balance::class_times::CallClass;
 use laurelstall_config::workspace::Workspace;
--- a/crates/laurelstall_node/src/chains.rs
+++ b/crates/laurelstall_node/src/chains.rs
@@ -1,10 +1,13 @@
 //! What the node has learned about the calls that its own target makes; shared by its guard and its entry.
 
-use crate::call_request::{CallOutcome, CallRequest};
+use crate::{
+    call_request::{CallOutcome, CallRequest},
+    chain_run::ChainRun,
+};
 use laurelstall_balance::class_times::CallClass;
 use laurelstall_chains::{
     call_end::{CallEnd, NestedCallTimes},
-    chain_table::{ChainDecision, ChainTable, RunId},
+    chain_table::{ChainDecision, ChainTable},
 };
 use laurelstall_guard::{
     clock::Clock,
@@ -13,15 +16,6 @@
 use laurelstall_overload::call_level::CallLevel;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
-/// A run at the local target whose calls are learned from.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct ChainRun {
-    /// Class of the run.
-    pub class: CallClass,
-    /// Number of the run.
-    pub id: RunId,
-}
-
 /// What the node has learned about the calls that its own target makes.
 #[derive(Debug)]
 pub struct Chains {
--- a/crates/laurelstall_node/src/listener.rs
+++ b/crates/laurelstall_node/src/listener.rs
@@ -13,10 +13,9 @@
 use http::{HeaderValue, Request, Response, StatusCode, header::CONNECTION};
 use hyper::{body::Incoming, service::service_fn};
 use hyper_util::{
-    rt::{TokioExecutor, TokioIo, TokioTimer},
+    rt::{TokioExecutor, TokioIo},
     server::conn::auto::Builder,
 };
-use laurelstall_config::settings::CallerLimits;
 use laurelstall_peer::{gauge::Gauge, lingering_stream::LingeringStream};
 use std::{convert::Infallible, sync::Arc};
 use tokio::{
@@ -109,23 +108,6 @@
     }
 }
 
-pub(crate) fn builder(limits: &CallerLimits) -> Builder<TokioExecutor> {
-    let mut builder = Builder::new(TokioExecutor::new());
-    builder
-        .http1()
-        .timer(TokioTimer::new())
-        .header_read_timeout(Duration::from_millis(limits.head_timeout_ms))
-        .max_buf_size(limits.head_bytes);
-    builder
-        .http2()
-        .timer(TokioTimer::new())
-        .max_concurrent_streams(limits.streams)
-        .max_header_list_size(limits.head_bytes as u32)
-        .keep_alive_interval(Duration::from_millis(limits.idle_timeout_ms))
-        .keep_alive_timeout(Duration::from_millis(limits.idle_timeout_ms));
-    builder
-}
-
 async fn refuse_connection(stream: TcpStream) {
     let service = service_fn(|_: Request<Incoming>| async {
         let mut response = Response::new(full_body(Bytes::from_static(b"not-run: too many connections\n")));
--- a/crates/laurelstall_node/src/node.rs
+++ b/crates/laurelstall_node/src/node.rs
@@ -25,28 +25,22 @@
     target_guard::{TargetGuard, TargetGuardOptions},
 };
 use arc_swap::ArcSwap;
-use futures_util::future::{BoxFuture, FutureExt};
 use laurelstall_balance::least_cost::LeastCost;
-use laurelstall_config::{fleet::Fleet, settings::Settings};
-use laurelstall_guard::{
-    clock::Clock,
-    refusal::{Refusal, RefusalReason},
-};
+use laurelstall_config::settings::Settings;
+use laurelstall_guard::clock::Clock;
 use laurelstall_peer::{
-    attempt::AttemptHandler,
     client::PeerClient,
     link::{Link, OpenLink},
-    message::{PeerAnswer, PeerRequest},
     meter::Meter,
     platform::PlatformSource,
     pool::Pool,
-    replicator::{ReplicationView, Replicator, ReplicatorOptions},
-    server::{PeerHandler, PeerServer},
+    replicator::{Replicator, ReplicatorOptions},
+    server::PeerServer,
 };
 use quick_error::quick_error;
 use std::{
     fmt, io,
-    net::{IpAddr, SocketAddr, TcpListener as StdListener},
+    net::{SocketAddr, TcpListener as StdListener},
     sync::{Arc, Mutex},
 };
 use tokio::{
@@ -56,8 +50,13 @@
     time::Duration,
 };
 
+mod changed_settings;
+mod peer_requests;
 mod stop;
 
+use changed_settings::settings_needing_restart;
+use peer_requests::PeerRequestHandler;
+
 quick_error! {
     /// An error that keeps a node from starting.
     #[derive(Debug)]
@@ -175,72 +174,6 @@
     background: JoinSet<()>,
 }
 
-/// Answers the requests of other nodes.
-#[derive(Debug)]
-struct PeerRequestHandler {
-    guard: TargetGuard,
-    replicator: Arc<Replicator>,
-    active: Arc<ActiveConfig>,
-    observer: Arc<Observer>,
-    quotas: Arc<Quotas>,
-    retry_lender: RetryLender,
-    seeds: Vec<SocketAddr>,
-    takes_unlisted_peers: bool,
-}
-
-impl PeerHandler for PeerRequestHandler {
-    fn attempts(&self) -> &dyn AttemptHandler {
-        &self.guard
-    }
-
-    fn is_member(&self, ip: IpAddr) -> bool {
-        let fleet: Arc<Fleet> = self.active.fleet();
-        // Before a host list is known, only seeds can be recognized.
-        self.takes_unlisted_peers || fleet.has_ip(ip) || self.seeds.iter().any(|seed| seed.ip() == ip)
-    }
-
-    fn answer(&self, from: IpAddr, request: PeerRequest) -> BoxFuture<'_, PeerAnswer> {
-        async move {
-            match request {
-                PeerRequest::Probe => {
-                    let may_answer = self.observer.try_answer_probe();
-                    PeerAnswer::Probed(may_answer.then(|| self.guard.hint().into()))
-                }
-                PeerRequest::Tickets(request) => self.guard.issue_tickets(&request),
-                PeerRequest::Exchange(exchange) => self.replicator.answer_exchange(&exchange),
-                PeerRequest::Pull(items) => self.replicator.answer_pull(&items),
-                PeerRequest::Offer(address, exchange, versions) => {
-                    self.replicator.handle_offer(from, address, &exchange, versions);
-                    PeerAnswer::Noted
-                }
-                PeerRequest::CanRead => self.replicator.answer_can_read(),
-                PeerRequest::CrashReportBatch(batch) => {
-                    self.replicator.crashes().merge_reports(&batch.unpack());
-                    PeerAnswer::Noted
-                }
-                PeerRequest::CrashReports(reports) => {
-                    self.replicator.crashes().merge_reports(&reports);
-                    PeerAnswer::Noted
-                }
-                PeerRequest::TakeTokens(key, wanted) => {
-                    let lent = self.retry_lender.answer(&key, wanted);
-                    lent.unwrap_or_else(|| self.quotas.answer_take_tokens(&key, wanted))
-                }
-                PeerRequest::ReturnTokens(key, tokens) => self.quotas.answer_return_tokens(&key, tokens),
-                PeerRequest::CompareCrashes(reports) => self.replicator.answer_crashes(&reports),
-                PeerRequest::CompareCrashFingerprints(theirs) => {
-                    self.replicator.answer_crash_fingerprints(&theirs)
-                }
-                PeerRequest::CompareCorrections(corrections) => {
-                    self.replicator.answer_corrections(corrections.as_ref())
-                }
-                PeerRequest::Attempt(_) => PeerAnswer::Refused(Refusal::new(RefusalReason::Unreadable)),
-            }
-        }
-        .boxed()
-    }
-}
-
 impl Node {
     /// Starts a node on the current runtime. It answers peers immediately, and callers after it has read the newest
     /// configuration from the platform and its peers.
@@ -480,22 +413,6 @@
     }
 }
 
-/// Returns the names of changed settings that a running node cannot apply.
-fn settings_needing_restart(old: &Settings, new: &Settings) -> Vec<&'static str> {
-    let is_address_changed = old.node.entry_address != new.node.entry_address
-        || old.node.peer_address != new.node.peer_address
-        || old.node.admin_address != new.node.admin_address;
-    let is_identity_changed = old.node.host != new.node.host || old.node.data_centre != new.node.data_centre;
-    let changes = [
-        ("the addresses", is_address_changed),
-        ("host or data centre", is_identity_changed),
-        ("the target", old.target != new.target),
-        ("the bandwidth of the link", old.node.link_mbps != new.node.link_mbps),
-        ("the format of the decision log", old.log.decisions != new.log.decisions),
-    ];
-    changes.into_iter().filter(|(_, is_changed)| *is_changed).map(|(setting, _)| setting).collect()
-}
-
 fn own_service(settings: &Settings) -> String {
     let full_name = settings.target.as_ref().map_or("", |target| target.service.as_str());
     full_name.rsplit('/').next().unwrap_or_default().to_owned()
--- a/crates/laurelstall_node/src/pipelined_connection.rs
+++ b/crates/laurelstall_node/src/pipelined_connection.rs
@@ -8,7 +8,7 @@
 use crate::{
     body::WatchedBody,
     caller_limits::ActiveCallerLimits,
-    listener::builder,
+    http_builder::builder,
     request_head::{ReadHead, read_head},
     responder::Responder,
     write_timeout_stream::WriteTimeoutStream,
--- a/crates/laurelstall_node/src/running_requests.rs
+++ b/crates/laurelstall_node/src/running_requests.rs
@@ -1,6 +1,6 @@
 //! Tracks the requests running at the local target, so that the nested calls it makes for them are recognised.
 
-use crate::chains::ChainRun;
+use crate::chain_run::ChainRun;
 use laurelstall_balance::class_times::CallClass;
 use laurelstall_overload::call_level::CallLevel;
 use std::{
--- a/crates/laurelstall_standin/src/fleet_bench.rs
+++ b/crates/laurelstall_standin/src/fleet_bench.rs
@@ -4,6 +4,7 @@
 use bench_fleet::BenchFleet;
 use control_traffic::{TrafficTotals, total_growth};
 use propagation::Propagation;
+use reference_deployment::configuration_bytes;
 use std::time::Instant as StdInstant;
 use tokio::time::{Duration, sleep};
 
@@ -76,7 +77,7 @@
         cpu_share_per_node: measurement.cpu_spent_s / length_s / nodes,
         memory_bytes_per_node: used_memory_bytes as f64 / nodes,
         connections_per_node: fleet.connections() as f64 / nodes,
-        configuration_bytes: fleet.configuration_bytes(),
+        configuration_bytes: configuration_bytes(&fleet.platform),
         joined_ms,
     })
 }
--- a/crates/laurelstall_standin/src/fleet_bench/bench_fleet.rs
+++ b/crates/laurelstall_standin/src/fleet_bench/bench_fleet.rs
@@ -81,7 +81,7 @@
             });
         }
         let platform = StandinPlatform::new();
-        publish_documents(&platform, &nodes);
+        publish_documents(&platform, nodes.iter().map(|node| node.host.clone()).collect());
         let mut fleet =
             Self { plan, platform, partitions, nodes, latest_versions: HashMap::new(), rollbacks: 0 };
         fleet.start_nodes(listeners).await?;
--- a/crates/laurelstall_standin/src/fleet_bench/reference_deployment.rs
+++ b/crates/laurelstall_standin/src/fleet_bench/reference_deployment.rs
@@ -1,10 +1,9 @@
 //! Documents of the reference deployment: 31 services of several teams in four data centres.
 
-use super::bench_fleet::{BenchFleet, BenchNode};
 use crate::{harness::to_toml, harness_plan::PROGRAM, platform::StandinPlatform};
 use laurelstall_config::{
     document::DocumentName,
-    fleet::Fleet,
+    fleet::{Fleet, Host},
     system::{Distance, SystemLimits},
     team::{Service, ServiceLimits, Target, Team},
 };
@@ -24,13 +23,13 @@
 /// One-way network delay between regions, in µs.
 const REMOTE_ONE_WAY_US: u64 = 15_000;
 
-/// Publishes the documents of a deployment on `nodes`.
-pub(super) fn publish_documents(platform: &StandinPlatform, nodes: &[BenchNode]) {
-    let fleet =
-        Fleet { hosts: nodes.iter().map(|bench_node| bench_node.host.clone()).collect(), ..Fleet::default() };
+/// Publishes the documents of a deployment on these hosts.
+pub(super) fn publish_documents(platform: &StandinPlatform, hosts: Vec<Host>) {
+    let targets = hosts.len();
+    let fleet = Fleet { hosts, ..Fleet::default() };
     platform.publish(&DocumentName::Fleet, &to_toml(&fleet));
     platform.publish(&DocumentName::System, &to_toml(&system_limits()));
-    for (name, text) in team_documents(nodes.len()) {
+    for (name, text) in team_documents(targets) {
         platform.publish(&name, &text);
     }
 }
@@ -86,11 +85,9 @@
     format!("team-{number:02}")
 }
 
-impl BenchFleet {
-    /// Returns the total size of all documents in bytes.
-    pub(super) fn configuration_bytes(&self) -> usize {
-        let teams = (0..TEAMS).map(|number| DocumentName::Team(team_name(number)));
-        let names = teams.chain([DocumentName::Fleet, DocumentName::System]);
-        names.filter_map(|name| self.platform.text(&name)).map(|text| text.len()).sum()
-    }
+/// Returns the total size in bytes of all documents that the platform holds.
+pub(super) fn configuration_bytes(platform: &StandinPlatform) -> usize {
+    let teams = (0..TEAMS).map(|number| DocumentName::Team(team_name(number)));
+    let names = teams.chain([DocumentName::Fleet, DocumentName::System]);
+    names.filter_map(|name| platform.text(&name)).map(|text| text.len()).sum()
 }
