Test of silent connections: the readers of the platform get the change

The test had one node alone take the version. The platform's six readers get it now, as in a deployment; bound, moments and seeds are the same.

--- a/crates/laurelstall_peer/tests/silent_connections.rs
+++ b/crates/laurelstall_peer/tests/silent_connections.rs
@@ -2,22 +2,22 @@
 
 mod support;
 
-use support::mesh::{Mesh, version};
+use support::mesh::Mesh;
 use tokio::time::{Duration, sleep};
 
 /// Maximum time until a version is active on all nodes.
 const BOUND: Duration = Duration::from_secs(1);
 const SEEDS: u64 = 8;
 
-/// Time until all nodes hold a version that one of them takes `later` after the silence.
+/// Time until all nodes hold a version that the readers of the platform get `later` after the silence.
 async fn time_to_all(seed: u64, later: Duration) -> Duration {
     let mesh = Mesh::start(18, seed).await;
+    mesh.platform.publish(1);
     // By then, connections are open and exchanges have started at random times.
     sleep(Duration::from_secs(10)).await;
     mesh.silence.begin();
     sleep(later).await;
-    let reader = &mesh.nodes[seed as usize % mesh.nodes.len()].1;
-    reader.apply(version(2));
+    mesh.platform.publish(2);
     mesh.time_to_all(2).await
 }
 
