A stated length that is never reached does not hold a call either

Callers would see: a target states a length that it never reaches and sends without end, faster than 4 MiB/s: the call goes on for as long as its caller reads. With the bound taken out, an_answer_without_end_is_bounded_past_its_deadline (time stands still) did not end within 30 s.

Cause: only answers without a stated length were bounded past their deadline. Now one with a stated length may have 64 MiB more then. An answer that is read slowly and has less left is whole, as before.

--- a/crates/laurelstall_node/src/late_answer_body.rs
+++ b/crates/laurelstall_node/src/late_answer_body.rs
@@ -18,11 +18,14 @@
 /// Time for which an answer past its deadline may wait for its target. Callers are told within half a second of the
 /// deadline, also over two nodes.
 pub const TARGET_WAIT_MAX: Duration = Duration::from_millis(200);
-/// Pace in bytes per second at which an answer of a stated length may advance for as long as it takes. A slow caller
-/// leaves the target's bytes in buffers, from which they come faster than this.
+/// Pace in bytes per second at which an answer of a stated length may advance past its deadline. A slow caller leaves the
+/// target's bytes in buffers, from which they come faster than this.
 const PACE_MIN_BYTES_PER_S: u64 = 4 * 1024 * 1024;
 /// Maximum size in bytes of an answer past its deadline that states no length, and so may have no end.
 pub const UNSTATED_BYTES_MAX: u64 = 16 * 1024 * 1024;
+/// Maximum number of bytes that an answer of a stated length may have left at its deadline. The length may be one that a
+/// target in trouble never reaches.
+pub const LATE_BYTES_MAX: u64 = 64 * 1024 * 1024;
 
 /// A body whose source has [`TARGET_WAIT_MAX`] after the deadline.
 struct LateAnswerBody {
@@ -31,6 +34,8 @@
     is_length_stated: bool,
     /// Bytes received so far.
     received_bytes: u64,
+    /// Bytes received past the deadline.
+    late_bytes: u64,
     /// What is left of [`TARGET_WAIT_MAX`].
     wait_left: Duration,
     /// Whether that was over once, and [`LAST_POLL_TIME`] was added.
@@ -57,6 +62,7 @@
         deadline,
         is_length_stated,
         received_bytes: 0,
+        late_bytes: 0,
         wait_left: TARGET_WAIT_MAX,
         is_extended: false,
         wait: None,
@@ -73,16 +79,24 @@
     }
 
     /// Counts received bytes. Those of an answer with an end in sight allow further waits.
-    fn note_received(&mut self, bytes: u64) {
+    fn note_received(&mut self, bytes: u64, now: Instant) {
         self.received_bytes += bytes;
+        if now >= self.deadline {
+            self.late_bytes += bytes;
+        }
         if self.is_length_stated {
             let earned = Duration::from_micros(bytes * 1_000_000 / PACE_MIN_BYTES_PER_S);
             self.wait_left = (self.wait_left + earned).min(TARGET_WAIT_MAX);
         }
     }
 
+    /// Whether the answer is past its deadline and longer than one may be then.
     fn is_endless(&self, now: Instant) -> bool {
-        !self.is_length_stated && now >= self.deadline && self.received_bytes > UNSTATED_BYTES_MAX
+        let is_too_long = match self.is_length_stated {
+            true => self.late_bytes > LATE_BYTES_MAX,
+            false => self.received_bytes > UNSTATED_BYTES_MAX,
+        };
+        now >= self.deadline && is_too_long
     }
 
     /// Becomes ready when the target has been waited for long enough.
@@ -119,7 +133,7 @@
         let now = Instant::now();
         self.end_wait(now);
         if let Some(Ok(frame)) = &polled {
-            self.note_received(frame.data_ref().map_or(0, |data| data.len() as u64));
+            self.note_received(frame.data_ref().map_or(0, |data| data.len() as u64), now);
             if self.is_endless(now) {
                 return Poll::Ready(Some(Err("the answer has no end in sight".into())));
             }
--- a/crates/laurelstall_node/tests/late_answers.rs
+++ b/crates/laurelstall_node/tests/late_answers.rs
@@ -4,7 +4,9 @@
 use futures_util::stream;
 use http_body::Frame;
 use http_body_util::{BodyExt, StreamBody};
-use laurelstall_node::late_answer_body::{TARGET_WAIT_MAX, UNSTATED_BYTES_MAX, limit_late_answer};
+use laurelstall_node::late_answer_body::{
+    LATE_BYTES_MAX, TARGET_WAIT_MAX, UNSTATED_BYTES_MAX, limit_late_answer,
+};
 use laurelstall_peer::body::{BodyError, BoxedBody};
 use tokio::time::{Duration, Instant, sleep, sleep_until};
 
@@ -90,17 +92,22 @@
 /// Guards against an answer without end whose target never keeps its reader waiting.
 #[tokio::test(start_paused = true)]
 async fn an_answer_without_end_is_bounded_past_its_deadline() {
-    let deadline = Instant::now() + TIME_LIMIT;
-    let body = pieces(usize::MAX, PIECE_BYTES, Duration::ZERO);
-    let mut body = limit_late_answer(body, deadline, false);
-    let mut bytes = 0;
-    while let Some(Ok(frame)) = body.frame().await {
-        bytes += frame.into_data().map_or(0, |data| data.len() as u64);
-        sleep(Duration::from_millis(1)).await;
-    }
-    assert!(Instant::now() >= deadline, "it is not ended before its deadline");
+    // A piece each millisecond.
     let in_time = TIME_LIMIT.as_millis() as u64 * PIECE_BYTES as u64;
-    assert!(bytes <= in_time.max(UNSTATED_BYTES_MAX) + PIECE_BYTES as u64, "{bytes} bytes");
+    for (is_length_stated, bytes_max) in
+        [(false, in_time.max(UNSTATED_BYTES_MAX)), (true, in_time + LATE_BYTES_MAX)]
+    {
+        let deadline = Instant::now() + TIME_LIMIT;
+        let body = pieces(usize::MAX, PIECE_BYTES, Duration::ZERO);
+        let mut body = limit_late_answer(body, deadline, is_length_stated);
+        let mut bytes = 0;
+        while let Some(Ok(frame)) = body.frame().await {
+            bytes += frame.into_data().map_or(0, |data| data.len() as u64);
+            sleep(Duration::from_millis(1)).await;
+        }
+        assert!(Instant::now() >= deadline, "it is not ended before its deadline");
+        assert!(bytes <= bytes_max + PIECE_BYTES as u64, "{bytes} bytes, length stated: {is_length_stated}");
+    }
 }
 
 /// Guards against answers that are cut off for the time that their callers, the link or its pacing take.
