Answers of other nodes that are none are counted; lengths of answers without a body

An answer of another node that is refused is counted as unreadable and its line is for debugging, as of other messages between nodes. The size of no body is left open again where the head may state the length of one (HEAD, 304): the library compares a known size with the head.

--- a/crates/laurelstall_answer/src/answer_error.rs
+++ b/crates/laurelstall_answer/src/answer_error.rs
@@ -46,7 +46,7 @@
 }
 
 impl AnswerError {
-    /// Returns the label of the reason for metrics.
+    /// Returns the label of the reason for logs.
     pub fn label(&self) -> &'static str {
         match self {
             Self::Head(_) => "head",
--- a/crates/laurelstall_answer/src/answer_head.rs
+++ b/crates/laurelstall_answer/src/answer_head.rs
@@ -6,7 +6,7 @@
     header::{CONNECTION, CONTENT_LENGTH, TRANSFER_ENCODING},
 };
 
-/// Largest status of an answer (RFC 9110, section 15).
+/// Highest valid status (RFC 9110, section 15).
 const STATUS_MAX: u16 = 599;
 /// The only transfer coding that a target may use, since no other is asked for.
 const CHUNKED: &[u8] = b"chunked";
--- a/crates/laurelstall_answer/src/length_checked_body.rs
+++ b/crates/laurelstall_answer/src/length_checked_body.rs
@@ -15,25 +15,23 @@
 #[derive(Debug)]
 pub struct LengthCheckedBody<B> {
     inner: B,
-    /// The length in bytes; `None` if the head states none.
-    stated_bytes: Option<u64>,
+    framing: Framing,
     received_bytes: u64,
 }
 
 impl<B: Body> LengthCheckedBody<B> {
     /// Wraps the body of an answer with this framing.
     pub fn new(inner: B, framing: Framing) -> Self {
-        let stated_bytes = match framing {
-            Framing::NoBody => Some(0),
-            Framing::Length(bytes) => Some(bytes),
-            Framing::Delimited | Framing::UntilClose => None,
-        };
-        Self { inner, stated_bytes, received_bytes: 0 }
+        Self { inner, framing, received_bytes: 0 }
     }
 
     /// Returns the error of a body that is longer than stated, or that has ended and is shorter.
     fn check(&self, is_over: bool) -> Result<(), AnswerError> {
-        let Some(stated_bytes) = self.stated_bytes else { return Ok(()) };
+        let stated_bytes = match self.framing {
+            Framing::NoBody => 0,
+            Framing::Length(bytes) => bytes,
+            Framing::Delimited | Framing::UntilClose => return Ok(()),
+        };
         let is_wrong = self.received_bytes > stated_bytes || is_over && self.received_bytes < stated_bytes;
         if is_wrong { Err(AnswerError::BodyLength(stated_bytes, self.received_bytes)) } else { Ok(()) }
     }
@@ -65,10 +63,11 @@
         self.inner.is_end_stream() && self.check(true).is_ok()
     }
 
+    /// The size of no body is left open: its head may state the length that one would have.
     fn size_hint(&self) -> SizeHint {
-        match self.stated_bytes {
-            Some(stated_bytes) => SizeHint::with_exact(stated_bytes.saturating_sub(self.received_bytes)),
-            None => self.inner.size_hint(),
+        match self.framing {
+            Framing::Length(bytes) => SizeHint::with_exact(bytes.saturating_sub(self.received_bytes)),
+            _ => self.inner.size_hint(),
         }
     }
 }
--- a/crates/laurelstall_peer/src/awaited_answer.rs
+++ b/crates/laurelstall_peer/src/awaited_answer.rs
@@ -7,6 +7,7 @@
     client::headers_from_wire,
     frame::{FrameError, FrameReader},
     message::{AttemptHead, PeerAnswer},
+    meter::Meter,
 };
 use h2::Reason;
 use http::{Method, StatusCode, Version};
@@ -14,6 +15,7 @@
 use laurelstall_answer::{answer_head::AnswerHead, length_checked_body::LengthCheckedBody};
 use laurelstall_balance::hint::Hint;
 use laurelstall_guard::refusal::{Refusal, RefusalReason};
+use std::sync::{Arc, atomic::Ordering};
 
 /// An answer of a target, as its node passes it on.
 struct PassedAnswer {
@@ -26,13 +28,14 @@
     call_id: u64,
     method: Method,
     pub(crate) resources: AnswerResources,
+    meter: Arc<Meter>,
 }
 
 impl AwaitedAnswer {
-    /// Prepares for the answer to an attempt with this head.
-    pub(crate) fn new(head: &AttemptHead, resources: AnswerResources) -> Self {
+    /// Prepares for the answer to an attempt with this head; one that is no answer is counted in `meter`.
+    pub(crate) fn new(head: &AttemptHead, resources: AnswerResources, meter: Arc<Meter>) -> Self {
         let method = Method::from_bytes(head.method.as_bytes()).unwrap_or_default();
-        Self { call_id: head.call_id, method, resources }
+        Self { call_id: head.call_id, method, resources, meter }
     }
 
     /// Returns what an answer says of the attempt. The rest of `reader` is the body.
@@ -74,7 +77,8 @@
         let framing = match head.framing() {
             Ok(framing) => framing,
             Err(error) => {
-                log::warn!("malformed answer from another node ({}): {error}", error.label());
+                log::debug!("malformed answer from another node ({}): {error}", error.label());
+                self.meter.unreadable.fetch_add(1, Ordering::Relaxed);
                 return lost("the other node sent no answer");
             }
         };
--- a/crates/laurelstall_peer/src/client.rs
+++ b/crates/laurelstall_peer/src/client.rs
@@ -119,7 +119,8 @@
                 return not_sent(body);
             }
         };
-        let mut awaited = AwaitedAnswer::new(&head, AnswerResources::new(sender.monitor(), deadline));
+        let resources = AnswerResources::new(sender.monitor(), deadline);
+        let mut awaited = AwaitedAnswer::new(&head, resources, self.pool.meter().clone());
         let (mut response, mut stream) = match open(sender) {
             Ok(opened) => opened,
             Err(_) => return not_sent(body),
