A call that outlasts a stop is answered before its end

Callers saw, by the code and in a test: a call that entered a stopping node before the linger time was over, with more time than the stop has left, ended with a closed connection at the stop's limit, also where it had waited in a queue all the while and was on no target.

--- a/crates/laurelstall_node/src/entry.rs
+++ b/crates/laurelstall_node/src/entry.rs
@@ -86,6 +86,8 @@
     /// Time at which a stop ends at the latest, in µs of the node's clock: calls that may end later are refused. 0 while
     /// all calls are accepted.
     pub ends_at_us: AtomicU64,
+    /// Latest deadline of a call that is accepted while the node stops, in µs of the node's clock; 0 while it does not stop.
+    pub deadline_max_us: AtomicU64,
     /// Callers' requests whose answers are not sent yet.
     pub unanswered: Arc<Gauge>,
     /// Times of the first call and the first answer.
--- a/crates/laurelstall_node/src/entry/request_reader.rs
+++ b/crates/laurelstall_node/src/entry/request_reader.rs
@@ -72,7 +72,8 @@
         let now_us = self.context.clock.now_us();
         let parent = self.parent(&parts);
         let parent_deadline_us = parent.as_ref().and_then(|parent| parent.deadline_us);
-        let deadline_us = (now_us + budget_ms * 1_000).min(parent_deadline_us.unwrap_or(u64::MAX));
+        let own_deadline_us = (now_us + budget_ms * 1_000).min(self.deadline_max_us());
+        let deadline_us = own_deadline_us.min(parent_deadline_us.unwrap_or(u64::MAX));
         let is_nested = depth > 0 || parent.is_some();
         let is_caller_retry = !is_nested && self.is_caller_retry(&parts, &route)?;
         let parent_useful_until_us = parent.as_ref().map_or(0, |parent| parent.useful_until_us);
--- a/crates/laurelstall_node/src/node.rs
+++ b/crates/laurelstall_node/src/node.rs
@@ -270,6 +270,7 @@
             typical_budgets: Mutex::default(),
             is_stopping: false.into(),
             ends_at_us: 0.into(),
+            deadline_max_us: 0.into(),
             unanswered: Arc::default(),
             milestones: Milestones::default(),
             quotas: quotas.clone(),
--- a/crates/laurelstall_node/src/node/stop.rs
+++ b/crates/laurelstall_node/src/node/stop.rs
@@ -12,18 +12,20 @@
     /// Stops gracefully. Returns whether all requests ended within the time limit.
     ///
     /// For the linger time, the node still accepts calls, but reports that it is not ready and asks callers to close their
-    /// connections. Then the guard accepts no new calls, the entry none that may take longer than the stop, and running requests
-    /// at the local target finish, which may make calls through this node. At last the entry accepts no connections, and all answers to callers and other nodes are sent.
+    /// connections; calls that are accepted now end before the stop does. Then the guard accepts no new calls, the entry none
+    /// that may take longer than the stop, and running requests at the local target finish, which may make calls through this
+    /// node. At last the entry accepts no connections, and all answers to callers and other nodes are sent.
     pub async fn stop(mut self) -> bool {
         let started = Instant::now();
         log::info!("stopping: {}", self.unfinished_work());
         self.entry.is_stopping.store(true, Ordering::Relaxed);
         let limit = Duration::from_millis(self.settings.node.effective_stop_max_ms());
         let linger = Duration::from_millis(self.settings.node.stop_linger_ms);
+        let ends_at_us = self.entry.context.clock.now_us() + limit.as_micros() as u64;
+        self.entry.limit_deadlines(ends_at_us);
         let stopped = timeout(limit, async {
             sleep(linger).await;
-            let remaining = limit.saturating_sub(started.elapsed());
-            self.entry.refuse_calls_beyond(self.entry.context.clock.now_us() + remaining.as_micros() as u64);
+            self.entry.refuse_calls_beyond(ends_at_us);
             self.guard.start_final_drain();
             // Runs at the local target make calls through this node. The rest of the time is for callers' last calls.
             let _ = timeout(limit.saturating_sub(linger) / 2, self.guard.guard().drained()).await;
--- a/crates/laurelstall_standin/tests/planned_stops.rs
+++ b/crates/laurelstall_standin/tests/planned_stops.rs
@@ -223,3 +223,34 @@
     );
     early.abort();
 }
+
+/// Guards against calls that enter before the linger time is over, outlast the stop and end with a closed connection.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_call_that_outlasts_a_stop_gets_an_answer_before_its_end() {
+    let mut plan = HarnessPlan::deployment("faltgard", 1, 20.0).expect("the deployment is known");
+    plan.services[0].targets = 2;
+    // The time budget of the route is 5 s.
+    plan.stop_max_ms = 3_000;
+    let harness = start(plan).await;
+    let targets = harness.targets.all();
+    targets.iter().for_each(|target| target.update_behaviour(|change| change.speed = 0.0));
+    let entry = entry(&harness, 1);
+    let node = harness.nodes()[1].1.clone();
+    let stop = tokio::spawn(async move { node.stop().await });
+    // Both targets get one; the others wait in queues.
+    let calls = (0..40).map(|_| async move {
+        let headers = [("laurelstall-budget-ms", "5000")];
+        send_request(entry, Method::POST, "/market-board/x", &headers, Bytes::new()).await
+    });
+    for answer in join_all(calls).await {
+        let answer = answer.expect("a complete answer");
+        let status = answer.status;
+        assert!(
+            matches!(status, StatusCode::GATEWAY_TIMEOUT | StatusCode::SERVICE_UNAVAILABLE),
+            "{status} {:?}",
+            answer.body
+        );
+    }
+    let is_graceful = timeout(WAIT_MAX, stop).await.expect("the stop ends").expect("no panic");
+    assert!(is_graceful, "the end of the stop cuts calls off");
+}
