A spoilt name of the length or the coding does not hide the end of a body

Callers saw, in the test before: an answer whose "Content-Length" had one wrong letter, with 3 of 9 bytes and a closed connection, came as a whole 200; one whose "Transfer-Encoding" had one came with its chunk framing as the body.

Cause: such a head states no length, and an answer without one may end with its connection. Nothing looked at what stood in the length's place.

Now an answer that would end with its connection is refused if the name of one of its fields is the length's or the coding's with one byte replaced, added or lost. Only such answers are looked at; names in use (content-language, x-content-length) are further away, which is a test too.

--- a/crates/laurelstall_answer/src/answer_error.rs
+++ b/crates/laurelstall_answer/src/answer_error.rs
@@ -26,6 +26,10 @@
         Length {
             display("the length is not one number")
         }
+        /// The head states no end of the body, and the name of a field is one byte away from one that would.
+        SpoiltName {
+            display("a field whose name is nearly that of the length or the transfer coding")
+        }
         /// The head states a body, which an answer with this status doesn't have.
         UnexpectedBody(status: u16) {
             display("a body in an answer with status {status}")
@@ -54,6 +58,7 @@
             Self::TransferCoding => "transfer_coding",
             Self::CodingAndLength => "coding_and_length",
             Self::Length => "length",
+            Self::SpoiltName => "spoilt_name",
             Self::UnexpectedBody(_) => "unexpected_body",
             Self::ConnectionField => "connection_field",
             Self::Content(_) => "content",
--- a/crates/laurelstall_answer/src/answer_head.rs
+++ b/crates/laurelstall_answer/src/answer_head.rs
@@ -1,6 +1,6 @@
 //! Checks the head of an answer, and finds how the end of its body is told.
 
-use crate::answer_error::AnswerError;
+use crate::{answer_error::AnswerError, spoilt_name::has_spoilt_framing_field};
 use http::{
     HeaderMap, HeaderValue, Method, StatusCode, Version,
     header::{CONNECTION, CONTENT_LENGTH, TRANSFER_ENCODING},
@@ -47,8 +47,9 @@
 impl AnswerHead<'_> {
     /// Checks the head, and returns how the end of the body is told.
     ///
-    /// It refuses more than RFC 9112 does: transfer codings that nobody asked for, a length beside a transfer coding, and a
-    /// body that is stated where none may be. In each of them a single spoilt byte may hide another body.
+    /// It refuses more than RFC 9112 does: transfer codings that nobody asked for, a length beside a transfer coding, a body
+    /// that is stated where none may be, and a body until the end of the connection beside a field whose name is nearly
+    /// that of the length. In each of them a single spoilt byte may hide another body.
     ///
     /// # Errors
     ///
@@ -73,6 +74,7 @@
         Ok(match length_bytes {
             Some(bytes) => Framing::Length(bytes),
             None if is_chunked || self.version >= Version::HTTP_2 => Framing::Delimited,
+            None if has_spoilt_framing_field(self.headers) => return Err(AnswerError::SpoiltName),
             None => Framing::UntilClose,
         })
     }
--- a/crates/laurelstall_answer/src/lib.rs
+++ b/crates/laurelstall_answer/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod answer_error;
 pub mod answer_head;
 pub mod length_checked_body;
+mod spoilt_name;
 
 /// The types that most users of this crate need.
 pub mod prelude {
--- a/crates/laurelstall_answer/tests/answer_head.rs
+++ b/crates/laurelstall_answer/tests/answer_head.rs
@@ -101,3 +101,25 @@
     assert!(written(&[("content-length", "0")], Framing::NoBody, StatusCode::NO_CONTENT).is_empty());
     assert!(written(LENGTH, Framing::Delimited, StatusCode::OK).is_empty());
 }
+
+// Guards against a part of a body, or its chunks, that pass for the whole because one byte of a field's name is spoilt.
+#[test]
+fn a_body_until_the_end_beside_a_nearly_right_name_is_refused() {
+    let refused = Err(AnswerError::SpoiltName);
+    for name in ["content-lengti", "xontent-length", "content-lenth", "content-lengthh", "acontent-length"] {
+        let fields: Fields = Box::leak(Box::new([(name, "11")]));
+        assert_eq!(framing(200, fields), refused, "{name}");
+    }
+    for name in ["transfer-encodinf", "transfer-encodin", "tranfer-encoding", "transfer-encodings"] {
+        let fields: Fields = Box::leak(Box::new([(name, "chunked")]));
+        assert_eq!(framing(200, fields), refused, "{name}");
+    }
+    for name in
+        ["content-language", "content-location", "content-encoding", "x-content-length", "length", "te"]
+    {
+        let fields: Fields = Box::leak(Box::new([(name, "11")]));
+        assert_eq!(framing(200, fields), Ok(Framing::UntilClose), "{name}");
+    }
+    let beside_a_length: Fields = &[("content-lengti", "9"), ("content-length", "11")];
+    assert_eq!(framing(200, beside_a_length), Ok(Framing::Length(11)));
+}
--- a/crates/laurelstall_node/src/counters.rs
+++ b/crates/laurelstall_node/src/counters.rs
@@ -59,7 +59,7 @@
     malformed_statuses,
     /// Answers of the local target with another transfer coding than `chunked`, or with one and a length.
     malformed_codings,
-    /// Answers of the local target whose length is not one number.
+    /// Answers of the local target whose length is not one number, or stands in a field with a spoilt name.
     malformed_lengths,
     /// Answers of the local target that state a body where none may be.
     malformed_bodies,
--- a/crates/laurelstall_node/src/malformed_answers.rs
+++ b/crates/laurelstall_node/src/malformed_answers.rs
@@ -33,7 +33,9 @@
             AnswerError::Head(_) | AnswerError::ConnectionField => &counters.malformed_heads,
             AnswerError::Status(_) => &counters.malformed_statuses,
             AnswerError::TransferCoding | AnswerError::CodingAndLength => &counters.malformed_codings,
-            AnswerError::Length | AnswerError::BodyLength(..) => &counters.malformed_lengths,
+            AnswerError::Length | AnswerError::SpoiltName | AnswerError::BodyLength(..) => {
+                &counters.malformed_lengths
+            }
             AnswerError::UnexpectedBody(_) => &counters.malformed_bodies,
             AnswerError::Content(_) => &counters.malformed_contents,
         });
