--- a/crates/laurelstall_peer/tests/buffered_bodies.rs
+++ b/crates/laurelstall_peer/tests/buffered_bodies.rs
@@ -1,10 +1,11 @@
 //! Attempts whose body is buffered by the guard before the target receives it: what is known if the guard's
 //! node dies.
 
+mod support;
+
 use futures_util::future::{BoxFuture, FutureExt};
 use http::{HeaderMap, StatusCode};
 use http_body_util::{BodyExt, Empty};
-use laurelstall_crash::request_digest::RequestDigest;
 use laurelstall_guard::{
     clock::Clock,
     refusal::{Refusal, RefusalReason},
@@ -25,6 +26,7 @@
         atomic::{AtomicU32, Ordering},
     },
 };
+use support::attempts::attempt_head;
 use tokio::{
     net::TcpListener,
     sync::Notify,
@@ -125,27 +127,10 @@
 
 fn attempt(budget: Duration) -> Attempt {
     let head = AttemptHead {
-        call_id: 1,
-        service: "t/s".to_owned(),
-        target: "a".to_owned(),
         method: "POST".to_owned(),
-        uri: "/x".to_owned(),
-        digest: RequestDigest { whole: 1, head: 2 },
-        headers: Vec::new(),
-        budget_us: budget.as_micros() as u64,
-        useful_us: budget.as_micros() as u64,
-        class: 0,
-        importance: 5,
-        workspace: String::new(),
-        is_return: false,
-        is_repeat: false,
         may_repeat: false,
-        may_hand_back: false,
-        hand_backs: 0,
-        slow_from_percent: None,
-        ticket: None,
         body: BodyKind::BufferedAfterAdmission,
-        wants_hint: false,
+        ..attempt_head(budget)
     };
     Attempt { head, body: AttemptBody::Whole("order".into()) }
 }
--- a/crates/laurelstall_peer/tests/closing_connections.rs
+++ b/crates/laurelstall_peer/tests/closing_connections.rs
@@ -1,10 +1,11 @@
 //! Connections that a stopping server closes while answers are on their way.
 
+mod support;
+
 use bytes::Bytes;
 use futures_util::future::{BoxFuture, FutureExt, join_all};
 use http::{HeaderMap, StatusCode};
 use http_body_util::{BodyExt, Full};
-use laurelstall_crash::request_digest::RequestDigest;
 use laurelstall_guard::clock::Clock;
 use laurelstall_peer::{
     attempt::{Admission, Attempt, AttemptAnswer, AttemptBody, AttemptHandler, AttemptOutcome},
@@ -12,7 +13,7 @@
     client::PeerClient,
     lingering_stream::{LINGER_MAX, LingeringStream},
     link::OpenLink,
-    message::{AttemptHead, BodyKind, PeerAnswer, PeerRequest},
+    message::{AttemptHead, PeerAnswer, PeerRequest},
     pool::Pool,
     server::{PeerHandler, PeerServer},
 };
@@ -21,6 +22,7 @@
     net::{IpAddr, SocketAddr},
     sync::Arc,
 };
+use support::attempts::attempt_head;
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt, copy},
     net::{
@@ -154,29 +156,7 @@
 }
 
 fn head() -> AttemptHead {
-    AttemptHead {
-        call_id: 1,
-        service: "t/s".to_owned(),
-        target: "a".to_owned(),
-        method: "GET".to_owned(),
-        uri: "/x".to_owned(),
-        digest: RequestDigest { whole: 1, head: 2 },
-        headers: Vec::new(),
-        budget_us: WAIT_MAX.as_micros() as u64,
-        useful_us: WAIT_MAX.as_micros() as u64,
-        class: 0,
-        importance: 5,
-        workspace: String::new(),
-        is_return: false,
-        is_repeat: false,
-        may_repeat: true,
-        may_hand_back: false,
-        hand_backs: 0,
-        slow_from_percent: None,
-        ticket: None,
-        body: BodyKind::Empty,
-        wants_hint: false,
-    }
+    attempt_head(WAIT_MAX)
 }
 
 /// Guards against answers that are lost because the socket is closed while bytes of the other node still arrive, or because
--- a/crates/laurelstall_peer/tests/delayed_pings.rs
+++ b/crates/laurelstall_peer/tests/delayed_pings.rs
@@ -1,5 +1,7 @@
 //! Connections on which the answers to pings are delayed by other data.
 
+mod support;
+
 use bytes::Bytes;
 use futures_util::{
     future::{BoxFuture, FutureExt},
@@ -8,14 +10,13 @@
 use http::{HeaderMap, StatusCode};
 use http_body::Frame;
 use http_body_util::{BodyExt, StreamBody};
-use laurelstall_crash::request_digest::RequestDigest;
 use laurelstall_guard::clock::Clock;
 use laurelstall_peer::{
     attempt::{Admission, Attempt, AttemptAnswer, AttemptBody, AttemptHandler, AttemptOutcome},
     body::BodyError,
     client::PeerClient,
     link::OpenLink,
-    message::{AttemptHead, BodyKind, PeerAnswer, PeerRequest},
+    message::{PeerAnswer, PeerRequest},
     meter::Meter,
     pool::Pool,
     server::{PeerHandler, PeerServer},
@@ -24,6 +25,7 @@
     net::{IpAddr, SocketAddr},
     sync::Arc,
 };
+use support::attempts::attempt_head;
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt, copy},
     net::{
@@ -119,29 +121,7 @@
 }
 
 fn attempt() -> Attempt {
-    let head = AttemptHead {
-        call_id: 1,
-        service: "t/s".to_owned(),
-        target: "a".to_owned(),
-        method: "GET".to_owned(),
-        uri: "/x".to_owned(),
-        digest: RequestDigest { whole: 1, head: 2 },
-        headers: Vec::new(),
-        budget_us: 20_000_000,
-        useful_us: 20_000_000,
-        class: 0,
-        importance: 5,
-        workspace: String::new(),
-        is_return: false,
-        is_repeat: false,
-        may_repeat: true,
-        may_hand_back: false,
-        hand_backs: 0,
-        slow_from_percent: None,
-        ticket: None,
-        body: BodyKind::Empty,
-        wants_hint: false,
-    };
+    let head = attempt_head(Duration::from_secs(20));
     Attempt { head, body: AttemptBody::Whole(Bytes::new()) }
 }
 
--- a/crates/laurelstall_peer/tests/late_answers.rs
+++ b/crates/laurelstall_peer/tests/late_answers.rs
@@ -10,13 +10,12 @@
 use http::{HeaderMap, StatusCode};
 use http_body::Frame;
 use http_body_util::{BodyExt, StreamBody};
-use laurelstall_crash::request_digest::RequestDigest;
 use laurelstall_guard::clock::Clock;
 use laurelstall_peer::{
     attempt::{Admission, Attempt, AttemptAnswer, AttemptBody, AttemptHandler, AttemptOutcome},
     body::{BodyError, BoxedBody},
     client::PeerClient,
-    message::{AttemptHead, BodyKind, PeerAnswer, PeerRequest},
+    message::{PeerAnswer, PeerRequest},
     pool::Pool,
     server::{PeerHandler, PeerServer},
 };
@@ -24,7 +23,10 @@
     net::{IpAddr, SocketAddr},
     sync::Arc,
 };
-use support::mesh::{HostLink, Silence};
+use support::{
+    attempts::attempt_head,
+    mesh::{HostLink, Silence},
+};
 use tokio::{
     net::TcpListener,
     time::{Duration, Instant, sleep, sleep_until},
@@ -73,29 +75,7 @@
 }
 
 fn attempt() -> Attempt {
-    let head = AttemptHead {
-        call_id: 1,
-        service: "t/s".to_owned(),
-        target: "a".to_owned(),
-        method: "GET".to_owned(),
-        uri: "/x".to_owned(),
-        digest: RequestDigest { whole: 1, head: 2 },
-        headers: Vec::new(),
-        budget_us: TIME_LIMIT.as_micros() as u64,
-        useful_us: TIME_LIMIT.as_micros() as u64,
-        class: 0,
-        importance: 5,
-        workspace: String::new(),
-        is_return: false,
-        is_repeat: false,
-        may_repeat: true,
-        may_hand_back: false,
-        hand_backs: 0,
-        slow_from_percent: None,
-        ticket: None,
-        body: BodyKind::Empty,
-        wants_hint: false,
-    };
+    let head = attempt_head(TIME_LIMIT);
     Attempt { head, body: AttemptBody::Whole(Bytes::new()) }
 }
 
--- a/crates/laurelstall_peer/tests/malformed_answers.rs
+++ b/crates/laurelstall_peer/tests/malformed_answers.rs
@@ -1,21 +1,23 @@
 //! Answers of other nodes that are no answers of targets, or that stop midway.
 
+mod support;
+
 use bytes::Bytes;
 use h2::server;
 use http::{Response, StatusCode};
 use http_body_util::BodyExt;
-use laurelstall_crash::request_digest::RequestDigest;
 use laurelstall_guard::clock::Clock;
 use laurelstall_peer::{
     attempt::{Attempt, AttemptAnswer, AttemptBody, AttemptOutcome},
     client::PeerClient,
     frame::encode,
     link::OpenLink,
-    message::{AttemptHead, BodyKind, PeerAnswer},
+    message::{AttemptHead, PeerAnswer},
     pool::Pool,
 };
 use std::{net::SocketAddr, sync::Arc};
-use tokio::{net::TcpListener, task::JoinSet};
+use support::attempts::attempt_head;
+use tokio::{net::TcpListener, task::JoinSet, time::Duration};
 
 const CALL_ID: u64 = 7;
 
@@ -49,29 +51,7 @@
 }
 
 fn head(method: &str) -> AttemptHead {
-    AttemptHead {
-        call_id: CALL_ID,
-        service: "t/s".to_owned(),
-        target: "a".to_owned(),
-        method: method.to_owned(),
-        uri: "/x".to_owned(),
-        digest: RequestDigest { whole: 1, head: 2 },
-        headers: Vec::new(),
-        budget_us: 20_000_000,
-        useful_us: 20_000_000,
-        class: 0,
-        importance: 5,
-        workspace: String::new(),
-        is_return: false,
-        is_repeat: false,
-        may_repeat: true,
-        may_hand_back: false,
-        hand_backs: 0,
-        slow_from_percent: None,
-        ticket: None,
-        body: BodyKind::Empty,
-        wants_hint: false,
-    }
+    AttemptHead { call_id: CALL_ID, method: method.to_owned(), ..attempt_head(Duration::from_secs(20)) }
 }
 
 fn answer(call_id: u64, status: u16, fields: &[(&str, &str)], body: &str) -> Bytes {
